--- /dev/null
+++ b/internal/ownerrpc/messages.go
@@ -0,0 +1,164 @@
+// Package ownerrpc holds the messages and the client of the owner service,
+// which runs on every entry host and executes cycles on the backend servers
+// that the host owns.
+//
+// A cycle is one simple Query message, or the extended-protocol messages up
+// to and including Sync. The entry addresses a cycle to one backend server;
+// the owner checks its lease, the term and the required position when the
+// cycle is about to run, so everything the entry knows is only a hint.
+//
+// # Usage
+//
+//	c := ownerrpc.Client{Call: pool.Call}
+//	reply, err := c.Exec(ctx, address, &ownerrpc.ExecArgs{...})
+//	// err: transport failure; reply.Kind: the answer of the owner
+package ownerrpc
+
+import (
+	"time"
+
+	"github.com/arbutusring/arbutusring/pkg/errkind"
+	"github.com/arbutusring/arbutusring/pkg/logpos"
+)
+
+// RequestID identifies one cycle of one session for matching answers,
+// cancelling and asking for outcomes. It never repeats.
+type RequestID struct {
+	Entry   string `codec:"e"` // host id and incarnation of the entry
+	Session uint64 `codec:"s"` // session number within the incarnation
+	Number  uint64 `codec:"n"` // cycle number within the session, from 1
+}
+
+// ExecArgs asks the owner to execute one cycle.
+type ExecArgs struct {
+	ID           RequestID       `codec:"i"`
+	Group        string          `codec:"g"`
+	Server       string          `codec:"s"` // backend server id
+	Term         uint64          `codec:"t"` // group term that the entry knows; 0 for reads at a replica
+	Rank         string          `codec:"r"` // traffic rank name
+	Budget       time.Duration   `codec:"b"` // time left until the caller's deadline
+	Write        bool            `codec:"w"` // may change data: only a primary executes it
+	Begin        bool            `codec:"x"` // may open a transaction
+	InTx         bool            `codec:"y"` // continues the session's open transaction
+	Repeatable   bool            `codec:"p"`
+	RequestToken string          `codec:"k"` // caller's request_id; empty for none
+	Require      logpos.Position `codec:"q"` // position that the member must have applied
+	Messages     []byte          `codec:"m"` // raw frontend messages of the cycle
+}
+
+// ExecReply is the answer to one cycle.
+type ExecReply struct {
+	ID       RequestID       `codec:"i"` // copied from the arguments
+	Kind     errkind.Kind    `codec:"k"` // empty on success
+	Detail   string          `codec:"d"`
+	Messages []byte          `codec:"m"` // raw backend messages up to and including ReadyForQuery
+	TxStatus byte            `codec:"t"` // 'I', 'T' or 'E'
+	Position logpos.Position `codec:"p"` // position of the committed write, if the cycle committed one
+	Load     Load            `codec:"l"`
+}
+
+// Load is what the owner reports about one server with every answer.
+type Load struct {
+	Server   string          `codec:"s"`
+	Applied  logpos.Position `codec:"a"` // last known applied position
+	Queued   map[string]int  `codec:"q"` // queue length for each rank
+	Full     []string        `codec:"f"` // ranks whose queue is at its limit
+	Service  time.Duration   `codec:"v"` // smoothed service time of a cycle
+	Slots    int             `codec:"n"`
+	Draining bool            `codec:"d"`
+}
+
+// CancelArgs asks the owner to cancel a cycle that has not started.
+type CancelArgs struct {
+	ID     RequestID `codec:"i"`
+	Server string    `codec:"s"`
+}
+
+// CancelReply tells whether the cycle will never run. Confirmed is true also
+// for a cycle that the owner has not seen yet: it refuses it when it arrives.
+type CancelReply struct {
+	Confirmed bool `codec:"c"`
+}
+
+// OutcomeArgs asks for the stored answer of a cycle.
+type OutcomeArgs struct {
+	ID     RequestID `codec:"i"`
+	Server string    `codec:"s"`
+}
+
+// OutcomeReply carries the stored answer, if the owner has it.
+type OutcomeReply struct {
+	Found   bool      `codec:"f"`
+	Running bool      `codec:"r"` // the cycle is queued or running
+	Reply   ExecReply `codec:"a"`
+}
+
+// ReleaseArgs ends a session: its open transaction is rolled back.
+type ReleaseArgs struct {
+	Entry   string `codec:"e"`
+	Session uint64 `codec:"s"`
+	Server  string `codec:"v"`
+}
+
+// ReleaseReply is empty.
+type ReleaseReply struct{}
+
+// PositionArgs asks the owner of a primary for its confirmed position: a
+// position at or after every write acknowledged before the call.
+type PositionArgs struct {
+	Group string `codec:"g"`
+	Term  uint64 `codec:"t"`
+}
+
+// PositionReply carries the confirmed position.
+type PositionReply struct {
+	Kind     errkind.Kind    `codec:"k"`
+	Detail   string          `codec:"d"`
+	Position logpos.Position `codec:"p"`
+}
+
+// StatusArgs asks for the status of every server that the host owns. Entries
+// send it every 200 ms to the owners that they use; an owner rolls back the
+// transactions of an entry that it has not heard from for 2 s.
+type StatusArgs struct {
+	Entry string `codec:"e"` // host id and incarnation of the asking entry; renews its transactions
+}
+
+// StatusReply lists the status of every owned server.
+type StatusReply struct {
+	Host    string         `codec:"h"`
+	Servers []ServerStatus `codec:"s"`
+}
+
+// ServerStatus is what an owner observes of one server. It is also the row of
+// the state dump and the source of the health answers.
+type ServerStatus struct {
+	Server      string          `codec:"s" json:"server"`
+	Group       string          `codec:"g" json:"group"`
+	Epoch       uint64          `codec:"e" json:"epoch"`
+	Term        uint64          `codec:"t" json:"term"`
+	Primary     bool            `codec:"p" json:"primary"`
+	LeaseLeft   time.Duration   `codec:"l" json:"lease_left"`
+	Reachable   bool            `codec:"r" json:"reachable"`
+	HeardAge    time.Duration   `codec:"h" json:"heard_age"` // since the server last answered
+	Applied     logpos.Position `codec:"a" json:"applied"`
+	Load        Load            `codec:"o" json:"load"`
+	Connections int             `codec:"c" json:"connections"`
+	OpenTx      int             `codec:"x" json:"open_tx"`
+	Successes   uint64          `codec:"u" json:"successes"`
+	Failures    uint64          `codec:"f" json:"failures"`
+	Refused     uint64          `codec:"d" json:"refused"`
+}
+
+// RevokeArgs ends, before its ttl, a lease or the primary role of a server.
+type RevokeArgs struct {
+	Server string `codec:"s"`
+	Epoch  uint64 `codec:"e"` // leases up to this epoch end; 0 leaves the lease alone
+	Term   uint64 `codec:"t"` // the primary role up to this term ends; 0 leaves it alone
+}
+
+// RevokeReply confirms that the host acknowledges nothing more under the
+// revoked lease or role.
+type RevokeReply struct {
+	Confirmed bool `codec:"c"`
+}
--- /dev/null
+++ b/pkg/logpos/logpos.go
@@ -0,0 +1,116 @@
+// Package logpos defines positions in the log of a database group and the
+// session token that carries one between proxies.
+//
+// A position is the term of the last record together with its log sequence
+// number (LSN). Positions compare lexicographically. Promotion keeps every
+// acknowledged record, so a position of a later term covers every
+// acknowledged position of an earlier term, whatever the two LSNs are.
+//
+// # Usage
+//
+//	tok := logpos.Token{Group: "orders", Position: logpos.Position{Term: 3, LSN: 812}}
+//	s := tok.String()               // handed to the caller
+//	back, err := logpos.ParseToken(s)
+//	if member.Applied.Covers(back.Position) { ... }
+package logpos
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/arbutusring/arbutusring/pkg/errkind"
+	"github.com/cespare/xxhash/v2"
+)
+
+// Position is a place in the log of a group: the term of the last record and
+// its LSN. The zero Position precedes every record.
+type Position struct {
+	Term uint64 `json:"term" codec:"t"`
+	LSN  uint64 `json:"lsn" codec:"l"`
+}
+
+// Compare returns -1, 0 or 1 as p is before, equal to or after q.
+func (p Position) Compare(q Position) int {
+	switch {
+	case p.Term < q.Term:
+		return -1
+	case p.Term > q.Term:
+		return 1
+	case p.LSN < q.LSN:
+		return -1
+	case p.LSN > q.LSN:
+		return 1
+	}
+	return 0
+}
+
+// Covers reports whether a member that has applied p serves a session that
+// requires q.
+func (p Position) Covers(q Position) bool { return p.Compare(q) >= 0 }
+
+// Max returns the later of p and q.
+func (p Position) Max(q Position) Position {
+	if p.Covers(q) {
+		return p
+	}
+	return q
+}
+
+// String returns "term/lsn" in decimal.
+func (p Position) String() string { return fmt.Sprintf("%d/%d", p.Term, p.LSN) }
+
+// ParsePosition reads the form that String writes.
+func ParsePosition(s string) (Position, error) {
+	t, l, ok := strings.Cut(s, "/")
+	if !ok {
+		return Position{}, errkind.New(errkind.BadRequest, "position %q is not of the form term/lsn", s)
+	}
+	term, err := strconv.ParseUint(t, 10, 64)
+	if err != nil {
+		return Position{}, errkind.Wrap(errkind.BadRequest, err, "term of position %q", s)
+	}
+	lsn, err := strconv.ParseUint(l, 10, 64)
+	if err != nil {
+		return Position{}, errkind.Wrap(errkind.BadRequest, err, "lsn of position %q", s)
+	}
+	return Position{Term: term, LSN: lsn}, nil
+}
+
+// Token is what a session takes along to another proxy: the position of its
+// last acknowledged write in its group.
+type Token struct {
+	Group    string
+	Position Position
+}
+
+const tokenVersion = "v1"
+
+// String returns "v1:group:term/lsn:checksum". The checksum detects a token
+// that was cut or altered by accident; it is no protection against forgery.
+func (t Token) String() string {
+	body := tokenVersion + ":" + t.Group + ":" + t.Position.String()
+	return body + ":" + checksum(body)
+}
+
+// ParseToken reads the form that String writes. An altered token is an error
+// of kind BadRequest: reading without it could break read-your-writes.
+func ParseToken(s string) (Token, error) {
+	i := strings.LastIndexByte(s, ':')
+	if i < 0 || checksum(s[:i]) != s[i+1:] {
+		return Token{}, errkind.New(errkind.BadRequest, "session token %q is damaged", s)
+	}
+	parts := strings.Split(s[:i], ":")
+	if len(parts) != 3 || parts[0] != tokenVersion {
+		return Token{}, errkind.New(errkind.BadRequest, "session token %q has an unknown form", s)
+	}
+	pos, err := ParsePosition(parts[2])
+	if err != nil {
+		return Token{}, err
+	}
+	return Token{Group: parts[1], Position: pos}, nil
+}
+
+func checksum(s string) string {
+	return fmt.Sprintf("%08x", uint32(xxhash.Sum64String(s)))
+}
--- /dev/null
+++ b/pkg/policy/effective.go
@@ -0,0 +1,90 @@
+package policy
+
+// implicitRank is used when the configuration declares no ranks.
+var implicitRank = TrafficRank{Name: "default", Default: true}
+
+// Group returns the declared group of that name.
+func (c *Config) Group(name string) (DatabaseGroup, bool) {
+	for _, g := range c.DatabaseGroups {
+		if g.Name == name {
+			return g, true
+		}
+	}
+	return DatabaseGroup{}, false
+}
+
+// Ranks returns the declared ranks, or one implicit rank if there are none.
+func (c *Config) Ranks() []TrafficRank {
+	if len(c.TrafficRanks) == 0 {
+		return []TrafficRank{implicitRank}
+	}
+	return c.TrafficRanks
+}
+
+// Rank returns the rank of that name; the empty name gives the default rank.
+func (c *Config) Rank(name string) (TrafficRank, bool) {
+	for _, r := range c.Ranks() {
+		if r.Name == name || (name == "" && r.Default) {
+			return r, true
+		}
+	}
+	return TrafficRank{}, false
+}
+
+// Effective returns what holds for a rank at a group. It is false if either
+// is not declared; the empty rank is the default rank.
+func (c *Config) Effective(group, rank string) (Effective, bool) {
+	g, ok := c.Group(group)
+	if !ok {
+		return Effective{}, false
+	}
+	r, ok := c.Rank(rank)
+	if !ok {
+		return Effective{}, false
+	}
+	eff := defaults
+	eff.Rank = r
+	for _, p := range c.Policies {
+		if p.matches(g, r) {
+			p.overlay(&eff)
+		}
+	}
+	return eff, true
+}
+
+// matches reports whether both selectors match. Parse has checked them.
+func (p Policy) matches(g DatabaseGroup, r TrafficRank) bool {
+	groups, err := ParseSelector(p.Groups)
+	if err != nil {
+		return false
+	}
+	ranks, err := ParseSelector(p.Ranks)
+	if err != nil {
+		return false
+	}
+	return groups.Matches(g.Name, g.Labels) && ranks.Matches(r.Name, r.Labels)
+}
+
+func (p Policy) overlay(eff *Effective) {
+	if p.Deadline != nil {
+		eff.Deadline = p.Deadline.Std()
+	}
+	if p.QueueLimit != nil {
+		eff.QueueLimit = *p.QueueLimit
+	}
+	if p.MaxStaleness != nil {
+		eff.MaxStaleness = p.MaxStaleness.Std()
+	}
+	if p.ReplicaReads != nil {
+		eff.ReplicaReads = *p.ReplicaReads
+	}
+	if p.HedgeAfter != nil {
+		eff.HedgeAfter = p.HedgeAfter.Std()
+	}
+	if p.PositionWait != nil {
+		eff.PositionWait = p.PositionWait.Std()
+	}
+	if p.RetryBudget != nil {
+		eff.RetryBudget = *p.RetryBudget
+	}
+}
