--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,192 @@
+package peer_test
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/arbutusring/arbutusring/internal/peer"
+	"github.com/arbutusring/arbutusring/pkg/errkind"
+	"github.com/matryer/is"
+)
+
+type EchoArgs struct {
+	Wait time.Duration
+	Data []byte
+}
+
+type EchoReply struct{ Data []byte }
+
+type echo struct{ calls atomic.Int64 }
+
+func (e *echo) Echo(args *EchoArgs, reply *EchoReply) error {
+	e.calls.Add(1)
+	time.Sleep(args.Wait)
+	reply.Data = args.Data
+	return nil
+}
+
+// pipeListener hands one end of each dialled pipe to a server.
+type pipeListener struct {
+	conns chan net.Conn
+	done  chan struct{}
+	dials atomic.Int64
+	last  atomic.Pointer[silencer]
+}
+
+func newPipeListener() *pipeListener {
+	return &pipeListener{conns: make(chan net.Conn), done: make(chan struct{})}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error   { close(l.done); return nil }
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (l *pipeListener) dial(ctx context.Context, _ string) (net.Conn, error) {
+	near, far := net.Pipe()
+	l.dials.Add(1)
+	s := &silencer{Conn: near}
+	l.last.Store(s)
+	select {
+	case l.conns <- far:
+		return s, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+// silencer swallows everything that is written once silent is set, as a
+// middlebox does that has lost track of a connection.
+type silencer struct {
+	net.Conn
+	silent atomic.Bool
+}
+
+func (s *silencer) Write(p []byte) (int, error) {
+	if s.silent.Load() {
+		return len(p), nil
+	}
+	return s.Conn.Write(p)
+}
+
+func start(t *testing.T) (*echo, *peer.Server, *peer.Pool, *pipeListener) {
+	t.Helper()
+	e := new(echo)
+	srv := peer.NewServer(peer.ServerOptions{})
+	if err := srv.Register("Echo", e); err != nil {
+		t.Fatal(err)
+	}
+	ln := newPipeListener()
+	go func() { _ = srv.Serve(ln) }()
+	return e, srv, peer.NewPool(peer.PoolOptions{Dial: ln.dial}), ln
+}
+
+// TestSilentConnectionIsReplaced guards against calls that hang for ever on a
+// connection whose packets are dropped while new connections work.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		_, srv, pool, ln := start(t)
+		ctx := context.Background()
+		is.NoErr(pool.Call(ctx, "a", "Echo.Echo", &EchoArgs{Data: []byte("x")}, new(EchoReply)))
+		ln.last.Load().silent.Store(true)
+		began := time.Now()
+		err := pool.Call(ctx, "a", "Echo.Echo", &EchoArgs{}, new(EchoReply))
+		is.Equal(errkind.Of(err), errkind.ServerLost)
+		is.True(time.Since(began) <= 1300*time.Millisecond) // stated: replaced within 1 s, plus one heartbeat
+		time.Sleep(10 * time.Millisecond)
+		reply := new(EchoReply)
+		is.NoErr(pool.Call(ctx, "a", "Echo.Echo", &EchoArgs{Data: []byte("y")}, reply))
+		is.Equal(string(reply.Data), "y")
+		is.Equal(ln.dials.Load(), int64(2))
+		pool.Close()
+		is.NoErr(srv.Shutdown(ctx))
+	})
+}
+
+// TestLongCallOutlivesIdleLimit guards against taking a slow answer for a
+// silent connection.
+func TestLongCallOutlivesIdleLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		_, srv, pool, ln := start(t)
+		ctx := context.Background()
+		is.NoErr(pool.Call(ctx, "a", "Echo.Echo", &EchoArgs{Wait: 30 * time.Second}, new(EchoReply)))
+		is.Equal(ln.dials.Load(), int64(1))
+		pool.Close()
+		is.NoErr(srv.Shutdown(ctx))
+	})
+}
+
+// TestShutdownWaitsForRunningCalls guards against a planned stop that cuts
+// off a request in progress.
+func TestShutdownWaitsForRunningCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e, srv, pool, _ := start(t)
+		ctx := context.Background()
+		result := make(chan error, 1)
+		go func() {
+			result <- pool.Call(ctx, "a", "Echo.Echo", &EchoArgs{Wait: 3 * time.Second}, new(EchoReply))
+		}()
+		time.Sleep(time.Second)
+		is.Equal(e.calls.Load(), int64(1))
+		is.NoErr(srv.Shutdown(ctx))
+		is.NoErr(<-result)
+		err := pool.Call(ctx, "a", "Echo.Echo", &EchoArgs{}, new(EchoReply))
+		is.True(err != nil) // no new work after the shutdown
+		is.Equal(e.calls.Load(), int64(1))
+		pool.Close()
+	})
+}
+
+// TestUnreachableHostIsNotSent guards against reporting an unknown outcome
+// for a request that never left this host.
+func TestUnreachableHostIsNotSent(t *testing.T) {
+	is := is.New(t)
+	pool := peer.NewPool(peer.PoolOptions{Dial: func(context.Context, string) (net.Conn, error) {
+		return nil, net.ErrClosed
+	}})
+	err := pool.Call(context.Background(), "a", "Echo.Echo", &EchoArgs{}, new(EchoReply))
+	is.Equal(errkind.Of(err), errkind.ConnectFailed)
+	is.Equal(errkind.Of(err).Info().Outcome, errkind.NotRun)
+}
+
+// BenchmarkCall measures one call over loopback TCP.
+func BenchmarkCall(b *testing.B) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	srv := peer.NewServer(peer.ServerOptions{})
+	if err := srv.Register("Echo", new(echo)); err != nil {
+		b.Fatal(err)
+	}
+	go func() { _ = srv.Serve(ln) }()
+	pool := peer.NewPool(peer.PoolOptions{})
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		args := &EchoArgs{Data: make([]byte, 200)}
+		for pb.Next() {
+			if err := pool.Call(context.Background(), ln.Addr().String(), "Echo.Echo", args, new(EchoReply)); err != nil {
+				b.Error(err)
+				return
+			}
+		}
+	})
+	pool.Close()
+	_ = srv.Shutdown(context.Background())
+}
