peer: read through an own buffer; execute nothing after a shutdown

Cause: with ReaderBufferSize set, the codec (ugorji v1.3.2) decodes the last request again after a failed read, so a server looped on a silent connection; and a request that arrived between Close and the end of the writer was executed.

--- a/internal/peer/batch_conn.go
+++ b/internal/peer/batch_conn.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bufio"
 	"net"
 	"sync"
 )
@@ -9,6 +10,9 @@
 // writers block beyond it.
 const maxPending = 4 << 20
 
+// readBuffer holds several usual messages, in bytes.
+const readBuffer = 16 << 10
+
 // batchConn collects the writes of concurrent calls and passes them on in as
 // few system calls as possible: while one write is under way, all others
 // gather in a buffer that the next write takes whole.
@@ -17,6 +21,7 @@
 // is pending, then closes the connection.
 type batchConn struct {
 	net.Conn
+	r *bufio.Reader // used by the one reading goroutine
 
 	mu      sync.Mutex // guards the fields below
 	changed sync.Cond  // on mu: pending, err or closed has changed
@@ -26,12 +31,24 @@
 }
 
 func newBatchConn(conn net.Conn) *batchConn {
-	c := &batchConn{Conn: conn}
+	c := &batchConn{Conn: conn, r: bufio.NewReaderSize(conn, readBuffer)}
 	c.changed.L = &c.mu
 	go c.loop()
 	return c
 }
 
+// Read reads through the buffer. After Close it delivers nothing more, so that
+// a request which arrives during a shutdown is not executed.
+func (c *batchConn) Read(p []byte) (int, error) {
+	n, err := c.r.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
 // Write queues p. It returns the error of an earlier write, if there was one.
 func (c *batchConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -8,16 +8,13 @@
 	"github.com/ugorji/go/codec"
 )
 
-// bufferSize holds the header and body of a usual message, in bytes.
-const bufferSize = 4 << 10
-
 // newHandle returns the msgpack settings of one connection. Strings and byte
-// slices keep their types on the wire.
+// slices keep their types on the wire. Buffering is left to batchConn: with a
+// buffer of its own, the codec decodes the last request again and again after
+// a failed read (v1.3.2).
 func newHandle() *codec.MsgpackHandle {
 	h := new(codec.MsgpackHandle)
 	h.WriteExt = true
-	h.ReaderBufferSize = bufferSize
-	h.WriterBufferSize = bufferSize
 	return h
 }
 
