--- /dev/null
+++ b/internal/consensus/bootstrap.go
@@ -0,0 +1,164 @@
+package consensus
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/arbutusring/arbutusring/internal/wal"
+)
+
+// bootstrapTerm is the term of log entry 1. Nobody leads it: the coordinator
+// forms the entry, and elections start at the next term.
+const bootstrapTerm = 1
+
+// joiningTTL is how long a host counts as waiting after its last hello.
+const joiningTTL = 10 * time.Second
+
+// joining is a host with an empty log that asks to be added.
+type joining struct {
+	member Member
+	heard  time.Time
+}
+
+// coordinator returns the id of the host that forms the first membership.
+func (m *Machine) coordinator() string {
+	if m.opts.Join || len(m.opts.Bootstrap) == 0 {
+		return ""
+	}
+	return slices.MinFunc(m.opts.Bootstrap, func(a, b Member) int { return strings.Compare(a.ID, b.ID) }).ID
+}
+
+// tickHello tells the other hosts that the log is empty. The coordinator
+// thereby asks for their answer, others ask for the first membership, and
+// hosts that join ask to be added.
+func (m *Machine) tickHello(now time.Time) {
+	if now.Before(m.helloAt) {
+		return
+	}
+	m.helloAt = now.Add(m.opts.Election)
+	m.formMembership(now)
+	if !m.Empty() {
+		return
+	}
+	for _, to := range m.opts.Bootstrap {
+		if to.ID != m.self.ID {
+			m.send(Message{
+				Kind: MessageHello, To: Member{ID: to.ID, Address: to.Address},
+				Members: m.opts.Bootstrap, Transfer: m.coordinator() == m.self.ID,
+			})
+		}
+	}
+}
+
+func (m *Machine) handleHello(now time.Time, msg Message) {
+	if msg.From.Incarnation == "" || msg.From.key() == m.self.key() {
+		return
+	}
+	if !m.Empty() {
+		m.answerHello(now, msg)
+		return
+	}
+	if !msg.Transfer || m.coordinator() != msg.From.ID || !m.sameBootstrap(msg.Members) {
+		return
+	}
+	if m.pledge == "" {
+		m.pledge = msg.From.key()
+	}
+	m.send(Message{Kind: MessageHelloReply, To: msg.From, Reject: m.pledge != msg.From.key()})
+}
+
+// answerHello passes on the first membership to a host that is part of it.
+// The leader remembers any other host, for the operator to add.
+func (m *Machine) answerHello(now time.Time, msg Message) {
+	if first := m.log.from(1, 1, 0); len(first) == 1 && first[0].Kind == entryMembers {
+		if ms, err := decodeMembers(first[0].Data); err == nil {
+			if _, ok := ms.find(msg.From.key()); ok {
+				m.send(Message{Kind: MessageBootstrap, To: msg.From, Entries: first})
+				return
+			}
+		}
+	}
+	if _, known := m.members().find(msg.From.key()); m.role == Leader && !known {
+		m.joining[msg.From.key()] = joining{member: msg.From, heard: now}
+	}
+	m.send(Message{Kind: MessageHelloReply, To: msg.From, Reject: true})
+}
+
+func (m *Machine) sameBootstrap(other []Member) bool {
+	ids := func(ms []Member) []string {
+		var out []string
+		for _, member := range ms {
+			out = append(out, member.ID)
+		}
+		slices.Sort(out)
+		return out
+	}
+	return slices.Equal(ids(m.opts.Bootstrap), ids(other))
+}
+
+func (m *Machine) handleHelloReply(now time.Time, msg Message) {
+	if msg.Reject || !m.Empty() || m.coordinator() != m.self.ID {
+		return
+	}
+	m.greeted[msg.From.ID] = msg.From
+	m.formMembership(now)
+}
+
+// formMembership creates log entry 1 once every bootstrap member has answered.
+func (m *Machine) formMembership(now time.Time) {
+	if m.coordinator() != m.self.ID {
+		return
+	}
+	var ms members
+	for _, member := range m.opts.Bootstrap {
+		answer, ok := m.greeted[member.ID]
+		if member.ID == m.self.ID {
+			answer, ok = m.self, true
+		}
+		if !ok {
+			return
+		}
+		member.Incarnation, member.Learner = answer.Incarnation, false
+		ms = ms.with(member)
+	}
+	e := wal.Entry{Index: 1, Term: bootstrapTerm, Kind: entryMembers, Data: ms.encode()}
+	m.initialise(now, e)
+	for _, to := range ms {
+		if to.key() != m.self.key() {
+			m.send(Message{Kind: MessageBootstrap, To: to, Entries: []wal.Entry{e}})
+		}
+	}
+}
+
+// handleBootstrap takes over the first membership if this host is part of it.
+func (m *Machine) handleBootstrap(now time.Time, msg Message) {
+	if !m.Empty() || len(msg.Entries) != 1 || msg.Entries[0].Index != 1 {
+		return
+	}
+	ms, err := decodeMembers(msg.Entries[0].Data)
+	if _, ok := ms.find(m.self.key()); err != nil || !ok {
+		return
+	}
+	m.initialise(now, msg.Entries[0])
+}
+
+func (m *Machine) initialise(now time.Time, e wal.Entry) {
+	m.term = max(m.term, bootstrapTerm)
+	m.accept(e)
+	m.resetElection(now)
+}
+
+// Joining returns the hosts that have asked this leader to be added.
+func (m *Machine) Joining(now time.Time) []Member {
+	var out []Member
+	for key, j := range m.joining {
+		if _, known := m.members().find(key); known || now.Sub(j.heard) > joiningTTL {
+			delete(m.joining, key)
+			continue
+		}
+		out = append(out, j.member)
+	}
+	slices.SortFunc(out, compareMembers)
+	return out
+}
--- /dev/null
+++ b/internal/consensus/cluster_test.go
@@ -0,0 +1,182 @@
+package consensus_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/arbutusring/arbutusring/internal/consensus"
+	"github.com/rs/zerolog"
+)
+
+// cluster is a set of nodes in one process, connected by function calls with
+// a delay of 1 ms.
+type cluster struct {
+	t      testing.TB
+	dir    string
+	every  int // Options.SnapshotEvery
+	mu     sync.Mutex
+	nodes  map[string]*consensus.Node
+	states map[string]*register
+	cut    map[string]bool // hosts without network
+	boot   []consensus.Member
+}
+
+// register is the replicated state of the tests: the list of commands.
+type register struct {
+	mu       sync.Mutex
+	commands []string
+}
+
+func (r *register) apply(_ uint64, command []byte) []byte {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.commands = append(r.commands, string(command))
+	return []byte(fmt.Sprintf("%d", len(r.commands)))
+}
+
+func (r *register) snapshot() []byte {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return []byte(strings.Join(r.commands, "\n"))
+}
+
+func (r *register) restore(data []byte) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.commands = strings.Split(string(data), "\n")
+	return nil
+}
+
+func (r *register) list() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.commands)
+}
+
+func newCluster(t testing.TB, ids ...string) *cluster {
+	c := &cluster{
+		t: t, dir: t.TempDir(), nodes: make(map[string]*consensus.Node),
+		states: make(map[string]*register), cut: make(map[string]bool),
+	}
+	for _, id := range ids {
+		c.boot = append(c.boot, consensus.Member{ID: id, Address: id})
+	}
+	return c
+}
+
+func (c *cluster) send(from string, to consensus.Member, m consensus.Message) {
+	go func() {
+		time.Sleep(time.Millisecond)
+		c.mu.Lock()
+		n := c.nodes[to.Address]
+		blocked := c.cut[from] || c.cut[to.Address]
+		c.mu.Unlock()
+		if n != nil && !blocked {
+			n.Step(m)
+		}
+	}()
+}
+
+// start starts a host; join tells it to wait until it is added.
+func (c *cluster) start(id string, join bool) *consensus.Node {
+	r := new(register)
+	n, err := consensus.Start(consensus.Options{
+		ID: id, Address: id, Dir: filepath.Join(c.dir, id), Bootstrap: c.boot, Join: join,
+		Send:  func(to consensus.Member, m consensus.Message) { c.send(id, to, m) },
+		Apply: r.apply, Snapshot: r.snapshot, Restore: r.restore,
+		SnapshotEvery: c.every, Logger: zerolog.Nop(),
+	})
+	if err != nil {
+		c.t.Fatalf("start %s: %v", id, err)
+	}
+	c.mu.Lock()
+	c.nodes[id], c.states[id] = n, r
+	c.mu.Unlock()
+	return n
+}
+
+func (c *cluster) startAll() {
+	for _, m := range c.boot {
+		c.start(m.ID, false)
+	}
+}
+
+func (c *cluster) stop(id string) {
+	c.mu.Lock()
+	n := c.nodes[id]
+	delete(c.nodes, id)
+	c.mu.Unlock()
+	if err := n.Stop(context.Background()); err != nil {
+		c.t.Fatalf("stop %s: %v", id, err)
+	}
+}
+
+func (c *cluster) stopAll() {
+	for _, id := range c.ids() {
+		c.stop(id)
+	}
+	time.Sleep(2 * time.Millisecond) // messages on their way end
+}
+
+func (c *cluster) ids() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var ids []string
+	for id := range c.nodes {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (c *cluster) setCut(id string, cut bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut[id] = cut
+}
+
+// leader waits for a node that passes the read barrier, except the given one.
+func (c *cluster) leader(except string) (string, *consensus.Node) {
+	c.t.Helper()
+	deadline := time.Now().Add(10 * time.Second)
+	for time.Now().Before(deadline) {
+		for _, id := range c.ids() {
+			if id != except && c.nodes[id].IsLeader() && c.nodes[id].ReadBarrier(context.Background()) == nil {
+				return id, c.nodes[id]
+			}
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	c.t.Fatalf("no leader within 10 s")
+	return "", nil
+}
+
+func (c *cluster) propose(n *consensus.Node, command string) string {
+	c.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	result, err := n.Propose(ctx, []byte(command))
+	if err != nil {
+		c.t.Fatalf("propose %q: %v", command, err)
+	}
+	return string(result)
+}
+
+// until waits for a condition.
+func (c *cluster) until(what string, f func() bool) {
+	c.t.Helper()
+	deadline := time.Now().Add(10 * time.Second)
+	for !f() {
+		if time.Now().After(deadline) {
+			c.t.Fatal(errors.New("timed out: " + what))
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
--- /dev/null
+++ b/internal/consensus/consensus.go
@@ -0,0 +1,53 @@
+// Package consensus is the replicated log of the control hosts.
+//
+// # Parts
+//
+// Machine is the protocol as a pure state machine: it opens no files and no
+// sockets, starts no goroutines and reads no clock. Time comes in as an
+// argument; what has to be written, applied and sent comes out as an Output.
+// Node drives one Machine with the files of internal/wal, a transport and the
+// runtime clock.
+//
+// # Protocol
+//
+// The protocol is Raft with pre-vote, leader stickiness, check-quorum,
+// learners, single-server membership changes, snapshots sent in chunks, read
+// leases and leadership transfer. These rules differ from the textbook:
+//
+//   - Hosts are addressed as (id, incarnation). A data folder that is lost
+//     comes back under a new incarnation, and a quorum counts only the
+//     incarnations that the membership names.
+//   - A host with an empty log never grants a vote.
+//   - A host that has heard from a leader within the minimum election timeout
+//     refuses votes, also for that time after its own start. The read lease
+//     depends on it: it lasts from the time at which the leader sent the
+//     messages that a quorum answered, for 90% of the minimum election timeout.
+//     Clocks may therefore differ in rate by 10%.
+//   - A leader that asks another host to take over gives up its lease for the
+//     rest of its term, because the request may arrive late.
+//
+// # Bootstrap
+//
+// The first membership names incarnations, which are random. The bootstrap
+// member with the lowest id is the coordinator: it forms the first membership,
+// as log entry 1, once every bootstrap member has answered it from an empty
+// folder. A member durably pledges itself to one incarnation of the
+// coordinator before it answers, so there is only one first membership. A host
+// that loses its disk afterwards is not part of it and is added as a learner,
+// even if bootstrap is still set.
+//
+// # Usage
+//
+//	node, err := consensus.Start(consensus.Options{
+//		ID: "c1", Address: "127.0.0.1:7001", Dir: dir, Bootstrap: members,
+//		Send: send, Apply: apply, Snapshot: snapshot, Restore: restore,
+//	})
+//	result, err := node.Propose(ctx, command)
+//	err = node.ReadBarrier(ctx) // then read the applied state
+//	err = node.Stop(ctx)
+package consensus
+
+import "github.com/zeebo/errs"
+
+// Error is the class of the errors of this package that have no errkind.Kind.
+var Error = errs.Class("consensus")
--- /dev/null
+++ b/internal/consensus/election.go
@@ -0,0 +1,159 @@
+package consensus
+
+import "time"
+
+// sticky reports whether a live leader may depend on this host not to vote.
+func (m *Machine) sticky(now time.Time) bool {
+	if m.opts.faults.noStickiness {
+		return false
+	}
+	return m.role == Leader || now.Before(m.heard.Add(m.opts.Election))
+}
+
+// mute reports whether the host may not vote at all, because its log is empty.
+func (m *Machine) mute() bool { return m.Empty() && !m.opts.faults.emptyVotes }
+
+// preCampaign asks the voters whether they would vote for this host. It
+// changes no term, so a host that can't win disturbs nobody.
+func (m *Machine) preCampaign(now time.Time) {
+	m.role, m.leader = PreCandidate, Member{}
+	m.votes = make(map[string]bool)
+	if m.countVote(m.self.key()) {
+		m.campaign(now, false)
+		return
+	}
+	m.requestVotes(MessagePreVote, m.term+1, false)
+}
+
+// campaign starts an election.
+func (m *Machine) campaign(now time.Time, transfer bool) {
+	m.role, m.leader = Candidate, Member{}
+	m.term++
+	m.vote = m.self.key()
+	m.incoming = nil
+	m.votes = make(map[string]bool)
+	m.resetElection(now)
+	if m.countVote(m.self.key()) {
+		m.becomeLeader(now)
+		return
+	}
+	m.requestVotes(MessageVote, m.term, transfer)
+}
+
+func (m *Machine) requestVotes(kind MessageKind, term uint64, transfer bool) {
+	for _, to := range m.members() {
+		if to.Learner || to.key() == m.self.key() {
+			continue
+		}
+		m.send(Message{
+			Kind: kind, To: to, Term: term, Transfer: transfer,
+			Index: m.log.last(), LogTerm: m.log.lastTerm(),
+		})
+	}
+}
+
+// countVote adds a vote and reports whether a quorum of the membership has
+// voted. Votes of other incarnations do not count.
+func (m *Machine) countVote(key string) bool {
+	m.votes[key] = true
+	n := 0
+	for _, member := range m.members() {
+		if !member.Learner && m.votes[member.key()] {
+			n++
+		}
+	}
+	return n >= m.members().quorum()
+}
+
+func (m *Machine) upToDate(msg Message) bool {
+	t := m.log.lastTerm()
+	return msg.LogTerm > t || msg.LogTerm == t && msg.Index >= m.log.last()
+}
+
+func (m *Machine) handlePreVote(now time.Time, msg Message) {
+	if m.mute() {
+		return
+	}
+	if msg.Term > m.term && !m.sticky(now) && m.upToDate(msg) {
+		m.send(Message{Kind: MessagePreVoteReply, To: msg.From, Term: msg.Term})
+		return
+	}
+	m.send(Message{Kind: MessagePreVoteReply, To: msg.From, Reject: true})
+}
+
+func (m *Machine) handlePreVoteReply(now time.Time, msg Message) {
+	if msg.Reject {
+		if msg.Term > m.term {
+			m.becomeFollower(now, msg.Term)
+		}
+		return
+	}
+	if m.role == PreCandidate && msg.Term == m.term+1 && m.countVote(msg.From.key()) {
+		m.campaign(now, false)
+	}
+}
+
+// handleVote answers a candidate. While a leader may be alive the request has
+// no effect at all, not even on the term, unless that leader asked for it.
+func (m *Machine) handleVote(now time.Time, msg Message) {
+	if m.mute() || !msg.Transfer && m.sticky(now) {
+		return
+	}
+	if msg.Term > m.term {
+		m.becomeFollower(now, msg.Term)
+	}
+	grant := msg.Term == m.term && m.leader.ID == "" && m.upToDate(msg) &&
+		(m.vote == "" || m.vote == msg.From.key())
+	if grant {
+		m.vote = msg.From.key()
+		m.resetElection(now)
+	}
+	m.send(Message{Kind: MessageVoteReply, To: msg.From, Reject: !grant})
+}
+
+func (m *Machine) handleVoteReply(now time.Time, msg Message) {
+	if m.role == Candidate && !msg.Reject && m.countVote(msg.From.key()) {
+		m.becomeLeader(now)
+	}
+}
+
+func (m *Machine) becomeLeader(now time.Time) {
+	m.role, m.leader = Leader, m.self
+	m.votes = nil
+	m.progress = make(map[string]*progress)
+	m.joining = make(map[string]joining)
+	m.firstIndex = m.appendOwn(entryNoop, nil)
+	m.syncProgress(now)
+	m.heartbeatAt = now
+	m.tickLeader(now)
+}
+
+// tickLeader steps down without a quorum and sends heartbeats.
+func (m *Machine) tickLeader(now time.Time) {
+	if now.Before(m.heartbeatAt) {
+		return
+	}
+	if now.After(m.quorumContact(now).Add(2 * m.opts.Election)) {
+		m.becomeFollower(now, m.term)
+		return
+	}
+	if m.tickHandover(now) {
+		return
+	}
+	m.heartbeatAt = now.Add(m.opts.Heartbeat)
+	for _, to := range m.members() {
+		if p := m.progress[to.key()]; p != nil {
+			p.paused = false
+			m.sendAppend(now, to, p, true)
+		}
+	}
+	m.advanceCommit()
+}
+
+// handleTimeoutNow starts an election at the request of the leader.
+func (m *Machine) handleTimeoutNow(now time.Time, msg Message) {
+	if m.role == Leader || !m.members().voter(m.self.key()) {
+		return
+	}
+	m.campaign(now, true)
+}
--- /dev/null
+++ b/internal/consensus/message.go
@@ -0,0 +1,59 @@
+package consensus
+
+import "github.com/arbutusring/arbutusring/internal/wal"
+
+// MessageKind names a kind of message. Its text is part of the wire format.
+type MessageKind string
+
+// The kinds of messages.
+const (
+	MessagePreVote       MessageKind = "pre_vote" // would the receiver vote for Term?
+	MessagePreVoteReply  MessageKind = "pre_vote_reply"
+	MessageVote          MessageKind = "vote"
+	MessageVoteReply     MessageKind = "vote_reply"
+	MessageAppend        MessageKind = "append" // also the heartbeat
+	MessageAppendReply   MessageKind = "append_reply"
+	MessageSnapshot      MessageKind = "snapshot" // one chunk
+	MessageSnapshotReply MessageKind = "snapshot_reply"
+	MessageTimeoutNow    MessageKind = "timeout_now" // asks the receiver to take over leadership
+	MessageHello         MessageKind = "hello"       // from a host with an empty log
+	MessageHelloReply    MessageKind = "hello_reply"
+	MessageBootstrap     MessageKind = "bootstrap" // carries log entry 1, the first membership
+)
+
+// Message is one message between two hosts. Messages may be lost, repeated
+// and reordered.
+type Message struct {
+	Kind MessageKind `codec:"k"`
+	From Member      `codec:"f"`
+	To   Member      `codec:"o"` // the incarnation is empty only in a hello
+	Term uint64      `codec:"t"`
+
+	// Index and LogTerm name an entry. Votes: the last entry of the candidate.
+	// Append: the entry before Entries. Append reply: the last entry known to
+	// match, or the refused Index. Snapshot: the last entry it covers.
+	Index   uint64 `codec:"i"`
+	LogTerm uint64 `codec:"l"`
+
+	Entries []wal.Entry `codec:"e"`
+	Commit  uint64      `codec:"c"`
+
+	Reject bool `codec:"r"`
+	// Hint and HintTerm, in a refused append, name the last entry of the
+	// receiver that may match.
+	Hint     uint64 `codec:"h"`
+	HintTerm uint64 `codec:"x"`
+
+	// Sent is the clock of the leader when it sent the message, in
+	// nanoseconds. The reply copies it.
+	Sent int64 `codec:"s"`
+
+	// Transfer marks a vote that the leader of the term before asked for, and
+	// a hello of a bootstrap coordinator.
+	Transfer bool `codec:"v"`
+
+	Members []Member `codec:"m"` // snapshot: membership; hello: bootstrap members
+	Offset  uint64   `codec:"p"` // snapshot: position of Data; reply: bytes received
+	Size    uint64   `codec:"z"` // snapshot: bytes in all
+	Data    []byte   `codec:"d"`
+}
--- /dev/null
+++ b/internal/consensus/node_test.go
@@ -0,0 +1,180 @@
+package consensus_test
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/arbutusring/arbutusring/internal/consensus"
+	"github.com/arbutusring/arbutusring/pkg/errkind"
+	"github.com/matryer/is"
+)
+
+// TestReplicate guards against a cluster that elects no leader after the
+// bootstrap, loses a proposal or applies it on one host only.
+func TestReplicate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, "a", "b", "c")
+		c.startAll()
+		defer c.stopAll()
+		_, n := c.leader("")
+		is.Equal(c.propose(n, "one"), "1")
+		is.Equal(c.propose(n, "two"), "2")
+		for _, id := range c.ids() {
+			c.until("apply at "+id, func() bool { return len(c.states[id].list()) == 2 })
+			is.Equal(c.states[id].list(), []string{"one", "two"})
+		}
+	})
+}
+
+// TestIsolatedLeader guards against a leader that answers reads or accepts
+// writes after it was cut off, and against a failover that takes too long.
+func TestIsolatedLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, "a", "b", "c")
+		c.startAll()
+		defer c.stopAll()
+		old, n := c.leader("")
+		c.propose(n, "one")
+		start := time.Now()
+		c.setCut(old, true)
+		lost := make(chan error, 1)
+		go func() {
+			_, err := n.Propose(context.Background(), []byte("lost"))
+			lost <- err
+		}()
+		_, next := c.leader(old)
+		is.True(!n.LeaseValid())
+		is.True(time.Since(start) < 2*time.Second)
+		c.propose(next, "two")
+		is.Equal(errkind.Of(<-lost), errkind.OutcomeUnknown)
+		_, err := n.Propose(context.Background(), []byte("refused"))
+		is.Equal(errkind.Of(err), errkind.NotLeader)
+		is.Equal(errkind.Of(n.ReadBarrier(context.Background())), errkind.NotLeader)
+		c.setCut(old, false)
+		c.until("old leader catches up", func() bool { return len(c.states[old].list()) == 2 })
+		is.Equal(c.states[old].list(), []string{"one", "two"})
+	})
+}
+
+// TestRestart guards against losing acknowledged commands when all hosts
+// restart, with and without snapshots.
+func TestRestart(t *testing.T) {
+	for _, every := range []int{0, 7} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			c := newCluster(t, "a", "b", "c")
+			c.every = every
+			c.startAll()
+			var want []string
+			for round := range 3 {
+				_, n := c.leader("")
+				for i := range 10 {
+					want = append(want, strconv.Itoa(round*10+i))
+					c.propose(n, want[len(want)-1])
+				}
+				c.stopAll()
+				c.startAll()
+			}
+			id, _ := c.leader("")
+			is.Equal(c.states[id].list(), want)
+			c.stopAll()
+		})
+	}
+}
+
+// TestLostDisk guards against a host whose disk was lost voting or counting
+// under its old incarnation, although bootstrap is still set, and against it
+// being unable to come back by way of a snapshot.
+func TestLostDisk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx := context.Background()
+		c := newCluster(t, "a", "b", "c")
+		c.every = 5
+		c.startAll()
+		defer c.stopAll()
+		_, n := c.leader("")
+		for i := range 20 {
+			c.propose(n, strconv.Itoa(i))
+		}
+		old := c.nodes["a"].Self()
+		c.stop("a") // the coordinator of the bootstrap
+		is.NoErr(os.RemoveAll(filepath.Join(c.dir, "a")))
+		fresh := c.start("a", false)
+		is.True(fresh.Self().Incarnation != old.Incarnation)
+		_, n = c.leader("a")
+		c.until("the leader knows of the host", func() bool { return len(n.Status().Joining) == 1 })
+		is.True(!fresh.Status().Initialised)
+		is.Equal(n.Status().Joining[0], fresh.Self())
+
+		is.NoErr(n.ChangeMembers(ctx, consensus.Change{Kind: consensus.AddLearner, Member: fresh.Self()}))
+		c.until("the learner catches up", func() bool { return len(c.states["a"].list()) == 20 })
+		promote := consensus.Change{Kind: consensus.Promote, Member: fresh.Self()}
+		is.Equal(errkind.Of(n.ChangeMembers(ctx, promote)), errkind.Conflict) // the old voter is still there
+		is.NoErr(n.ChangeMembers(ctx, consensus.Change{Kind: consensus.Remove, Member: old}))
+		is.NoErr(n.ChangeMembers(ctx, promote))
+		is.Equal(len(n.Members()), 3)
+
+		for _, id := range []string{"b", "c"} { // a second host is lost right after the repair
+			if c.nodes[id] != n {
+				c.setCut(id, true)
+			}
+		}
+		c.propose(n, "after")
+	})
+}
+
+// TestTransferLeadership guards against a planned stop that costs an election
+// timeout, and against a read lease that outlives the transfer.
+func TestTransferLeadership(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, "a", "b", "c")
+		c.startAll()
+		defer c.stopAll()
+		_, n := c.leader("")
+		c.propose(n, "one")
+		start := time.Now()
+		is.NoErr(n.TransferLeadership(context.Background()))
+		is.True(time.Since(start) < 100*time.Millisecond)
+		is.True(!n.LeaseValid())
+		l, ok := n.Leader()
+		is.True(ok && l.Incarnation != n.Self().Incarnation)
+	})
+}
+
+// TestSingle guards against a cluster of one host that can't serve.
+func TestSingle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, "a")
+		c.startAll()
+		defer c.stopAll()
+		_, n := c.leader("")
+		is.Equal(c.propose(n, "one"), "1")
+		is.True(n.LeaseValid())
+		is.Equal(errkind.Of(n.TransferLeadership(context.Background())), errkind.Conflict)
+	})
+}
+
+// TestStoppedNode guards against calls that hang after Stop.
+func TestStoppedNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, "a")
+		c.startAll()
+		_, n := c.leader("")
+		c.stopAll()
+		_, err := n.Propose(context.Background(), []byte("x"))
+		is.Equal(errkind.Of(err), errkind.NotLeader)
+		is.Equal(errkind.Of(n.ReadBarrier(context.Background())), errkind.NotLeader)
+		is.Equal(n.Status().Role, consensus.Follower)
+	})
+}
--- /dev/null
+++ b/internal/consensus/output.go
@@ -0,0 +1,15 @@
+package consensus
+
+import "github.com/arbutusring/arbutusring/internal/wal"
+
+// Output is the work that a Machine hands to its driver. The driver must
+// complete it, in the order of the fields, before it calls the Machine again:
+// messages claim that the state is durable. If the process ends in between,
+// all of it may be lost.
+type Output struct {
+	HardState *wal.HardState // to be made durable, unless nil
+	Install   *wal.Snapshot  // to be made durable and restored; the log restarts after it
+	Entries   []wal.Entry    // to be made durable; they replace the log from Entries[0].Index
+	Committed []wal.Entry    // to be applied
+	Messages  []Message      // to be sent
+}
--- /dev/null
+++ b/internal/wal/files.go
@@ -0,0 +1,64 @@
+package wal
+
+import (
+	"os"
+	"path/filepath"
+)
+
+// syncDir makes the names in a folder durable.
+func syncDir(dir string) error {
+	f, err := os.Open(dir)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	err = f.Sync()
+	if cerr := f.Close(); err == nil {
+		err = cerr
+	}
+	return Error.Wrap(err)
+}
+
+// writeFileAtomic replaces the file at path by data, durably.
+func writeFileAtomic(path string, data []byte) error {
+	temp := path + tempSuffix
+	f, err := os.OpenFile(temp, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	_, err = f.Write(data)
+	if err == nil {
+		err = f.Sync()
+	}
+	if cerr := f.Close(); err == nil {
+		err = cerr
+	}
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	if err := os.Rename(temp, path); err != nil {
+		return Error.Wrap(err)
+	}
+	return syncDir(filepath.Dir(path))
+}
+
+// removeTemporary removes what a crash left of unfinished files.
+func removeTemporary(dir string) error {
+	names, err := filepath.Glob(filepath.Join(dir, "*"+tempSuffix))
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	for _, path := range names {
+		if err := os.Remove(path); err != nil {
+			return Error.Wrap(err)
+		}
+	}
+	return nil
+}
+
+// makeDir creates the data folder and makes its name durable.
+func makeDir(dir string) error {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return Error.Wrap(err)
+	}
+	return syncDir(filepath.Dir(filepath.Clean(dir)))
+}
--- /dev/null
+++ b/internal/wal/identity.go
@@ -0,0 +1,64 @@
+package wal
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+)
+
+const identityFile = "identity.json"
+
+// Identity names the life of one data folder. A folder whose files were lost
+// gets a new incarnation, so it can't be mistaken for the one that voted.
+type Identity struct {
+	Host        string `json:"host"`
+	Incarnation string `json:"incarnation"` // 32 hexadecimal digits, random
+}
+
+// loadIdentity reads the identity of the folder. It creates one if the folder
+// holds no log files; created tells so.
+func loadIdentity(dir, host string) (id Identity, created bool, err error) {
+	path := filepath.Join(dir, identityFile)
+	b, err := os.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		id, err = createIdentity(dir, path, host)
+		return id, true, err
+	}
+	if err != nil {
+		return Identity{}, false, Error.Wrap(err)
+	}
+	if err := json.Unmarshal(b, &id); err != nil {
+		return Identity{}, false, Error.New("%s: %v", path, err)
+	}
+	if id.Incarnation == "" {
+		return Identity{}, false, Error.New("%s: incarnation is missing", path)
+	}
+	if id.Host != host {
+		return Identity{}, false, Error.New("%s: the folder belongs to host %q, not to %q", path, id.Host, host)
+	}
+	return id, false, nil
+}
+
+func createIdentity(dir, path, host string) (Identity, error) {
+	for _, pattern := range []string{segmentPattern, snapshotPattern} {
+		names, err := filepath.Glob(filepath.Join(dir, pattern))
+		if err != nil {
+			return Identity{}, Error.Wrap(err)
+		}
+		if len(names) > 0 {
+			return Identity{}, Error.New("%s: missing, but the folder holds %s", path, names[0])
+		}
+	}
+	random := make([]byte, 16)
+	_, _ = rand.Read(random) // never fails: it aborts the program instead
+	id := Identity{Host: host, Incarnation: hex.EncodeToString(random)}
+	b, err := json.Marshal(id)
+	if err != nil {
+		return Identity{}, Error.Wrap(err)
+	}
+	return id, writeFileAtomic(path, append(b, '\n'))
+}
--- /dev/null
+++ b/internal/wal/log.go
@@ -0,0 +1,249 @@
+package wal
+
+import (
+	"os"
+	"sync"
+)
+
+const (
+	defaultSegmentBytes = 16 << 20
+	// saveBytes is the payload size from which Save starts another record.
+	saveBytes = 32 << 20
+)
+
+// Log is the open data folder of one host.
+type Log struct {
+	opts      Options
+	lock      *folderLock
+	segments  []segment // the last one is open for appending
+	file      *os.File
+	hardState HardState
+	buf       []byte
+
+	mu     sync.Mutex // guards failed
+	failed error
+}
+
+// Open locks and reads the data folder, and creates it if necessary.
+func Open(opts Options) (*Log, *Contents, error) {
+	if opts.Dir == "" || opts.Host == "" {
+		return nil, nil, Error.New("the data folder and the host id must not be empty")
+	}
+	if opts.SegmentBytes <= 0 {
+		opts.SegmentBytes = defaultSegmentBytes
+	}
+	if err := makeDir(opts.Dir); err != nil {
+		return nil, nil, err
+	}
+	lock, err := lockFolder(opts.Dir)
+	if err != nil {
+		return nil, nil, err
+	}
+	l := &Log{opts: opts, lock: lock}
+	contents, err := l.load()
+	if err != nil {
+		_ = l.Close()
+		return nil, nil, err
+	}
+	return l, contents, nil
+}
+
+func (l *Log) load() (*Contents, error) {
+	dir := l.opts.Dir
+	if err := removeTemporary(dir); err != nil {
+		return nil, err
+	}
+	c := new(Contents)
+	var err error
+	if c.Identity, c.Created, err = loadIdentity(dir, l.opts.Host); err != nil {
+		return nil, err
+	}
+	if c.Snapshot, err = loadSnapshot(dir); err != nil {
+		return nil, err
+	}
+	if l.segments, err = listSegments(dir); err != nil {
+		return nil, err
+	}
+	r := new(replay)
+	for i := range l.segments {
+		last := i == len(l.segments)-1
+		removed, err := l.segments[i].load(r, last)
+		if err != nil {
+			return nil, err
+		}
+		c.Removed += removed
+	}
+	if err := r.reconcile(c.Snapshot); err != nil {
+		return nil, Error.New("%s: %v", dir, err)
+	}
+	c.HardState, c.Entries = r.hardState, r.entries
+	l.hardState = r.hardState
+	return c, l.openLast(r)
+}
+
+// openLast opens the last segment for appending. Replay starts with an empty
+// segment if there is none or if its first record was cut off.
+func (l *Log) openLast(r *replay) error {
+	n := len(l.segments)
+	if n == 0 {
+		return l.startSegment(1)
+	}
+	last := &l.segments[n-1]
+	if last.size == 0 {
+		number := last.number
+		l.segments = l.segments[:n-1]
+		return l.startSegment(number)
+	}
+	f, err := os.OpenFile(last.path, os.O_WRONLY|os.O_APPEND, 0)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	l.file = f
+	if uint64(len(r.entries)) == 0 && r.base > 0 {
+		return l.Reset(r.base, 0)
+	}
+	return nil
+}
+
+// startSegment creates a segment. Its first record repeats the hard state, so
+// that older segments can be removed.
+func (l *Log) startSegment(number uint64) error {
+	path := segmentPath(l.opts.Dir, number)
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	if l.file != nil {
+		_ = l.file.Close() // its content was synced by every Save
+	}
+	l.file = f
+	l.segments = append(l.segments, segment{number: number, path: path})
+	l.begin()
+	l.buf = appendHardState(appendSegment(l.buf, number), l.hardState)
+	if err := l.flush(); err != nil {
+		return err
+	}
+	return syncDir(l.opts.Dir)
+}
+
+func (l *Log) begin() { l.buf = append(l.buf[:0], make([]byte, recordHeader)...) }
+
+// flush writes the record in buf and syncs it.
+func (l *Log) flush() error {
+	sealRecord(l.buf, l.buf[recordHeader:])
+	if _, err := l.file.Write(l.buf); err != nil {
+		return Error.Wrap(err)
+	}
+	l.segments[len(l.segments)-1].size += int64(len(l.buf))
+	if cap(l.buf) > saveBytes/8 {
+		defer func() { l.buf = nil }()
+	}
+	return Error.Wrap(l.file.Sync())
+}
+
+// Save makes the hard state (unless nil) and the entries durable. The first
+// entry replaces the entry of that index and all later ones.
+func (l *Log) Save(hs *HardState, entries []Entry) error {
+	if err := l.failure(); err != nil {
+		return err
+	}
+	if hs == nil && len(entries) == 0 {
+		return nil
+	}
+	return l.fail(l.save(hs, entries))
+}
+
+func (l *Log) save(hs *HardState, entries []Entry) error {
+	if last := l.segments[len(l.segments)-1]; last.size >= l.opts.SegmentBytes {
+		if err := l.startSegment(last.number + 1); err != nil {
+			return err
+		}
+	}
+	l.begin()
+	if hs != nil {
+		l.buf = appendHardState(l.buf, *hs)
+		l.hardState = *hs
+	}
+	last := &l.segments[len(l.segments)-1]
+	for _, e := range entries {
+		if len(l.buf) > saveBytes {
+			if err := l.flush(); err != nil {
+				return err
+			}
+			l.begin()
+		}
+		if len(e.Data) > maxPayload/2 {
+			return Error.New("entry of %d bytes is too large", len(e.Data))
+		}
+		l.buf = appendEntry(l.buf, e)
+		last.maxIndex = max(last.maxIndex, e.Index)
+	}
+	return l.flush()
+}
+
+// SaveSnapshot makes the snapshot durable and removes older ones. It doesn't
+// change the log; see Compact and Reset.
+func (l *Log) SaveSnapshot(s *Snapshot) error {
+	if err := l.failure(); err != nil {
+		return err
+	}
+	if err := writeSnapshot(l.opts.Dir, s); err != nil {
+		return l.fail(err)
+	}
+	return l.fail(removeOldSnapshots(l.opts.Dir, s.Index))
+}
+
+// Reset empties the log: the next entry is index+1. A snapshot of index must
+// be durable already.
+func (l *Log) Reset(index, term uint64) error {
+	if err := l.failure(); err != nil {
+		return err
+	}
+	l.begin()
+	l.buf = appendReset(l.buf, index, term)
+	return l.fail(l.flush())
+}
+
+// Compact removes the segments that hold only entries up to index. A snapshot
+// of index or later must be durable already.
+func (l *Log) Compact(index uint64) error {
+	if err := l.failure(); err != nil {
+		return err
+	}
+	for len(l.segments) > 1 && l.segments[0].maxIndex <= index {
+		if err := os.Remove(l.segments[0].path); err != nil {
+			return l.fail(Error.Wrap(err))
+		}
+		l.segments = l.segments[1:]
+	}
+	return nil
+}
+
+// Close releases the folder.
+func (l *Log) Close() error {
+	_ = l.fail(Error.New("the log is closed"))
+	var err error
+	if l.file != nil {
+		err = l.file.Close()
+	}
+	if lerr := l.lock.release(); err == nil {
+		err = lerr
+	}
+	return Error.Wrap(err)
+}
+
+func (l *Log) failure() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.failed
+}
+
+// fail records the first error; later writes return it.
+func (l *Log) fail(err error) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil && l.failed == nil {
+		l.failed = err
+	}
+	return err
+}
