Add control: replicated state, leases, failover and the rpc service

The machine holds configuration, groups, leases and hosts; every command states what it expects, so that repeated or late commands change nothing. Leases and primaries move only after the intent is logged and the old holder has let go or has run out. controlrpc gains the client, and Lease gains the incarnation of its holder and a revoking mark.

--- /dev/null
+++ b/internal/control/cause.go
@@ -0,0 +1,17 @@
+package control
+
+// Cause says why a group needs a new primary.
+type Cause string
+
+// The causes.
+const (
+	CauseFirst   Cause = "first"   // all declared members are known, none was primary yet
+	CauseResume  Cause = "resume"  // an earlier attempt did not finish
+	CauseSuspect Cause = "suspect" // the owner cannot reach the primary
+	CauseRequest Cause = "request" // an operator asked for it
+	CauseLeaving Cause = "leaving" // the primary is draining or departing
+)
+
+// planned reports whether the present primary is expected to be well, so that
+// the change can wait for it to finish what it has begun.
+func (c Cause) planned() bool { return c == CauseRequest || c == CauseLeaving }
--- /dev/null
+++ b/internal/control/export_test.go
@@ -0,0 +1,41 @@
+package control
+
+// StepOf names the first command of a log entry.
+func StepOf(entry []byte) string {
+	var commands []Command
+	if decode(entry, &commands, "entry") != nil || len(commands) == 0 {
+		return ""
+	}
+	switch c := commands[0]; {
+	case c.Revoke != nil:
+		return "revoke"
+	case c.Assign != nil:
+		return "assign"
+	case c.Begin != nil:
+		return "begin"
+	case c.Name != nil:
+		return "name"
+	}
+	return "other"
+}
+
+// Without returns the options with one mechanism switched off, to show that a
+// test detects its absence. The empty name switches nothing off.
+func (o Options) Without(mechanism string) Options {
+	switch mechanism {
+	case "":
+	case "run out":
+		o.disabled.runOut = true
+	case "new leader":
+		o.disabled.newLeader = true
+	case "majority":
+		o.disabled.majority = true
+	case "fenced positions":
+		o.disabled.fenced = true
+	case "preparation":
+		o.disabled.preparation = true
+	default:
+		panic("unknown mechanism " + mechanism)
+	}
+	return o
+}
--- /dev/null
+++ b/internal/control/leadership.go
@@ -0,0 +1,69 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// silence is the time after which a server that announces itself again may
+// have been restarted. Servers announce themselves every second.
+const silence = 3 * time.Second
+
+// leadership is everything that runs while this host is the leader. It starts
+// with empty memory; the replicated state carries what has to survive.
+type leadership struct {
+	log       *Log
+	ctx       context.Context // ends with the leadership
+	sessions  *Sessions
+	assigner  *Assigner
+	failover  *Failover
+	followers *Followers
+	registrar *registrar
+
+	mu        sync.Mutex
+	announced map[string]time.Time // last announcement by server id; guarded by mu
+}
+
+func newLeadership(ctx context.Context, opts Options, log *Log, machine *Machine) *leadership {
+	l := &leadership{log: log, ctx: ctx, announced: make(map[string]time.Time)}
+	l.sessions = NewSessions(opts.TTL, opts.Drift)
+	if opts.disabled.newLeader {
+		l.sessions.start = time.Time{}
+	}
+	l.assigner = newAssigner(opts, log, machine, l.sessions)
+	l.failover = newFailover(opts, log, machine, l.sessions)
+	l.followers = newFollowers(opts, machine)
+	l.registrar = newRegistrar(ctx, opts, log)
+	return l
+}
+
+// run works until the leadership ends.
+func (l *leadership) run() {
+	var group sync.WaitGroup
+	group.Go(func() { l.assigner.run(l.ctx) })
+	group.Go(func() { l.failover.run(l.ctx) })
+	group.Go(func() { l.followers.run(l.ctx) })
+	group.Go(func() { l.prune() })
+	group.Wait()
+	l.registrar.wait()
+}
+
+// heard records an announcement.
+func (l *leadership) heard(server string) {
+	l.mu.Lock()
+	last, ok := l.announced[server]
+	l.announced[server] = time.Now()
+	l.mu.Unlock()
+	if ok && time.Since(last) > silence {
+		l.followers.Again(server)
+	}
+}
+
+// prune frees the memory of hosts that are gone.
+func (l *leadership) prune() {
+	const keep = time.Minute
+	for sleep(l.ctx, keep) == nil {
+		l.sessions.Prune(keep)
+	}
+}
--- /dev/null
+++ b/internal/control/machine_config.go
@@ -0,0 +1,43 @@
+package control
+
+import (
+	"github.com/arbutusring/arbutusring/internal/controlrpc"
+	"github.com/arbutusring/arbutusring/pkg/errkind"
+	"github.com/arbutusring/arbutusring/pkg/policy"
+)
+
+// configure is a compare-and-set on the version. The answer to a malformed
+// text is not remembered: it changes nothing, and its wording may differ
+// between releases, while the replicated state must not.
+func (m *Machine) configure(c *Configure) (Result, bool) {
+	a := c.Args
+	sum := digest(a)
+	if r, ok := m.changes.first(a.ChangeID, sum); ok {
+		return r, false
+	}
+	config, err := policy.Parse(configFile, a.Text)
+	if err != nil {
+		return refused("%v", err), false
+	}
+	if a.BaseVersion != m.state.ConfigVersion {
+		r := conflict("change %q is based on version %d, but change %q by %q made version %d",
+			a.ChangeID, a.BaseVersion, m.wonChange, m.wonBy, m.state.ConfigVersion)
+		r.Version, r.WonBy, r.WonChange = m.state.ConfigVersion, m.wonBy, m.wonChange
+		m.changes.add(a.ChangeID, sum, r)
+		return r, false
+	}
+	m.state.ConfigVersion++
+	m.state.ConfigText = a.Text
+	m.config, m.wonBy, m.wonChange = config, a.Operator, a.ChangeID
+	for _, g := range config.DatabaseGroups {
+		if _, ok := m.state.Groups[g.Name]; !ok {
+			m.state.Groups[g.Name] = controlrpc.Group{Name: g.Name, Phase: controlrpc.PhaseWaiting}
+		}
+	}
+	for name := range m.state.Groups {
+		m.fill(name)
+	}
+	r := Result{Kind: errkind.OK, Version: m.state.ConfigVersion}
+	m.changes.add(a.ChangeID, sum, r)
+	return r, true
+}
--- /dev/null
+++ b/internal/control/machine_group.go
@@ -0,0 +1,54 @@
+package control
+
+import (
+	"slices"
+
+	"github.com/arbutusring/arbutusring/internal/controlrpc"
+)
+
+func (m *Machine) begin(c *BeginTerm) (Result, bool) {
+	g, ok := m.state.Groups[c.Group]
+	if !ok || g.Term != c.ExpectTerm || g.Phase != c.ExpectPhase || c.Term <= g.Term {
+		return conflict("group %q is not in phase %s of term %d", c.Group, c.ExpectPhase, c.ExpectTerm), false
+	}
+	if g.Phase == controlrpc.PhaseWaiting {
+		if d, _ := m.config.Group(c.Group); len(g.Members) == 0 || len(g.Members) != d.Members {
+			return conflict("group %q has %d of %d members", c.Group, len(g.Members), d.Members), false
+		}
+	}
+	if l, ok := m.state.Leases[g.Primary]; ok && g.Phase == controlrpc.PhaseSteady {
+		// The lease is taken even if it is being revoked: its holder may not
+		// have let go yet.
+		m.old[c.Group] = oldOwner{Server: g.Primary, Host: l.Host, Incarnation: l.Incarnation, Term: g.Term}
+	}
+	g.Term, g.Phase, g.Primary = c.Term, controlrpc.PhaseFencing, ""
+	m.state.Groups[c.Group] = g
+	return Result{}, true
+}
+
+// name relies on the proposer for what the state cannot show: a majority of
+// the members is fenced at Term, the old owner has let go or has run out, and
+// Server has been promoted at Term.
+func (m *Machine) name(c *NamePrimary) (Result, bool) {
+	g, ok := m.state.Groups[c.Group]
+	if !ok || g.Term != c.Term || g.Phase != controlrpc.PhaseFencing {
+		return conflict("group %q is not in phase %s of term %d", c.Group, controlrpc.PhaseFencing, c.Term), false
+	}
+	members := g.Members
+	if len(c.Members) > 0 {
+		members = c.Members
+	}
+	if !slices.Contains(members, c.Server) {
+		return conflict("server %q is not a member of %q", c.Server, c.Group), false
+	}
+	for _, id := range members {
+		if m.state.Servers[id].Group != c.Group {
+			return conflict("server %q is not in group %q", id, c.Group), false
+		}
+	}
+	g.Phase, g.Primary, g.Members = controlrpc.PhaseSteady, c.Server, members
+	m.state.Groups[c.Group] = g
+	m.named[c.Group] = true
+	delete(m.old, c.Group)
+	return Result{}, true
+}
--- /dev/null
+++ b/internal/control/members.go
@@ -0,0 +1,35 @@
+package control
+
+import (
+	"context"
+
+	"github.com/arbutusring/arbutusring/internal/ownerrpc"
+	"github.com/arbutusring/arbutusring/pkg/logpos"
+)
+
+// MemberStatus is what a backend server answers to every call of Members.
+type MemberStatus struct {
+	ServerID string
+	Term     uint64 // greatest term that it was fenced, promoted or told to follow at
+	Primary  bool   // it accepts writes at Term
+	Received logpos.Position
+	Applied  logpos.Position
+}
+
+// Members calls backend servers directly. Every call must honour its context.
+// Calls are repeated at will, so all of them must be idempotent.
+type Members struct {
+	Status func(ctx context.Context, address string) (MemberStatus, error)
+	// Fence makes the server refuse writes, replication and promotion below
+	// term. The answer shows the state after that.
+	Fence func(ctx context.Context, address string, term uint64) (MemberStatus, error)
+	// Promote makes the server primary of term. It fails if the server has
+	// been fenced at a greater term.
+	Promote func(ctx context.Context, address string, term uint64) (MemberStatus, error)
+	// Follow makes the server replicate from the primary of term, and rewinds
+	// its log first where it has diverged.
+	Follow func(ctx context.Context, address, primary string, term uint64) (MemberStatus, error)
+}
+
+// RevokeFunc calls Owner.Revoke at the rpc address of a host.
+type RevokeFunc func(ctx context.Context, address string, args *ownerrpc.RevokeArgs) (*ownerrpc.RevokeReply, error)
--- /dev/null
+++ b/internal/control/registrar.go
@@ -0,0 +1,58 @@
+package control
+
+import (
+	"context"
+	"sync"
+
+	"github.com/arbutusring/arbutusring/internal/controlrpc"
+	"github.com/rs/zerolog"
+)
+
+// registrar stores new and changed hosts in the background, so that the
+// heartbeat of a host does not wait for the log. At most one proposal for
+// each host is under way; the next heartbeat repeats what failed.
+type registrar struct {
+	log    *Log
+	ctx    context.Context // of the leadership
+	logger zerolog.Logger
+
+	mu      sync.Mutex
+	pending map[string]bool // by host id; guarded by mu
+	group   sync.WaitGroup
+}
+
+func newRegistrar(ctx context.Context, opts Options, log *Log) *registrar {
+	return &registrar{
+		log: log, ctx: ctx, logger: opts.Logger.With().Str("part", "registrar").Logger(),
+		pending: make(map[string]bool),
+	}
+}
+
+func (r *registrar) register(h controlrpc.Host, revision uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.pending[h.ID] || r.ctx.Err() != nil {
+		return
+	}
+	r.pending[h.ID] = true
+	r.group.Go(func() {
+		err := r.log.change(r.ctx, Command{Register: &RegisterHost{Host: h, Revision: revision}})
+		if err != nil {
+			r.logger.Debug().Err(err).Str("host", h.ID).Msg("host was not registered; its next heartbeat tries again")
+		}
+		r.mu.Lock()
+		delete(r.pending, h.ID)
+		r.mu.Unlock()
+	})
+}
+
+// wait returns when no proposal is under way. The context must have ended.
+func (r *registrar) wait() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for len(r.pending) > 0 {
+		r.mu.Unlock()
+		r.group.Wait()
+		r.mu.Lock()
+	}
+}
--- /dev/null
+++ b/internal/control/world_test.go
@@ -0,0 +1,382 @@
+package control_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/arbutusring/arbutusring/internal/control"
+	"github.com/arbutusring/arbutusring/internal/controlrpc"
+	"github.com/arbutusring/arbutusring/internal/ownerrpc"
+	"github.com/arbutusring/arbutusring/pkg/errkind"
+	"github.com/arbutusring/arbutusring/pkg/logpos"
+)
+
+var errSilent = errors.New("no answer")
+
+// world simulates control hosts with one log, entry hosts and backend servers
+// in one synctest bubble. All fields are guarded by mu.
+type world struct {
+	t        testing.TB
+	mu       sync.Mutex
+	controls []*control.Control
+	leader   int
+	term     uint64
+	entries  [][]byte
+	servers  map[string]*server // by address
+	hosts    map[string]*host   // by address
+	// before is called before every call of a member or owner and before every
+	// proposal; an error replaces the call.
+	before func(step string) error
+	// after is called when a proposal was applied; an error replaces its answer.
+	after   func(step string) error
+	calls   map[string]int // calls by step
+	running sync.WaitGroup // entry hosts
+}
+
+// server is a backend server.
+type server struct {
+	id, address string
+	down        bool
+	term        uint64
+	primary     bool
+	received    logpos.Position
+	follows     string
+}
+
+// host is an entry host. It acts on a lease only by the rules of the design.
+type host struct {
+	w         *world
+	info      controlrpc.Host
+	client    *controlrpc.Client
+	paused    bool // the process is stopped, and with it its heartbeats
+	silent    bool // it does not answer calls of the owner service
+	suspects  []string
+	reply     controlrpc.HeartbeatReply
+	until     time.Time
+	epochs    map[string]uint64 // revoked up to, by server
+	roles     map[string]uint64 // revoked up to, by server
+	cancelled context.CancelFunc
+}
+
+func newWorld(t testing.TB, controls int, opts control.Options) *world {
+	w := &world{
+		t: t, leader: -1, servers: make(map[string]*server), hosts: make(map[string]*host),
+		calls: make(map[string]int),
+	}
+	opts.Members = control.Members{
+		Status: func(ctx context.Context, address string) (control.MemberStatus, error) {
+			return w.member(ctx, "status", address, func(*server) error { return nil })
+		},
+		Fence: func(ctx context.Context, address string, term uint64) (control.MemberStatus, error) {
+			return w.member(ctx, "fence", address, func(s *server) error {
+				s.primary = s.primary && term <= s.term
+				s.term = max(s.term, term)
+				return nil
+			})
+		},
+		Promote: func(ctx context.Context, address string, term uint64) (control.MemberStatus, error) {
+			return w.member(ctx, "promote", address, func(s *server) error {
+				if term < s.term {
+					return errkind.New(errkind.StaleTerm, "fenced at %d", s.term)
+				}
+				if !s.primary {
+					s.received = logpos.Position{Term: term, LSN: s.received.LSN + 1}
+				}
+				s.term, s.primary = term, true
+				return nil
+			})
+		},
+		Follow: func(ctx context.Context, address, primary string, term uint64) (control.MemberStatus, error) {
+			return w.member(ctx, "follow", address, func(s *server) error {
+				if term < s.term {
+					return errkind.New(errkind.StaleTerm, "fenced at %d", s.term)
+				}
+				s.term, s.primary, s.follows = term, false, primary
+				s.received = w.servers[primary].received
+				return nil
+			})
+		},
+	}
+	opts.Revoke = w.revoke
+	for i := range controls {
+		c := control.New(opts)
+		c.Start(w.log(i))
+		w.controls = append(w.controls, c)
+	}
+	return w
+}
+
+// log returns the log as one control host sees it.
+func (w *world) log(i int) control.Log {
+	leads := func() bool {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return w.leader == i
+	}
+	return control.Log{
+		Propose: func(ctx context.Context, entry []byte) ([]byte, error) {
+			time.Sleep(2 * time.Millisecond)
+			step := stepOf(entry)
+			if w.call("propose "+step) != nil || ctx.Err() != nil || !leads() {
+				return nil, errkind.New(errkind.NotLeader, "not the leader")
+			}
+			w.mu.Lock()
+			w.entries = append(w.entries, entry)
+			index := uint64(len(w.entries))
+			w.mu.Unlock()
+			var out []byte
+			for j, c := range w.controls {
+				if r := c.Apply(index, entry); j == i {
+					out = r
+				}
+			}
+			if w.after != nil && w.after(step) != nil {
+				return nil, errkind.New(errkind.OutcomeUnknown, "the answer was lost")
+			}
+			return out, nil
+		},
+		IsLeader:    leads,
+		LeaseValid:  leads,
+		ReadBarrier: func(ctx context.Context) error { return ctx.Err() },
+		Leader: func() (string, bool) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			return fmt.Sprint("control", w.leader), w.leader >= 0
+		},
+		TransferLeadership: func(context.Context) error {
+			w.lead((i + 1) % len(w.controls))
+			return nil
+		},
+	}
+}
+
+// lead makes another control host the leader.
+func (w *world) lead(i int) {
+	w.mu.Lock()
+	old := w.leader
+	w.leader = i
+	w.term++
+	term := w.term
+	w.mu.Unlock()
+	if old >= 0 {
+		w.controls[old].OnLeader(false, term)
+	}
+	w.controls[i].OnLeader(true, term)
+}
+
+// call counts a step and asks the test whether it fails.
+func (w *world) call(step string) error {
+	w.mu.Lock()
+	w.calls[step]++
+	before := w.before
+	w.mu.Unlock()
+	if before != nil {
+		return before(step)
+	}
+	return nil
+}
+
+func (w *world) member(ctx context.Context, step, address string, act func(*server) error) (control.MemberStatus, error) {
+	time.Sleep(time.Millisecond)
+	err := w.call(step + " " + address)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s := w.servers[address]
+	if err != nil || s.down {
+		w.mu.Unlock()
+		<-ctx.Done()
+		w.mu.Lock()
+		return control.MemberStatus{}, errSilent
+	}
+	if err := act(s); err != nil {
+		return control.MemberStatus{}, err
+	}
+	return control.MemberStatus{ServerID: s.id, Term: s.term, Primary: s.primary, Received: s.received, Applied: s.received}, nil
+}
+
+func (w *world) revoke(ctx context.Context, address string, args *ownerrpc.RevokeArgs) (*ownerrpc.RevokeReply, error) {
+	time.Sleep(time.Millisecond)
+	err := w.call("revoke " + address)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	h := w.hosts[address]
+	if err != nil || h.paused || h.silent {
+		w.mu.Unlock()
+		<-ctx.Done()
+		w.mu.Lock()
+		return nil, errSilent
+	}
+	h.epochs[args.Server] = max(h.epochs[args.Server], args.Epoch)
+	h.roles[args.Server] = max(h.roles[args.Server], args.Term)
+	return &ownerrpc.RevokeReply{Confirmed: true}, nil
+}
+
+// rpc calls the service of a control host as net/rpc would.
+func (w *world) rpc(_ context.Context, address, method string, args, reply any) error {
+	var i int
+	if _, err := fmt.Sscanf(address, "control%d", &i); err != nil {
+		return err
+	}
+	s := w.controls[i].Service()
+	switch a := args.(type) {
+	case *controlrpc.HeartbeatArgs:
+		return s.Heartbeat(a, reply.(*controlrpc.HeartbeatReply))
+	case *controlrpc.WatchArgs:
+		return s.Watch(a, reply.(*controlrpc.WatchReply))
+	case *controlrpc.AnnounceArgs:
+		return s.Announce(a, reply.(*controlrpc.AnnounceReply))
+	case *controlrpc.ApplyArgs:
+		return s.Apply(a, reply.(*controlrpc.ApplyReply))
+	case *controlrpc.GetArgs:
+		return s.Get(a, reply.(*controlrpc.GetReply))
+	case *controlrpc.DrainArgs:
+		return s.Drain(a, reply.(*controlrpc.DrainReply))
+	case *controlrpc.FailoverArgs:
+		return s.Failover(a, reply.(*controlrpc.FailoverReply))
+	}
+	return fmt.Errorf("unknown method %s", method)
+}
+
+func (w *world) client() *controlrpc.Client {
+	c := &controlrpc.Client{Call: w.rpc}
+	for i := range w.controls {
+		c.Addresses = append(c.Addresses, fmt.Sprint("control", i))
+	}
+	return c
+}
+
+// addServer announces a server; position is that of its last record.
+func (w *world) addServer(id, group, centre string, received logpos.Position) *server {
+	s := &server{id: id, address: "at-" + id, received: received}
+	w.mu.Lock()
+	w.servers[s.address] = s
+	w.mu.Unlock()
+	reply, err := w.client().Announce(w.t.Context(), &controlrpc.AnnounceArgs{Server: controlrpc.Server{
+		ID: id, Group: group, Address: s.address, DataCentre: centre, Slots: 3, Connections: 25,
+	}})
+	if err != nil || reply.Kind != errkind.OK {
+		w.t.Errorf("announcing %s: %v %v", id, err, reply.Answer)
+	}
+	return s
+}
+
+// addHost starts an entry host that sends heartbeats every 300 ms.
+func (w *world) addHost(id, incarnation, centre, region string) *host {
+	ctx, cancel := context.WithCancel(w.t.Context())
+	h := &host{
+		w: w, client: w.client(), epochs: make(map[string]uint64), roles: make(map[string]uint64), cancelled: cancel,
+		info: controlrpc.Host{ID: id, Incarnation: incarnation, Address: "at-" + id, DataCentre: centre, Region: region},
+	}
+	w.mu.Lock()
+	w.hosts[h.info.Address] = h
+	w.mu.Unlock()
+	w.running.Go(func() { h.run(ctx) })
+	return h
+}
+
+func (h *host) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		h.beat(ctx)
+		time.Sleep(300 * time.Millisecond)
+	}
+}
+
+// beat sends one heartbeat and takes over the reply. A reply that arrives
+// while the host is paused takes effect only once it goes on.
+func (h *host) beat(ctx context.Context) {
+	h.w.mu.Lock()
+	paused, sent := h.paused, time.Now()
+	args := &controlrpc.HeartbeatArgs{Host: h.info, Suspects: h.suspects}
+	h.w.mu.Unlock()
+	if paused {
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	reply, err := h.client.Heartbeat(call, args)
+	if err != nil || reply.Kind != errkind.OK {
+		return
+	}
+	h.w.mu.Lock()
+	defer h.w.mu.Unlock()
+	h.reply, h.until = *reply, sent.Add(reply.TTL)
+}
+
+// acts returns the servers whose lease the host acts on now, with whether it
+// acts as the owner of the primary. The caller holds w.mu.
+func (h *host) acts() map[string]bool {
+	out := make(map[string]bool)
+	if h.paused || !time.Now().Before(h.until) {
+		return out
+	}
+	for _, l := range h.reply.Leases {
+		if l.Epoch > h.epochs[l.Server] {
+			out[l.Server] = l.Primary && l.Term > h.roles[l.Server]
+		}
+	}
+	return out
+}
+
+// view returns the state at the leader.
+func (w *world) view() *control.View {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.controls[max(w.leader, 0)].Machine().View()
+}
+
+// primary returns the primary of a group, empty if there is none now.
+func (w *world) primary(group string) string { return w.view().Groups[group].Primary }
+
+// owners returns every host that acts for the server.
+func (w *world) owners(id string) []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []string
+	for _, h := range w.hosts {
+		if _, ok := h.acts()[id]; ok {
+			out = append(out, h.info.ID+"/"+h.info.Incarnation)
+		}
+	}
+	return out
+}
+
+// eventually fails the test if cond does not hold within limit.
+func (w *world) eventually(limit time.Duration, what string, cond func() bool) {
+	w.t.Helper()
+	for end := time.Now().Add(limit); !cond(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			w.t.Fatalf("not within %v: %s; groups %v, leases %v", limit, what, w.view().Groups, w.view().Leases)
+		}
+	}
+}
+
+// stop ends everything, which synctest requires.
+func (w *world) stop() {
+	w.mu.Lock()
+	hosts := maps.Clone(w.hosts)
+	w.leader = -1
+	w.mu.Unlock()
+	for _, h := range hosts {
+		h.cancelled()
+	}
+	w.running.Wait()
+	for _, c := range w.controls {
+		c.OnLeader(false, 0)
+		if err := c.Stop(context.Background()); err != nil {
+			w.t.Errorf("stopping: %v", err)
+		}
+	}
+}
+
+// stepOf names the first command of a log entry.
+func stepOf(entry []byte) string { return control.StepOf(entry) }
+
+// config declares one group.
+func config(members int) string {
+	return fmt.Sprintf("[[database_group]]\nname = \"orders\"\nmembers = %d\n", members)
+}
--- /dev/null
+++ b/internal/controlrpc/client.go
@@ -0,0 +1,237 @@
+package controlrpc
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/arbutusring/arbutusring/pkg/errkind"
+)
+
+// Timeouts of one attempt at one address. They are shorter than the callers'
+// own limits, so that a silent control host costs one attempt and not the
+// whole call. The ttl of a host session is 1.2 s, so a heartbeat must reach
+// another address well within it.
+const (
+	heartbeatAttempt = 400 * time.Millisecond
+	announceAttempt  = time.Second
+	changeAttempt    = 3 * time.Second
+	watchSlack       = time.Second
+)
+
+// Limits of the full-jitter delay after every known address has been tried.
+const (
+	minRetryDelay = 20 * time.Millisecond
+	maxRetryDelay = 250 * time.Millisecond
+)
+
+// Client calls the leader of the control service. It follows leader hints,
+// tries the other addresses on transport errors and on errkind.NotLeader, and
+// remembers the last leader. It resends until the context ends; that is safe
+// for every method, because changes carry change ids.
+//
+// Every method returns the reply of the leader, whose Kind may be an error,
+// or a Go error when no leader answered before the context ended. The Go
+// error is errkind.OutcomeUnknown if an attempt may have been carried out,
+// and errkind.NotLeader if none was.
+//
+// Addresses and Call are set before the first call. Methods are safe for
+// concurrent use if Call is.
+type Client struct {
+	Addresses []string // rpc addresses of the control hosts, at least one
+	Call      func(ctx context.Context, address, method string, args, reply any) error
+
+	mu     sync.Mutex
+	leader string // address that answered last, or the last hint; guarded by mu
+}
+
+// answered is implemented by every reply through its embedded Answer.
+type answered interface {
+	answer() *Answer
+}
+
+func (a *Answer) answer() *Answer { return a }
+
+// Heartbeat renews the session of a host. The ttl counts from before the call
+// that was answered; because Client resends, the caller must count from before
+// it called Heartbeat.
+func (c *Client) Heartbeat(ctx context.Context, args *HeartbeatArgs) (*HeartbeatReply, error) {
+	var reply *HeartbeatReply
+	err := c.do(ctx, "Control.Heartbeat", args, heartbeatAttempt, func() answered {
+		reply = new(HeartbeatReply)
+		return reply
+	})
+	return reply, err
+}
+
+// Watch waits for a state newer than args.Since, for at most args.Wait.
+func (c *Client) Watch(ctx context.Context, args *WatchArgs) (*WatchReply, error) {
+	var reply *WatchReply
+	err := c.do(ctx, "Control.Watch", args, args.Wait+watchSlack, func() answered {
+		reply = new(WatchReply)
+		return reply
+	})
+	return reply, err
+}
+
+// Announce passes on the announcement of a backend server.
+func (c *Client) Announce(ctx context.Context, args *AnnounceArgs) (*AnnounceReply, error) {
+	var reply *AnnounceReply
+	err := c.do(ctx, "Control.Announce", args, announceAttempt, func() answered {
+		reply = new(AnnounceReply)
+		return reply
+	})
+	return reply, err
+}
+
+// Apply asks for a new configuration. Every resend carries the same change
+// id, so the reply is the first answer to the change.
+func (c *Client) Apply(ctx context.Context, args *ApplyArgs) (*ApplyReply, error) {
+	var reply *ApplyReply
+	err := c.do(ctx, "Control.Apply", args, changeAttempt, func() answered {
+		reply = new(ApplyReply)
+		return reply
+	})
+	return reply, err
+}
+
+// Get asks for the state as of now.
+func (c *Client) Get(ctx context.Context, args *GetArgs) (*GetReply, error) {
+	var reply *GetReply
+	err := c.do(ctx, "Control.Get", args, changeAttempt, func() answered {
+		reply = new(GetReply)
+		return reply
+	})
+	return reply, err
+}
+
+// Drain takes a host or a backend server out of service, or back in.
+func (c *Client) Drain(ctx context.Context, args *DrainArgs) (*DrainReply, error) {
+	var reply *DrainReply
+	err := c.do(ctx, "Control.Drain", args, changeAttempt, func() answered {
+		reply = new(DrainReply)
+		return reply
+	})
+	return reply, err
+}
+
+// Failover asks for a new primary of a group.
+func (c *Client) Failover(ctx context.Context, args *FailoverArgs) (*FailoverReply, error) {
+	var reply *FailoverReply
+	err := c.do(ctx, "Control.Failover", args, changeAttempt, func() answered {
+		reply = new(FailoverReply)
+		return reply
+	})
+	return reply, err
+}
+
+// do calls method at one address after the other until a leader answers or
+// ctx ends. Each attempt decodes into a fresh reply, because fields of an
+// earlier answer would otherwise show through.
+func (c *Client) do(ctx context.Context, method string, args any, limit time.Duration, fresh func() answered) error {
+	if len(c.Addresses) == 0 {
+		return errkind.New(errkind.BadRequest, "%s: no control address is configured", method)
+	}
+	sent := false // an attempt may have been carried out
+	var last error
+	for round := 0; ; round++ {
+		for _, address := range c.order() {
+			reply := fresh()
+			err := c.attempt(ctx, address, method, args, reply, limit)
+			if err == nil && !retryAnswer(reply.answer()) {
+				c.remember(address)
+				return nil
+			}
+			if err == nil {
+				last = errkind.New(reply.answer().Kind, "%s: %s", address, reply.answer().Detail)
+				sent = sent || reply.answer().Kind != errkind.NotLeader
+				c.follow(address, reply.answer().Leader)
+				if reply.answer().Leader != "" && reply.answer().Leader != address && round == 0 {
+					break // go to the hinted leader first
+				}
+			} else {
+				last = err
+				sent = sent || errkind.Of(err) != errkind.ConnectFailed
+				c.forget(address)
+			}
+			if ctx.Err() != nil {
+				break
+			}
+		}
+		if !pause(ctx, round) {
+			kind := errkind.NotLeader
+			if sent {
+				kind = errkind.OutcomeUnknown
+			}
+			return errkind.Wrap(kind, last, "%s: no control leader answered", method)
+		}
+	}
+}
+
+func (c *Client) attempt(ctx context.Context, address, method string, args any, reply answered, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	return c.Call(ctx, address, method, args, reply)
+}
+
+// retryAnswer reports whether another host, or the same one a little later,
+// may give a better answer.
+func retryAnswer(a *Answer) bool {
+	return a.Kind == errkind.NotLeader || a.Kind == errkind.OutcomeUnknown
+}
+
+// order returns the addresses to try, the remembered leader first and the
+// others in random order, so that clients without a leader spread out.
+func (c *Client) order() []string {
+	c.mu.Lock()
+	leader := c.leader
+	c.mu.Unlock()
+	out := make([]string, 0, len(c.Addresses)+1)
+	if leader != "" {
+		out = append(out, leader)
+	}
+	for _, i := range rand.Perm(len(c.Addresses)) {
+		if c.Addresses[i] != leader {
+			out = append(out, c.Addresses[i])
+		}
+	}
+	return out
+}
+
+// remember records that address answered as the leader.
+func (c *Client) remember(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leader = address
+}
+
+// follow replaces the remembered leader, which answered or was named by
+// address, with the hint. An empty hint forgets it.
+func (c *Client) follow(address, hint string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if hint == address {
+		hint = ""
+	}
+	if hint != "" || c.leader == address {
+		c.leader = hint
+	}
+}
+
+// forget drops the remembered leader if it is address.
+func (c *Client) forget(address string) { c.follow(address, "") }
+
+// pause waits before the next round; it is false if ctx ends. The first round
+// is repeated almost at once, because it usually ends with a leader hint.
+func pause(ctx context.Context, round int) bool {
+	limit := min(minRetryDelay<<min(round, 8), maxRetryDelay)
+	timer := time.NewTimer(rand.N(limit))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return ctx.Err() == nil
+	}
+}
--- a/internal/controlrpc/messages.go
+++ b/internal/controlrpc/messages.go
@@ -70,11 +70,15 @@
 	Members []string `codec:"m" json:"members"` // server ids; majorities count these
 }
 
-// Lease says which host owns a server.
+// Lease says which host owns a server. It belongs to one incarnation of the
+// host, because a restarted process does not know what its predecessor still
+// had in progress.
 type Lease struct {
-	Server string `codec:"s" json:"server"`
-	Host   string `codec:"h" json:"host"`
-	Epoch  uint64 `codec:"e" json:"epoch"` // grows with each change of the owner
+	Server      string `codec:"s" json:"server"`
+	Host        string `codec:"h" json:"host"`
+	Incarnation string `codec:"n" json:"incarnation"`
+	Epoch       uint64 `codec:"e" json:"epoch"`              // grows with each change of the owner
+	Revoking    bool   `codec:"x" json:"revoking,omitempty"` // no longer granted; the owner has yet to let go
 }
 
 // State is the replicated state that entry hosts work from.
