--- /dev/null
+++ b/internal/backend/answer.go
@@ -0,0 +1,8 @@
+package backend
+
+// Answer is the answer of a server to one cycle.
+type Answer struct {
+	Messages []byte // raw backend messages up to and including ReadyForQuery; owned by the receiver
+	TxStatus byte   // transaction status of ReadyForQuery: 'I', 'T' or 'E'
+	SQLState string // code of the first ErrorResponse, or empty
+}
--- /dev/null
+++ b/internal/backend/contract.go
@@ -0,0 +1,117 @@
+package backend
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/arbutusring/arbutusring/pkg/errkind"
+	"github.com/arbutusring/arbutusring/pkg/logpos"
+)
+
+// The SQLSTATEs of docs/backend-contract.md.
+const (
+	codeStaleTerm = "ARB01" // the term is lower than the fenced one, or not the fenced one
+	codeNotReady  = "55000" // the server is not a primary
+	codeShutdown  = "57P01" // the server is shutting down
+	codeBadValue  = "22023" // a parameter has an invalid value
+)
+
+const statusColumns = "server_id, fenced_term, in_recovery, received_term, received_lsn, applied_term, applied_lsn"
+
+// Status asks the server for its status.
+func (c *Conn) Status(ctx context.Context) (Status, error) {
+	return c.status(ctx, "arbutusring_status()")
+}
+
+// Fence makes the server refuse every lower term durably and returns its
+// status at that moment. Fencing again at the same term changes nothing. The
+// error has kind StaleTerm if the server is fenced at a higher term.
+func (c *Conn) Fence(ctx context.Context, term uint64) (Status, error) {
+	return c.status(ctx, fmt.Sprintf("arbutusring_fence(%d)", term))
+}
+
+// Promote makes the server the primary of term, at which it has to be fenced.
+// Promoting it again at the same term changes nothing. The error has kind
+// StaleTerm if the server is fenced at another term.
+func (c *Conn) Promote(ctx context.Context, term uint64) (Status, error) {
+	return c.status(ctx, fmt.Sprintf("arbutusring_promote(%d)", term))
+}
+
+// Follow makes the server replicate from the primary of term at
+// primaryAddress, and fences it at term. It returns before replication has
+// caught up. The error has kind StaleTerm if the server is fenced at a higher
+// term or is itself the primary of term.
+func (c *Conn) Follow(ctx context.Context, primaryAddress string, term uint64) (Status, error) {
+	quoted := strings.ReplaceAll(primaryAddress, "'", "''")
+	return c.status(ctx, fmt.Sprintf("arbutusring_follow('%s', %d)", quoted, term))
+}
+
+// Replicas asks a primary for the progress of its replicas. The error has
+// kind NoPrimary if the server is not a primary.
+func (c *Conn) Replicas(ctx context.Context) ([]Replica, error) {
+	const sql = "SELECT application_name, received_term, received_lsn, applied_term, applied_lsn FROM arbutusring_replication()"
+	set, err := c.call(ctx, sql)
+	if err != nil {
+		return nil, err
+	}
+	replicas := make([]Replica, 0, len(set.rows))
+	for _, row := range set.rows {
+		if len(row) != 5 {
+			return nil, c.fail(errkind.Internal, nil, "replication progress does not have five columns")
+		}
+		r := Replica{ServerID: row[0]}
+		if r.Received, r.Applied, err = parsePositions(row[1:]); err != nil {
+			return nil, c.fail(errkind.Internal, err, "replication progress")
+		}
+		replicas = append(replicas, r)
+	}
+	return replicas, nil
+}
+
+// status calls a function that returns the status of the server.
+func (c *Conn) status(ctx context.Context, function string) (Status, error) {
+	set, err := c.call(ctx, "SELECT "+statusColumns+" FROM "+function)
+	if err != nil {
+		return Status{}, err
+	}
+	if len(set.rows) != 1 || len(set.rows[0]) != 7 {
+		return Status{}, c.fail(errkind.Internal, nil, "status is not one row with seven columns")
+	}
+	row := set.rows[0]
+	st := Status{ServerID: row[0], Primary: row[2] == "f"}
+	if st.Term, err = strconv.ParseUint(row[1], 10, 64); err != nil {
+		return Status{}, c.fail(errkind.Internal, err, "fenced term")
+	}
+	if st.Received, st.Applied, err = parsePositions(row[3:]); err != nil {
+		return Status{}, c.fail(errkind.Internal, err, "positions of the status")
+	}
+	return st, nil
+}
+
+// parsePositions reads the received and the applied position from four
+// columns.
+func parsePositions(row []string) (received, applied logpos.Position, err error) {
+	if received, err = parsePosition(row[0], row[1]); err != nil {
+		return received, applied, err
+	}
+	applied, err = parsePosition(row[2], row[3])
+	return received, applied, err
+}
+
+// call executes a contract function. An error that the server itself reports
+// leaves the connection open; any other error closes it.
+func (c *Conn) call(ctx context.Context, sql string) (rowSet, error) {
+	c.request = appendQuery(c.request[:0], sql)
+	if err := c.begin(ctx, c.request); err != nil {
+		return rowSet{}, err
+	}
+	stop := c.guard(ctx)
+	s := c.send(c.request)
+	set, err := c.readRows()
+	if err := c.finish(ctx, stop, s, err); err != nil {
+		return rowSet{}, err
+	}
+	return set, set.err()
+}
--- /dev/null
+++ b/internal/backend/doc.go
@@ -0,0 +1,32 @@
+// Package backend is the client side of the backend server contract, which
+// docs/backend-contract.md describes. It speaks PostgreSQL protocol v3.
+//
+// A Conn is one connection to one backend server. It relays the raw messages
+// of a cycle and returns the raw messages of the answer, without decoding
+// rows. It also calls the functions of the contract: status, fence, promote,
+// follow and replication progress.
+//
+// # Errors
+//
+// Every error has a kind of pkg/errkind. The kind of an error of Relay tells
+// whether the cycle may have been executed:
+//
+//   - ConnectFailed and BadRequest: nothing was sent.
+//   - ServerLost: the cycle may have been sent and executed.
+//   - OutcomeUnknown (RelayCommit only): the cycle was answered, but its
+//     position could not be learned, so it can't be acknowledged.
+//   - AnswerTooLarge: the cycle was executed; its answer was dropped.
+//
+// After any of these except AnswerTooLarge the Conn is closed.
+//
+// # Usage
+//
+//	c, err := backend.Connect(ctx, backend.ConnOptions{Address: "127.0.0.1:5432", Database: "orders", User: "proxy"})
+//	if err != nil { ... }
+//	defer c.Close()
+//	answer, pos, err := c.RelayCommit(ctx, cycle, 1<<20)
+//	status, err := c.Status(ctx)
+//
+// A Conn is used by one goroutine at a time; only Close and Closed may be
+// called at any time from any goroutine.
+package backend
--- /dev/null
+++ b/internal/backend/frame.go
@@ -0,0 +1,77 @@
+package backend
+
+import (
+	"bytes"
+	"encoding/binary"
+
+	"github.com/arbutusring/arbutusring/pkg/errkind"
+)
+
+// headerLen is the length of the type byte and the length word of a message.
+const headerLen = 5
+
+// maxMessageLen is PostgreSQL's own limit for one message. A greater length
+// word means that the stream is not PostgreSQL protocol, or out of step.
+const maxMessageLen = 1<<30 - 1
+
+// checkCycle checks that cycle is one Query, or extended-protocol messages
+// that end with their only Sync. Anything else would be answered by no
+// ReadyForQuery or by several, and the following answers would be given to
+// the wrong requests.
+func checkCycle(cycle []byte) error {
+	for first := true; ; first = false {
+		if len(cycle) < headerLen {
+			return errkind.New(errkind.BadRequest, "cycle does not end with Query or Sync")
+		}
+		n := int64(binary.BigEndian.Uint32(cycle[1:headerLen])) + 1
+		if n < headerLen || n > int64(len(cycle)) {
+			return errkind.New(errkind.BadRequest, "cycle has a message of type %q with a wrong length", cycle[0])
+		}
+		typ := cycle[0]
+		cycle = cycle[n:]
+		switch typ {
+		case 'Q':
+			if !first || len(cycle) > 0 {
+				return errkind.New(errkind.BadRequest, "cycle has other messages besides a Query")
+			}
+			return nil
+		case 'S':
+			if len(cycle) > 0 {
+				return errkind.New(errkind.BadRequest, "cycle has messages after Sync")
+			}
+			return nil
+		case 'P', 'B', 'C', 'D', 'E', 'H':
+		default:
+			return errkind.New(errkind.BadRequest, "cycle has a message of type %q", typ)
+		}
+	}
+}
+
+// expected reports whether typ may occur in the answer to a cycle. The copy
+// messages are excluded: the server would wait for data that never comes.
+func expected(typ byte) bool {
+	return bytes.IndexByte([]byte("123ACDEINSTZnst"), typ) >= 0
+}
+
+// sqlState returns the code field of the body of an ErrorResponse.
+func sqlState(body []byte) string {
+	for len(body) > 1 {
+		end := bytes.IndexByte(body[1:], 0)
+		if end < 0 {
+			return ""
+		}
+		if body[0] == 'C' {
+			return string(body[1 : 1+end])
+		}
+		body = body[end+2:]
+	}
+	return ""
+}
+
+// appendQuery appends a Query message.
+func appendQuery(dst []byte, sql string) []byte {
+	dst = append(dst, 'Q')
+	dst = binary.BigEndian.AppendUint32(dst, uint32(len(sql)+headerLen))
+	dst = append(dst, sql...)
+	return append(dst, 0)
+}
--- /dev/null
+++ b/internal/standin/change.go
@@ -0,0 +1,14 @@
+package standin
+
+// rowKey identifies a row.
+type rowKey struct {
+	Table string `codec:"t"`
+	Key   string `codec:"k"`
+}
+
+// change is the new state of one row.
+type change struct {
+	Row     rowKey `codec:"r"`
+	Value   string `codec:"v"`
+	Deleted bool   `codec:"d"`
+}
--- /dev/null
+++ b/internal/standin/faultconn.go
@@ -0,0 +1,70 @@
+package standin
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync/atomic"
+)
+
+// faultConn applies the fault switches to the stream of one connection.
+type faultConn struct {
+	net.Conn
+	ctx    context.Context // ends when the server stops or the connection is closed
+	faults *faults
+	silent atomic.Bool // received bytes are discarded, sent bytes are dropped
+
+	// Bytes that may still be sent before cutting or stalling; negative
+	// without such a fault. Used by the writing goroutine only.
+	cutAfter   int
+	stallAfter int
+}
+
+func newFaultConn(ctx context.Context, nc net.Conn, f *faults) *faultConn {
+	return &faultConn{Conn: nc, ctx: ctx, faults: f, cutAfter: -1, stallAfter: -1}
+}
+
+// Read discards everything while the connection is silent. It returns only
+// after a freeze is over.
+func (c *faultConn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if waitErr := c.faults.awaitOff(c.ctx, FaultFreeze); waitErr != nil {
+			return 0, waitErr
+		}
+		if !c.silent.Load() {
+			return n, err
+		}
+		if err != nil {
+			return 0, io.EOF
+		}
+	}
+}
+
+// Write sends p as far as the faults allow. A silent connection reports
+// success, as a network that loses packets does.
+func (c *faultConn) Write(p []byte) (int, error) {
+	if err := c.faults.awaitOff(c.ctx, FaultFreeze); err != nil {
+		return 0, err
+	}
+	switch {
+	case c.silent.Load():
+		return len(p), nil
+	case c.cutAfter >= 0 && len(p) >= c.cutAfter:
+		n, _ := c.Conn.Write(p[:c.cutAfter])
+		_ = c.Close()
+		return n, net.ErrClosed
+	case c.stallAfter >= 0 && len(p) >= c.stallAfter:
+		_, err := c.Conn.Write(p[:c.stallAfter])
+		c.silent.Store(true)
+		return len(p), err
+	}
+	n, err := c.Conn.Write(p)
+	if c.cutAfter >= 0 {
+		c.cutAfter -= n
+	}
+	if c.stallAfter >= 0 {
+		c.stallAfter -= n
+	}
+	return n, err
+}
--- /dev/null
+++ b/internal/standin/statement.go
@@ -0,0 +1,76 @@
+package standin
+
+type statementKind int
+
+const (
+	kindSelect statementKind = iota // rows of a table
+	kindCount                       // SELECT count(*)
+	kindConst                       // SELECT literal
+	kindCall                        // SELECT function(...), or SELECT columns FROM function(...)
+	kindInsert
+	kindUpdate
+	kindDelete
+	kindBegin
+	kindCommit
+	kindRollback
+	kindSetReadOnly // SET TRANSACTION READ ONLY
+	kindShow
+	kindUtility // accepted without effect: SET, RESET, DISCARD, CREATE TABLE
+)
+
+// expr is a string literal or a parameter.
+type expr struct {
+	param int // number of the parameter from 1; 0 for a literal
+	text  string
+}
+
+// conflictAction is what INSERT does about an existing key.
+type conflictAction int
+
+const (
+	conflictError conflictAction = iota
+	conflictUpdate
+	conflictNothing
+)
+
+// statement is one parsed statement.
+type statement struct {
+	kind      statementKind
+	name      string   // table, function, setting, or command tag
+	columns   []string // selected or returned columns; for kindCall empty means all
+	key       *expr    // WHERE k = key
+	rows      [][2]expr
+	value     expr // new value of UPDATE
+	appending bool // UPDATE sets v = v || value
+	conflict  conflictAction
+	forUpdate bool
+	readOnly  bool // BEGIN READ ONLY
+	args      []expr
+	params    int // number of the highest parameter
+}
+
+// writes reports whether the statement changes data or locks rows.
+func (s *statement) writes() bool {
+	switch s.kind {
+	case kindInsert, kindUpdate, kindDelete:
+		return true
+	case kindSelect:
+		return s.forUpdate
+	}
+	return false
+}
+
+// verb is the command name for messages.
+func (s *statement) verb() string {
+	switch s.kind {
+	case kindInsert:
+		return "INSERT"
+	case kindUpdate:
+		return "UPDATE"
+	case kindDelete:
+		return "DELETE"
+	case kindSelect:
+		return "SELECT FOR UPDATE"
+	}
+	return s.name
+}
