--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,142 @@
+package load_test
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/arbutusring/arbutusring/internal/backend"
+	"github.com/arbutusring/arbutusring/internal/load"
+	"github.com/arbutusring/arbutusring/internal/standin"
+	"github.com/matryer/is"
+)
+
+// start runs a server until the end of the test and returns it with its DSN.
+func start(t *testing.T, opts standin.Options) (*standin.Server, string) {
+	t.Helper()
+	srv, err := standin.New(opts)
+	if err == nil {
+		err = srv.Start()
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(srv.Abort)
+	return srv, "postgres://test@" + srv.Address() + "/orders?sslmode=disable"
+}
+
+// assign makes primary the primary of term 1 and replica, if any, follow it.
+func assign(t *testing.T, primary, replica *standin.Server) {
+	t.Helper()
+	is := is.New(t)
+	call := func(srv *standin.Server, f func(context.Context, *backend.Conn) error) {
+		c, err := backend.Connect(t.Context(), backend.ConnOptions{Address: srv.Address(), Database: "orders", User: "test"})
+		is.NoErr(err)
+		defer c.Close()
+		is.NoErr(f(t.Context(), c))
+	}
+	call(primary, func(ctx context.Context, c *backend.Conn) error {
+		if _, err := c.Fence(ctx, 1); err != nil {
+			return err
+		}
+		_, err := c.Promote(ctx, 1)
+		return err
+	})
+	if replica != nil {
+		call(replica, func(ctx context.Context, c *backend.Conn) error {
+			_, err := c.Follow(ctx, primary.Address(), 1)
+			return err
+		})
+	}
+}
+
+// TestRunCountsEveryOperation guards against lost or invented operations and
+// against false violations on a server that behaves.
+func TestRunCountsEveryOperation(t *testing.T) {
+	is := is.New(t)
+	srv, dsn := start(t, standin.Options{})
+	assign(t, srv, nil)
+	report, err := load.Run(t.Context(), load.Options{
+		DSNs: []string{dsn}, Seed: 7, Count: 600, Duration: 20 * time.Second,
+		Ranks: []load.Rank{
+			{Name: "urgent", Sessions: 3, ReadShare: 0.5, MoveEvery: 20},
+			{Name: "bulk", Sessions: 3, ReadShare: 0.5, Rate: 2000, MaxStaleness: time.Second},
+		},
+	})
+	is.NoErr(err)
+	is.Equal(report.Violations(), int64(0))
+	var attempts int64
+	for _, r := range report.Ranks {
+		attempts += r.Attempts
+		is.Equal(r.OK, r.Attempts)
+		is.True(r.P50 > 0 && r.P99 >= r.P50 && r.Max >= r.P99)
+		is.True(r.Writes > 0 && r.Writes < r.Attempts)
+	}
+	is.Equal(attempts, int64(600))
+	is.True(report.Ranks[0].Moves > 0)
+
+	var text, csv bytes.Buffer
+	is.NoErr(report.WriteText(&text))
+	is.NoErr(report.WriteCSV(&csv))
+	is.True(strings.Contains(text.String(), "urgent"))
+	is.Equal(strings.Count(csv.String(), "\n"), 3) // the header and two ranks
+}
+
+// TestRunFindsStaleReads guards against a check that never fails: sessions
+// that move from the primary to a lagging replica without a token must be
+// found not to read their own writes.
+func TestRunFindsStaleReads(t *testing.T) {
+	is := is.New(t)
+	primary, dsn1 := start(t, standin.Options{ID: "m1"})
+	replica, dsn2 := start(t, standin.Options{ID: "m2", ApplyDelay: 400 * time.Millisecond})
+	assign(t, primary, replica)
+	report, err := load.Run(t.Context(), load.Options{
+		DSNs: []string{dsn1, dsn2}, Seed: 1, Duration: 700 * time.Millisecond, Keys: 2,
+		Ranks: []load.Rank{{Name: "any", Sessions: 2, ReadShare: 0.5, MoveEvery: 10}},
+	})
+	is.NoErr(err)
+	is.True(report.Violations() > 0)
+	is.Equal(report.Ranks[0].Examples[0].Kind, load.ViolationReadYourWrites)
+	is.True(report.Ranks[0].Refused["25006"] > 0) // writes on the replica
+}
+
+// TestRunSeparatesUnknownFromRefused guards against counting a write whose
+// answer was lost as refused, and against counting a connection that was never
+// made as unknown.
+func TestRunSeparatesUnknownFromRefused(t *testing.T) {
+	is := is.New(t)
+	srv, dsn := start(t, standin.Options{})
+	assign(t, srv, nil)
+	is.NoErr(srv.SetFault(standin.FaultDropAnswer, "3"))
+	opts := load.Options{DSNs: []string{dsn}, Count: 50, Ranks: []load.Rank{{Name: "any", Sessions: 1}}}
+	report, err := load.Run(t.Context(), opts)
+	is.NoErr(err)
+	is.Equal(report.Ranks[0].Unknown, int64(3))
+	is.Equal(report.Ranks[0].OK, int64(47))
+
+	is.NoErr(srv.SetFault(standin.FaultRefuse, "on"))
+	opts.Count = 5
+	report, err = load.Run(t.Context(), opts)
+	is.NoErr(err)
+	is.Equal(report.Ranks[0].Refused["client"], int64(5))
+	is.Equal(report.Violations(), int64(0))
+}
+
+// TestRunRefusesBadOptions guards against runs without an end and against
+// runs that measure nothing.
+func TestRunRefusesBadOptions(t *testing.T) {
+	rank := load.Rank{Sessions: 1}
+	for name, opts := range map[string]load.Options{
+		"no dsn":      {Count: 1, Ranks: []load.Rank{rank}},
+		"no rank":     {DSNs: []string{"postgres://127.0.0.1:1/x"}, Count: 1},
+		"no limit":    {DSNs: []string{"postgres://127.0.0.1:1/x"}, Ranks: []load.Rank{rank}},
+		"no sessions": {DSNs: []string{"postgres://127.0.0.1:1/x"}, Count: 1, Ranks: []load.Rank{{}}},
+		"bad dsn":     {DSNs: []string{"postgres://127.0.0.1:x/"}, Count: 1, Ranks: []load.Rank{rank}},
+	} {
+		if _, err := load.Run(t.Context(), opts); err == nil {
+			t.Errorf("%s: accepted", name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/load/report.go
@@ -0,0 +1,129 @@
+package load
+
+import (
+	"encoding/csv"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+)
+
+// Report is the result of a run.
+type Report struct {
+	Seed    uint64
+	Elapsed time.Duration
+	Ranks   []RankReport // in the order of Options.Ranks
+}
+
+// RankReport is the result of one rank. Percentiles are of the operations
+// that succeeded.
+type RankReport struct {
+	Rank       string
+	Attempts   int64
+	Writes     int64 // part of Attempts
+	OK         int64
+	Refused    map[string]int64 // not run, by SQLSTATE; "client" if no connection was there to send on
+	Failed     map[string]int64 // error of the statement itself, by SQLSTATE
+	Unknown    int64
+	OnTime     int64         // succeeded within the duration of the rank
+	P50        time.Duration // zero if nothing succeeded
+	P99        time.Duration
+	Max        time.Duration
+	WriteGap   time.Duration // longest time between two acknowledged writes of the rank
+	Moves      int64
+	Violations int64
+	Examples   []Violation // the first violations
+}
+
+// OnTimeShare returns the share of all attempts that succeeded on time.
+func (r RankReport) OnTimeShare() float64 {
+	if r.Attempts == 0 {
+		return 0
+	}
+	return float64(r.OnTime) / float64(r.Attempts)
+}
+
+// Violations returns the number of failed checks of all ranks.
+func (r Report) Violations() int64 {
+	var n int64
+	for _, rank := range r.Ranks {
+		n += rank.Violations
+	}
+	return n
+}
+
+// total returns the sum of the counts.
+func total(counts map[string]int64) int64 {
+	var n int64
+	for _, c := range counts {
+		n += c
+	}
+	return n
+}
+
+// codes formats counts by SQLSTATE, for example "53000:12 57P03:1".
+func codes(counts map[string]int64) string {
+	var parts []string
+	for _, code := range slices.Sorted(maps.Keys(counts)) {
+		parts = append(parts, fmt.Sprintf("%s:%d", code, counts[code]))
+	}
+	return strings.Join(parts, " ")
+}
+
+// WriteText writes a table for people.
+func (r Report) WriteText(w io.Writer) error {
+	if _, err := fmt.Fprintf(w, "seed %d, %.1f s, %d violations\n", r.Seed, r.Elapsed.Seconds(), r.Violations()); err != nil {
+		return Error.Wrap(err)
+	}
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(tw, "rank\tattempts\tok\tnot_run\tfailed\tunknown\tp50\tp99\tmax\ton time\twrite gap\tmoves\tviolations\t")
+	for _, k := range r.Ranks {
+		fmt.Fprintf(tw, "%s\t%d\t%d\t%d\t%d\t%d\t%v\t%v\t%v\t%.2f%%\t%v\t%d\t%d\t\n", k.Rank, k.Attempts, k.OK, total(k.Refused),
+			total(k.Failed), k.Unknown, round(k.P50), round(k.P99), round(k.Max), 100*k.OnTimeShare(), round(k.WriteGap), k.Moves, k.Violations)
+	}
+	if err := tw.Flush(); err != nil {
+		return Error.Wrap(err)
+	}
+	for _, k := range r.Ranks {
+		for _, line := range [][2]string{{"not_run", codes(k.Refused)}, {"failed", codes(k.Failed)}} {
+			if line[1] == "" {
+				continue
+			}
+			if _, err := fmt.Fprintf(w, "%s: %s by SQLSTATE: %s\n", k.Rank, line[0], line[1]); err != nil {
+				return Error.Wrap(err)
+			}
+		}
+		for _, v := range k.Examples {
+			if _, err := fmt.Fprintf(w, "%s: violation of %s, key %s: %s\n", k.Rank, v.Kind, v.Key, v.Detail); err != nil {
+				return Error.Wrap(err)
+			}
+		}
+	}
+	return nil
+}
+
+func round(d time.Duration) time.Duration { return d.Round(10 * time.Microsecond) }
+
+// WriteCSV writes one line for each rank after a header line. Durations are
+// in microseconds.
+func (r Report) WriteCSV(w io.Writer) error {
+	cw := csv.NewWriter(w)
+	rows := [][]string{{
+		"seed", "elapsed_us", "rank", "attempts", "writes", "ok", "not_run", "not_run_by_sqlstate", "failed", "failed_by_sqlstate",
+		"unknown", "p50_us", "p99_us", "max_us", "on_time_share", "write_gap_us", "moves", "violations",
+	}}
+	number := func(n int64) string { return strconv.FormatInt(n, 10) }
+	for _, k := range r.Ranks {
+		rows = append(rows, []string{
+			strconv.FormatUint(r.Seed, 10), number(r.Elapsed.Microseconds()), k.Rank, number(k.Attempts), number(k.Writes), number(k.OK),
+			number(total(k.Refused)), codes(k.Refused), number(total(k.Failed)), codes(k.Failed), number(k.Unknown),
+			number(k.P50.Microseconds()), number(k.P99.Microseconds()), number(k.Max.Microseconds()),
+			strconv.FormatFloat(k.OnTimeShare(), 'f', 6, 64), number(k.WriteGap.Microseconds()), number(k.Moves), number(k.Violations),
+		})
+	}
+	return Error.Wrap(cw.WriteAll(rows))
+}
