--- a/internal/backend/doc.go
+++ b/internal/backend/doc.go
@@ -12,6 +12,8 @@
 // whether the cycle may have been executed:
 //
 //   - ConnectFailed and BadRequest: nothing was sent.
+//   - Draining: the server closed the connection in order to stop, before it
+//     completed any statement of the cycle.
 //   - ServerLost: the cycle may have been sent and executed.
 //   - OutcomeUnknown (RelayCommit only): the cycle was answered, but its
 //     position could not be learned, so it can't be acknowledged.
--- a/internal/backend/frame.go
+++ b/internal/backend/frame.go
@@ -53,14 +53,14 @@
 	return bytes.IndexByte([]byte("123ACDEINSTZnst"), typ) >= 0
 }
 
-// sqlState returns the code field of the body of an ErrorResponse.
-func sqlState(body []byte) string {
+// errorField returns a field of the body of an ErrorResponse, or empty.
+func errorField(body []byte, field byte) string {
 	for len(body) > 1 {
 		end := bytes.IndexByte(body[1:], 0)
 		if end < 0 {
 			return ""
 		}
-		if body[0] == 'C' {
+		if body[0] == field {
 			return string(body[1 : 1+end])
 		}
 		body = body[end+2:]
--- a/internal/backend/relay.go
+++ b/internal/backend/relay.go
@@ -151,6 +151,8 @@
 		return c.fail(errkind.ServerLost, cause(ctx, net.ErrClosed), "answer came too late")
 	case usable:
 		return c.fail(errkind.ServerLost, writeErr, "sending failed")
+	case errkind.Of(err) == errkind.Draining:
+		return c.fail(errkind.Draining, err, "cycle was not executed")
 	default:
 		return c.fail(errkind.ServerLost, cause(ctx, errors.Join(err, writeErr)), "reading the answer failed")
 	}
@@ -189,8 +191,12 @@
 		body := buf[start+headerLen:]
 		switch typ {
 		case 'E':
+			code := errorField(body, 'C')
 			if answer.SQLState == "" {
-				answer.SQLState = sqlState(body)
+				answer.SQLState = code
+			}
+			if code == codeShutdown && !completed && errorField(body, 'V') == "FATAL" {
+				return Answer{}, false, errkind.New(errkind.Draining, "server is shutting down: %s", errorField(body, 'M'))
 			}
 		case 'C':
 			completed = completed || answer.SQLState == ""
--- /dev/null
+++ b/internal/backend/relay_test.go
@@ -0,0 +1,383 @@
+package backend_test
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/arbutusring/arbutusring/internal/backend"
+	"github.com/arbutusring/arbutusring/internal/standin"
+	"github.com/arbutusring/arbutusring/pkg/errkind"
+	"github.com/arbutusring/arbutusring/pkg/logpos"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/matryer/is"
+)
+
+const limit = 1 << 20
+
+// start runs a stand-in that is the primary of term 1, until the end of the
+// test.
+func start(t *testing.T, opts standin.Options) *standin.Server {
+	t.Helper()
+	is := is.New(t)
+	srv, err := standin.New(opts)
+	is.NoErr(err)
+	is.NoErr(srv.Start())
+	t.Cleanup(srv.Abort)
+	c := connect(t, srv.Address())
+	_, err = c.Fence(t.Context(), 1)
+	is.NoErr(err)
+	_, err = c.Promote(t.Context(), 1)
+	is.NoErr(err)
+	return srv
+}
+
+func connect(t testing.TB, address string) *backend.Conn {
+	t.Helper()
+	c, err := backend.Connect(t.Context(), backend.ConnOptions{Address: address, Database: "orders", User: "test", DialTimeout: 5 * time.Second})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+// message returns a raw protocol message.
+func message(typ byte, body string) []byte {
+	m := binary.BigEndian.AppendUint32([]byte{typ}, uint32(len(body)+4))
+	return append(m, body...)
+}
+
+func query(sql string) []byte { return message('Q', sql+"\x00") }
+
+// extended returns a cycle of the extended protocol with one statement.
+func extended(t testing.TB, sql string, params ...string) []byte {
+	t.Helper()
+	values := make([][]byte, len(params))
+	for i, p := range params {
+		values[i] = []byte(p)
+	}
+	var buf []byte
+	for _, m := range []pgproto3.FrontendMessage{
+		&pgproto3.Parse{Query: sql}, &pgproto3.Bind{Parameters: values}, &pgproto3.Execute{}, &pgproto3.Sync{},
+	} {
+		var err error
+		if buf, err = m.Encode(buf); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return buf
+}
+
+// TestRelayAnswers guards against answers that are cut, extended or attributed
+// to the wrong cycle, and against a wrong transaction status. The cycles run
+// one after the other on one connection.
+func TestRelayAnswers(t *testing.T) {
+	is := is.New(t)
+	srv := start(t, standin.Options{})
+	c := connect(t, srv.Address())
+	for _, tc := range []struct {
+		name  string
+		cycle []byte
+		types string // types of the messages of the answer
+		tx    byte
+		state string
+	}{
+		{"write", query("INSERT INTO kv (k, v) VALUES ('a', '1')"), "CZ", 'I', ""},
+		{"read", query("SELECT v FROM kv WHERE k = 'a'"), "TDCZ", 'I', ""},
+		{"several statements", query("SELECT 1; SELECT v FROM kv WHERE k = 'b'"), "TDCTCZ", 'I', ""},
+		{"empty", query(""), "IZ", 'I', ""},
+		{"syntax error", query("SELEC 1"), "EZ", 'I', "42601"},
+		{"error after a statement", query("SELECT 1; INSERT INTO kv (k, v) VALUES ('a', '2'); SELECT 1"), "TDCEZ", 'I', "23505"},
+		{"extended", extended(t, "SELECT v FROM kv WHERE k = $1", "a"), "12DCZ", 'I', ""},
+		{"extended error", extended(t, "INSERT INTO kv (k, v) VALUES ($1, $2)", "a", "3"), "12EZ", 'I', "23505"},
+		{"error in the middle of a pipeline", pipeline(t), "12C12EZ", 'I', "23505"},
+		{"pipeline was rolled back", query("SELECT k FROM kv WHERE k = 'p'"), "TCZ", 'I', ""},
+		{"begin", query("BEGIN"), "CZ", 'T', ""},
+		{"in transaction", query("UPDATE kv SET v = v || 'x' WHERE k = 'a'"), "CZ", 'T', ""},
+		{"failed transaction", query("SELECT nothing FROM kv"), "EZ", 'E', "42703"},
+		{"refused in failed transaction", query("SELECT 1"), "EZ", 'E', "25P02"},
+		{"commit of failed transaction", query("COMMIT"), "CZ", 'I', ""},
+	} {
+		answer, err := c.Relay(t.Context(), tc.cycle, limit)
+		if err != nil {
+			t.Fatalf("%s: %v", tc.name, err)
+		}
+		if got := types(answer.Messages); got != tc.types || answer.TxStatus != tc.tx || answer.SQLState != tc.state {
+			t.Errorf("%s: answer %s %c %q, want %s %c %q", tc.name, got, answer.TxStatus, answer.SQLState, tc.types, tc.tx, tc.state)
+		}
+	}
+	is.True(!c.Closed())
+}
+
+// pipeline is a cycle of two statements, of which the second fails.
+func pipeline(t *testing.T) []byte {
+	first := extended(t, "INSERT INTO kv (k, v) VALUES ($1, $2)", "p", "1")
+	return append(first[:len(first)-5:len(first)-5], extended(t, "INSERT INTO kv (k, v) VALUES ($1, $2)", "a", "1")...)
+}
+
+// types returns the types of the messages in raw.
+func types(raw []byte) string {
+	var b strings.Builder
+	for len(raw) >= 5 {
+		b.WriteByte(raw[0])
+		raw = raw[min(len(raw), 1+int(binary.BigEndian.Uint32(raw[1:]))):]
+	}
+	return b.String()
+}
+
+// TestRelayFaults guards against a wrong outcome after a fault of the server:
+// a cycle that may have been executed must not be reported as not sent.
+func TestRelayFaults(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		fault standin.Fault
+		value string
+		cycle []byte
+		limit int
+		kind  errkind.Kind
+		ran   bool // the row is there afterwards
+	}{
+		{"closed without an answer", standin.FaultDropAnswer, "1", query("INSERT INTO kv (k, v) VALUES ('a', '1')"), limit, errkind.ServerLost, true},
+		{"closed midway", standin.FaultCutAnswer, "7", query("INSERT INTO kv (k, v) VALUES ('a', '1')"), limit, errkind.ServerLost, true},
+		{"silent midway", standin.FaultStallAnswer, "7", query("INSERT INTO kv (k, v) VALUES ('a', '1')"), limit, errkind.ServerLost, true},
+		{"silent from the start", standin.FaultSilent, "on", query("INSERT INTO kv (k, v) VALUES ('a', '1')"), limit, errkind.ServerLost, false},
+		{"frozen", standin.FaultFreeze, "600ms", query("INSERT INTO kv (k, v) VALUES ('a', '1')"), limit, errkind.ServerLost, true},
+		{"oversized", standin.FaultServiceTime, "0s", query("INSERT INTO kv (k, v) VALUES ('a', '1') RETURNING k"), 20, errkind.AnswerTooLarge, true},
+		{"two queries", standin.FaultServiceTime, "0s", append(query("SELECT 1"), query("SELECT 1")...), limit, errkind.BadRequest, false},
+		{"copy message", standin.FaultServiceTime, "0s", message('f', "x\x00"), limit, errkind.BadRequest, false},
+		{"truncated", standin.FaultServiceTime, "0s", query("SELECT 1")[:9], limit, errkind.BadRequest, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			srv := start(t, standin.Options{})
+			c := connect(t, srv.Address())
+			is.NoErr(srv.SetFault(tc.fault, tc.value))
+			ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+			defer cancel()
+			_, err := c.Relay(ctx, tc.cycle, tc.limit)
+			is.Equal(errkind.Of(err), tc.kind)
+			is.Equal(c.Closed(), tc.kind != errkind.AnswerTooLarge)
+			if tc.kind == errkind.AnswerTooLarge { // the connection is in step
+				answer, err := c.Relay(t.Context(), query("SELECT 1"), limit)
+				is.NoErr(err)
+				is.Equal(types(answer.Messages), "TDCZ")
+			} else { // the connection refuses further use, with nothing sent
+				_, err = c.Relay(t.Context(), query("SELECT 1"), limit)
+				is.Equal(errkind.Of(err), errkind.ConnectFailed)
+			}
+			_ = srv.SetFault(standin.FaultSilent, "off")
+			fresh := connect(t, srv.Address())
+			answer, err := fresh.Relay(t.Context(), query("SELECT k FROM kv"), limit)
+			is.NoErr(err)
+			found := types(answer.Messages) == "TDCZ"
+			// A frozen server executes the cycle some time after the freeze.
+			for deadline := time.Now().Add(time.Second); !found && tc.ran && time.Now().Before(deadline); {
+				answer, err := fresh.Relay(t.Context(), query("SELECT k FROM kv"), limit)
+				is.NoErr(err)
+				found = types(answer.Messages) == "TDCZ"
+			}
+			is.Equal(found, tc.ran)
+		})
+	}
+}
+
+// serve runs a server that completes the startup, then answers the first
+// cycle with raw bytes, and closes the connection if hangup is set.
+func serve(t *testing.T, raw []byte, hangup bool) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		nc, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer nc.Close()
+		b := pgproto3.NewBackend(nc, nc)
+		if _, err := b.ReceiveStartupMessage(); err != nil {
+			return
+		}
+		b.Send(&pgproto3.AuthenticationOk{})
+		b.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+		if b.Flush() != nil {
+			return
+		}
+		if _, err := b.Receive(); err != nil {
+			return
+		}
+		_, _ = nc.Write(raw)
+		for !hangup {
+			if _, err := b.Receive(); err != nil {
+				return
+			}
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// TestRelayRejectsWrongAnswers guards against taking garbage, messages that no
+// cycle may be answered with, or a part of an answer for an answer.
+func TestRelayRejectsWrongAnswers(t *testing.T) {
+	ready := message('Z', "I")
+	fatal := message('E', "SFATAL\x00VFATAL\x00C57P01\x00Mstopping\x00\x00")
+	for _, tc := range []struct {
+		name string
+		raw  []byte
+		kind errkind.Kind
+	}{
+		{"well formed", append(message('C', "SELECT 1\x00"), ready...), errkind.OK},
+		{"nothing", nil, errkind.ServerLost},
+		{"half a header", []byte{'C', 0, 0}, errkind.ServerLost},
+		{"half a body", message('C', "SELECT 1\x00")[:8], errkind.ServerLost},
+		{"no ReadyForQuery", message('C', "SELECT 1\x00"), errkind.ServerLost},
+		{"copy in", append(message('G', "\x00\x00\x00"), ready...), errkind.ServerLost},
+		{"authentication", append(message('R', "\x00\x00\x00\x00"), ready...), errkind.ServerLost},
+		{"unknown type", append(message('!', ""), ready...), errkind.ServerLost},
+		{"length below 4", []byte{'C', 0, 0, 0, 3, 'Z', 0, 0, 0, 5, 'I'}, errkind.ServerLost},
+		{"length beyond the limit", []byte{'D', 0xff, 0xff, 0xff, 0xff, 0}, errkind.ServerLost},
+		{"wrong status", message('Z', "X"), errkind.ServerLost},
+		{"long ReadyForQuery", message('Z', "II"), errkind.ServerLost},
+		{"text", []byte("HTTP/1.1 400 Bad Request\r\n\r\n"), errkind.ServerLost},
+		{"shutdown before execution", fatal, errkind.Draining},
+		{"shutdown after a statement", append(message('C', "INSERT 0 1\x00"), fatal...), errkind.ServerLost},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			c := connect(t, serve(t, tc.raw, true))
+			_, err := c.Relay(t.Context(), query("SELECT 1"), limit)
+			is.Equal(errkind.Of(err), tc.kind)
+			is.Equal(c.Closed(), err != nil)
+		})
+	}
+}
+
+// TestRelayKnowsWhatWasNotSent guards against an unknown outcome where the
+// connection was known to be unusable before the cycle, and against taking
+// messages that arrived earlier for the answer.
+func TestRelayKnowsWhatWasNotSent(t *testing.T) {
+	is := is.New(t)
+	answer := append(message('C', "SELECT 1\x00"), message('Z', "I")...)
+
+	c := connect(t, serve(t, answer, true)) // closes after the first answer
+	_, err := c.Relay(t.Context(), query("SELECT 1"), limit)
+	is.NoErr(err)
+	time.Sleep(50 * time.Millisecond)
+	_, err = c.Relay(t.Context(), query("SELECT 1"), limit)
+	is.Equal(errkind.Of(err), errkind.ConnectFailed)
+
+	c = connect(t, serve(t, append(answer, answer...), false)) // answers twice
+	_, err = c.Relay(t.Context(), query("SELECT 1"), limit)
+	is.NoErr(err)
+	time.Sleep(50 * time.Millisecond)
+	_, err = c.Relay(t.Context(), query("SELECT 1"), limit)
+	is.Equal(errkind.Of(err), errkind.ConnectFailed)
+
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	c = connect(t, serve(t, answer, false))
+	_, err = c.Relay(ctx, query("SELECT 1"), limit)
+	is.Equal(errkind.Of(err), errkind.ConnectFailed)
+}
+
+// TestRelayLongCycle guards against a deadlock when the server blocks on a
+// long answer while the cycle is still being written.
+func TestRelayLongCycle(t *testing.T) {
+	is := is.New(t)
+	srv := start(t, standin.Options{})
+	c := connect(t, srv.Address())
+	value := strings.Repeat("x", 100<<10)
+	one := extended(t, "INSERT INTO kv (k, v) VALUES ($1, $2) ON CONFLICT (k) DO UPDATE SET v = excluded.v RETURNING v", "a", value)
+	var cycle []byte
+	const n = 200
+	for range n {
+		cycle = append(cycle, one[:len(one)-5]...)
+		cycle = append(cycle, message('H', "")...) // makes the server answer at once
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	answer, err := c.Relay(ctx, append(cycle, message('S', "")...), 64<<20)
+	is.NoErr(err)
+	is.Equal(types(answer.Messages), strings.Repeat("12DC", n)+"Z")
+}
+
+// TestRelayCommitPosition guards against a position before the commit of the
+// cycle, and against acknowledging a commit on a server that has been fenced.
+func TestRelayCommitPosition(t *testing.T) {
+	is := is.New(t)
+	srv := start(t, standin.Options{})
+	c := connect(t, srv.Address())
+	for i := range 5 {
+		answer, pos, err := c.RelayCommit(t.Context(), extended(t, "INSERT INTO kv (k, v) VALUES ($1, 'x')", fmt.Sprint(i)), limit)
+		is.NoErr(err)
+		is.Equal(types(answer.Messages), "12CZ")
+		is.Equal(pos, logpos.Position{Term: 1, LSN: uint64(i + 2)})
+	}
+	_, _, err := c.RelayCommit(t.Context(), query("SELECT k, v FROM kv"), 10)
+	is.Equal(errkind.Of(err), errkind.AnswerTooLarge)
+	answer, _, err := c.RelayCommit(t.Context(), query("BEGIN; SELECT x FROM kv"), limit)
+	is.NoErr(err)
+	is.Equal(answer.TxStatus, byte('E'))
+	answer, _, err = c.RelayCommit(t.Context(), query("ROLLBACK"), limit)
+	is.NoErr(err)
+	is.Equal(answer.TxStatus, byte('I'))
+
+	_, err = connect(t, srv.Address()).Fence(t.Context(), 2)
+	is.NoErr(err)
+	answer, pos, err := c.RelayCommit(t.Context(), query("INSERT INTO kv (k, v) VALUES ('z', 'x')"), limit)
+	is.NoErr(err)
+	is.Equal(answer.SQLState, "25006")
+	is.Equal(pos, logpos.Position{})
+	// Whatever was completed here may have been committed before the fence.
+	_, _, err = c.RelayCommit(t.Context(), query("SELECT 1"), limit)
+	is.Equal(errkind.Of(err), errkind.OutcomeUnknown)
+	is.True(c.Closed())
+}
+
+// TestConnectFails guards against errors of other kinds and against endless
+// waits during the startup.
+func TestConnectFails(t *testing.T) {
+	is := is.New(t)
+	srv := start(t, standin.Options{Connections: 1})
+	opts := backend.ConnOptions{Address: srv.Address(), Database: "orders", User: "test", DialTimeout: 200 * time.Millisecond}
+	_, err := backend.Connect(t.Context(), opts) // the helper's connection takes the only place
+	is.Equal(errkind.Of(err), errkind.ConnectFailed)
+	is.True(strings.Contains(err.Error(), "53300"))
+	is.NoErr(srv.SetFault(standin.FaultFreeze, "on"))
+	_, err = backend.Connect(t.Context(), opts)
+	is.Equal(errkind.Of(err), errkind.ConnectFailed)
+	is.NoErr(srv.SetFault(standin.FaultRefuse, "on"))
+	_, err = backend.Connect(t.Context(), opts)
+	is.Equal(errkind.Of(err), errkind.ConnectFailed)
+	srv.Abort()
+	_, err = backend.Connect(t.Context(), opts)
+	is.Equal(errkind.Of(err), errkind.ConnectFailed)
+}
+
+// BenchmarkRelay measures the time and the allocations of one relayed read
+// and of one relayed commit, including the stand-in in the same process.
+func BenchmarkRelay(b *testing.B) {
+	srv, err := standin.New(standin.Options{})
+	if err == nil {
+		err = srv.Start()
+	}
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer srv.Abort()
+	c := connect(b, srv.Address())
+	cycle := query("SELECT v FROM kv WHERE k = 'a'")
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := c.Relay(b.Context(), cycle, limit); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/standin/conn.go
+++ b/internal/standin/conn.go
@@ -30,7 +30,7 @@
 	pid         uint32
 	secret      uint32
 	replication bool
-	admitted    bool   // counts towards the connection limit; guarded by Server.mu
+	admitted    bool // counts towards the connection limit; guarded by Server.mu
 
 	tx         *transaction // nil outside a transaction
 	statements map[string]*prepared
@@ -154,6 +154,9 @@
 func (c *conn) handle(msg pgproto3.FrontendMessage) error {
 	switch msg := msg.(type) {
 	case *pgproto3.Query:
+		if c.skipping {
+			return nil // as PostgreSQL does: only Sync ends the skipping
+		}
 		if c.replication && msg.String == "START_REPLICATION" {
 			return c.runSender()
 		}
@@ -216,14 +219,13 @@
 // ready ends a cycle.
 func (c *conn) ready() error {
 	c.backend.Send(&pgproto3.ReadyForQuery{TxStatus: c.txStatus()})
-	wrote := c.wrote
+	if c.wrote && c.srv.faults.takeDrop() {
+		return errTerminated
+	}
 	err := c.flush()
 	c.wrote, c.touched, c.skipping = false, false, false
 	clear(c.portals)
 	c.stream.cutAfter, c.stream.stallAfter = -1, -1
-	if err == nil && wrote && c.srv.faults.takeDrop() {
-		return errTerminated
-	}
 	return err
 }
 
--- a/internal/standin/execute.go
+++ b/internal/standin/execute.go
@@ -31,6 +31,12 @@
 	case kindSetReadOnly:
 		c.tx.readOnly = true
 		return &result{tag: "SET"}, nil
+	case kindDiscard:
+		if c.tx.explicit {
+			return nil, sqlErrorf(codeActiveTx, "DISCARD ALL cannot run inside a transaction block")
+		}
+		clear(c.statements)
+		return &result{tag: "DISCARD ALL"}, nil
 	case kindUtility:
 		return &result{tag: st.name}, nil
 	case kindShow:
--- a/internal/standin/parser.go
+++ b/internal/standin/parser.go
@@ -124,7 +124,7 @@
 	case p.accept("show"):
 		return &statement{kind: kindShow, name: p.skip()}
 	case p.accept("discard", "all"):
-		return &statement{kind: kindUtility, name: "DISCARD ALL"}
+		return &statement{kind: kindDiscard, name: "DISCARD ALL"}
 	case p.accept("create", "table"):
 		p.skip()
 		return &statement{kind: kindUtility, name: "CREATE TABLE"}
--- a/internal/standin/receiver.go
+++ b/internal/standin/receiver.go
@@ -101,6 +101,9 @@
 		if err := receiveCopy(fe, &b); err != nil {
 			return err
 		}
+		if err := r.srv.faults.awaitOff(ctx, FaultFreeze); err != nil {
+			return err
+		}
 		for len(b.Records) > 0 {
 			if err := r.awaitAge(ctx, b.Records[0]); err != nil {
 				return err
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -26,6 +26,7 @@
 	ctx      context.Context // ends when the server is aborted
 	cancel   context.CancelFunc
 	wg       sync.WaitGroup // every goroutine of the server
+	ended    sync.Once
 
 	mu       sync.Mutex // guards the fields below
 	conns    map[*conn]struct{}
@@ -279,12 +280,16 @@
 
 // Abort ends the server at once, as a kill of the process does. The data
 // folder keeps what was synced.
-func (s *Server) Abort() {
+func (s *Server) Abort() { s.ended.Do(s.abort) }
+
+func (s *Server) abort() {
 	s.mu.Lock()
 	s.stopping = true
 	s.mu.Unlock()
 	s.cancel()
-	_ = s.listener.Close()
+	if s.listener != nil {
+		_ = s.listener.Close()
+	}
 	s.wg.Wait()
 	if err := s.node.close(); err != nil {
 		s.opts.Log.Error().Err(err).Msg("closing the log")
--- a/internal/standin/sqlerror.go
+++ b/internal/standin/sqlerror.go
@@ -15,6 +15,7 @@
 	codeNoColumn       = "42703"
 	codeUnique         = "23505"
 	codeReadOnly       = "25006"
+	codeActiveTx       = "25001"
 	codeFailedTx       = "25P02"
 	codeNotReady       = "55000" // the server is not in the required role
 	codeStaleTerm      = "ARB01"
--- a/internal/standin/statement.go
+++ b/internal/standin/statement.go
@@ -15,7 +15,8 @@
 	kindRollback
 	kindSetReadOnly // SET TRANSACTION READ ONLY
 	kindShow
-	kindUtility // accepted without effect: SET, RESET, DISCARD, CREATE TABLE
+	kindDiscard // DISCARD ALL
+	kindUtility // accepted without effect: SET, RESET, CREATE TABLE
 )
 
 // expr is a string literal or a parameter.
