--- a/internal/standin/latencyconn.go
+++ b/internal/standin/latencyconn.go
@@ -106,6 +106,8 @@
 	defer c.mu.Unlock()
 	if !c.closed {
 		c.closed = true
+		// A client that does not read must not hold up the close for ever.
+		_ = c.Conn.SetWriteDeadline(time.Now().Add(c.delay + time.Second))
 		close(c.out)
 	}
 	return nil
--- a/internal/standin/sender.go
+++ b/internal/standin/sender.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/arbutusring/arbutusring/pkg/logpos"
@@ -26,7 +27,8 @@
 	hello hello
 }
 
-// runSender serves a connection on which START_REPLICATION was received.
+// runSender serves a connection on which START_REPLICATION was received. The
+// connection ends with it.
 func (c *conn) runSender() error {
 	c.backend.Send(&pgproto3.CopyBothResponse{})
 	if err := c.backend.Flush(); err != nil {
@@ -42,7 +44,7 @@
 		m := n.meta
 		n.mu.Unlock()
 		c.backend.Send(errorResponse(notPrimary(m), "FATAL"))
-		return c.backend.Flush()
+		return errors.Join(errTerminated, c.backend.Flush())
 	}
 	fork := forkPoint(history(n.log), s.hello.History)
 	n.replicas[s.hello.Server] = &progress{sender: s}
@@ -54,8 +56,15 @@
 	}
 	ctx, cancel := context.WithCancel(c.ctx)
 	defer cancel()
-	go s.runReports(cancel)
-	return s.loop(ctx, fork)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		s.runReports(cancel)
+	}()
+	err := s.loop(ctx, fork)
+	_ = c.stream.Close() // ends runReports
+	<-ended
+	return errors.Join(errTerminated, err)
 }
 
 // loop sends the records after next until the term is over or ctx ends.
