--- /dev/null
+++ b/internal/owner/cycle.go
@@ -0,0 +1,85 @@
+package owner
+
+import (
+	"encoding/binary"
+	"strings"
+)
+
+// query returns a simple Query message.
+func query(sql string) []byte {
+	b := make([]byte, 0, len(sql)+6)
+	b = append(b, 'Q')
+	b = binary.BigEndian.AppendUint32(b, uint32(len(sql)+5))
+	b = append(b, sql...)
+	return append(b, 0)
+}
+
+// quote returns a string literal. It relies on standard_conforming_strings.
+func quote(s string) string { return "'" + strings.ReplaceAll(s, "'", "''") + "'" }
+
+// eachMessage calls visit for each backend message until it returns false.
+// It stops at a message that is not complete.
+func eachMessage(messages []byte, visit func(kind byte, whole, body []byte) bool) {
+	for len(messages) >= 5 {
+		size := uint64(binary.BigEndian.Uint32(messages[1:])) + 1
+		if size < 5 || size > uint64(len(messages)) {
+			return
+		}
+		if !visit(messages[0], messages[:size], messages[5:size]) {
+			return
+		}
+		messages = messages[size:]
+	}
+}
+
+// tags returns what the CommandComplete messages of an answer say: whether
+// there is one that may stand for a change, and whether one is a COMMIT.
+func tags(messages []byte) (effect, commit bool) {
+	eachMessage(messages, func(kind byte, _, body []byte) bool {
+		if kind == 'C' {
+			tag := strings.TrimRight(string(body), "\x00")
+			effect = effect || tag != "ROLLBACK"
+			commit = commit || tag == "COMMIT"
+		}
+		return true
+	})
+	return effect, commit
+}
+
+// withTxStatus returns a copy of an answer whose ReadyForQuery has the given
+// status.
+func withTxStatus(messages []byte, status byte) []byte {
+	out := append([]byte(nil), messages...)
+	if n := len(out); n >= 6 && out[n-6] == 'Z' {
+		out[n-1] = status
+	}
+	return out
+}
+
+// withoutRows returns an answer without its row descriptions and rows.
+func withoutRows(messages []byte) []byte {
+	var out []byte
+	eachMessage(messages, func(kind byte, whole, _ []byte) bool {
+		if kind != 'T' && kind != 'D' {
+			out = append(out, whole...)
+		}
+		return true
+	})
+	return out
+}
+
+// firstValue returns the first column of the first row of an answer.
+func firstValue(messages []byte) (value string, ok bool) {
+	eachMessage(messages, func(kind byte, _, body []byte) bool {
+		if kind != 'D' {
+			return true
+		}
+		if len(body) >= 6 {
+			if size := int64(int32(binary.BigEndian.Uint32(body[2:]))); size >= 0 && size <= int64(len(body)-6) {
+				value, ok = string(body[6:6+size]), true
+			}
+		}
+		return false
+	})
+	return value, ok
+}
--- /dev/null
+++ b/internal/owner/dump.go
@@ -0,0 +1,72 @@
+package owner
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/arbutusring/arbutusring/internal/ownerrpc"
+)
+
+// State is the dump of an Owner.
+type State struct {
+	Host         string                  `json:"host"`
+	Draining     bool                    `json:"draining"`
+	Running      int                     `json:"running"`
+	LeasesUntil  time.Time               `json:"leases_until"`
+	Outcomes     int                     `json:"outcomes"`
+	OutcomeBytes int                     `json:"outcome_bytes"`
+	Suspects     []string                `json:"suspects"`
+	Servers      []ownerrpc.ServerStatus `json:"servers"`
+	Transactions []TransactionState      `json:"transactions"`
+}
+
+// TransactionState is an open transaction in the dump.
+type TransactionState struct {
+	Server  string        `json:"server"`
+	Entry   string        `json:"entry"`
+	Session uint64        `json:"session"`
+	Rank    string        `json:"rank"`
+	Primary bool          `json:"primary"`
+	Term    uint64        `json:"term"`
+	Busy    bool          `json:"busy"`
+	Idle    time.Duration `json:"idle"`
+}
+
+// Dump returns the state of the owner for operators, as a State.
+func (o *Owner) Dump() any {
+	st := State{Host: o.opts.Host, Suspects: o.Suspects(), Servers: o.Statuses()}
+	o.mu.Lock()
+	st.Draining, st.Running = o.draining, o.running
+	o.mu.Unlock()
+	_, st.LeasesUntil = o.leases.listed()
+	st.Outcomes, st.OutcomeBytes = o.outcomes.size()
+	for _, s := range o.list() {
+		st.Transactions = append(st.Transactions, s.dump()...)
+	}
+	return st
+}
+
+func (s *server) dump() []TransactionState {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var all []TransactionState
+	for key, tx := range s.txs {
+		all = append(all, TransactionState{
+			Server: s.id, Entry: key.entry, Session: key.session, Rank: tx.rank,
+			Primary: tx.primary, Term: tx.term, Busy: tx.busy, Idle: time.Since(tx.used),
+		})
+	}
+	return all
+}
+
+// Statuses returns the status of every owned server, ordered by id.
+func (o *Owner) Statuses() []ownerrpc.ServerStatus {
+	held, until := o.leases.listed()
+	var all []ownerrpc.ServerStatus
+	for _, s := range o.list() {
+		all = append(all, s.status(held[s.id], until))
+	}
+	slices.SortFunc(all, func(a, b ownerrpc.ServerStatus) int { return strings.Compare(a.Server, b.Server) })
+	return all
+}
--- /dev/null
+++ b/internal/owner/options.go
@@ -0,0 +1,47 @@
+package owner
+
+import (
+	"context"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+)
+
+// defaultMaxAnswerBytes bounds the memory that one answer takes.
+const defaultMaxAnswerBytes = 16 << 20
+
+// Options configure an Owner.
+type Options struct {
+	Host string // host id, reported in status answers
+
+	// Connect opens a connection to a backend server for a database, which
+	// has the name of the group.
+	Connect func(ctx context.Context, address, database string) (Conn, error)
+
+	Logger         zerolog.Logger
+	Registry       metrics.Registry // nil for a private registry
+	MaxAnswerBytes int              // 16 MiB if zero
+	Limits         Limits
+	Disabled       Disabled // for tests only
+}
+
+// Disabled switches off single mechanisms, so that tests can show that they
+// detect the absence of each. It must be zero outside of tests.
+type Disabled struct {
+	Majority      bool // commits are answered without a majority
+	LeaseAtAnswer bool // the lease is not checked at the moment of the answer
+	Outcomes      bool // repeated requests are executed again
+	CleanReturn   bool // connections return to the pool in any transaction status
+	Floors        bool // ranks have no guaranteed minimum
+}
+
+func (o Options) withDefaults() Options {
+	if o.Registry == nil {
+		o.Registry = metrics.NewRegistry()
+	}
+	if o.MaxAnswerBytes <= 0 {
+		o.MaxAnswerBytes = defaultMaxAnswerBytes
+	}
+	o.Limits = o.Limits.withDefaults()
+	return o
+}
--- /dev/null
+++ b/internal/owner/rig_test.go
@@ -0,0 +1,114 @@
+package owner_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/arbutusring/arbutusring/internal/controlrpc"
+	"github.com/arbutusring/arbutusring/internal/owner"
+	"github.com/arbutusring/arbutusring/internal/ownerrpc"
+	"github.com/arbutusring/arbutusring/pkg/policy"
+)
+
+const configText = `
+[[database_group]]
+name = "orders"
+members = 3
+[[traffic_rank]]
+name = "urgent"
+order = 0
+[[traffic_rank]]
+name = "normal"
+order = 1
+floor = 0.2
+default = true
+[[traffic_rank]]
+name = "bulk"
+order = 2
+floor = 0.1
+`
+
+// rig is an owner of one fake server with a lease that stays until the test
+// changes it.
+type rig struct {
+	*owner.Owner
+	service *owner.Service
+	server  *fakeServer
+	epoch   uint64
+	numbers atomic.Uint64
+}
+
+func newRig(t testing.TB, opts owner.Options) *rig {
+	r := &rig{server: newFakeServer(), epoch: 1}
+	opts.Connect = r.server.connect
+	r.Owner = owner.New(opts)
+	r.service = r.Owner.Service()
+	cfg, err := policy.Parse("policy.toml", configText)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.SetState(controlrpc.State{
+		Groups:  map[string]controlrpc.Group{"orders": {Name: "orders", Term: 1, Members: []string{"s1", "s2", "s3"}}},
+		Servers: map[string]controlrpc.Server{"s1": {ID: "s1", Group: "orders", Address: "a", Slots: 3, Connections: 10}},
+	}, cfg)
+	r.lease(time.Hour, true, 1)
+	return r
+}
+
+// run runs the test in a bubble with the owner's loops and stops them after.
+func run(t *testing.T, opts owner.Options, test func(t *testing.T, r *rig)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, opts)
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan struct{})
+		go func() { r.Run(ctx); close(ended) }()
+		time.Sleep(300 * time.Millisecond)
+		test(t, r)
+		cancel()
+		<-ended
+		synctest.Wait()
+		time.Sleep(time.Minute) // lets timers of the fake server end
+	})
+}
+
+func (r *rig) lease(ttl time.Duration, primary bool, term uint64) {
+	r.SetLeases(time.Now(), &controlrpc.HeartbeatReply{TTL: ttl, Leases: []controlrpc.HeldLease{
+		{Server: "s1", Epoch: r.epoch, Group: "orders", Term: term, Primary: primary},
+	}})
+	time.Sleep(time.Nanosecond) // a later reply needs a later time
+}
+
+func query(sql string) []byte { return message('Q', sql+"\x00") }
+
+// args returns the arguments of a write outside of a transaction.
+func (r *rig) args(session uint64, sql string) *ownerrpc.ExecArgs {
+	return &ownerrpc.ExecArgs{
+		ID:    ownerrpc.RequestID{Entry: "e1", Session: session, Number: r.numbers.Add(1)},
+		Group: "orders", Server: "s1", Term: 1, Budget: 5 * time.Second, Write: true, Messages: query(sql),
+	}
+}
+
+func (r *rig) read(session uint64, sql string) *ownerrpc.ExecArgs {
+	a := r.args(session, sql)
+	a.Write, a.Repeatable = false, true
+	return a
+}
+
+func (r *rig) exec(a *ownerrpc.ExecArgs) ownerrpc.ExecReply {
+	var reply ownerrpc.ExecReply
+	if err := r.service.Exec(a, &reply); err != nil {
+		panic(err)
+	}
+	return reply
+}
+
+// start executes in the background.
+func (r *rig) start(a *ownerrpc.ExecArgs) <-chan ownerrpc.ExecReply {
+	done := make(chan ownerrpc.ExecReply, 1)
+	go func() { done <- r.exec(a) }()
+	return done
+}
--- /dev/null
+++ b/internal/owner/server.go
@@ -0,0 +1,158 @@
+package owner
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/arbutusring/arbutusring/internal/controlrpc"
+	"github.com/arbutusring/arbutusring/internal/ownerrpc"
+	"github.com/arbutusring/arbutusring/pkg/errkind"
+	"github.com/arbutusring/arbutusring/pkg/logpos"
+	"github.com/rs/zerolog"
+)
+
+// server is a backend server that the host owns. It lives from the first
+// heartbeat reply that lists it to the first one that does not.
+type server struct {
+	id      string
+	group   string
+	address string
+	limits  Limits
+	log     zerolog.Logger
+	leases  *leaseTable
+	entries *entryTable
+	sched   *Scheduler
+	pool    *pool
+	monitor *monitor
+	permits *permits
+	view    atomic.Pointer[serverView]
+	stop    context.CancelFunc // ends the loops
+
+	successes atomic.Uint64
+	failures  atomic.Uint64
+	refused   atomic.Uint64
+
+	mu       sync.Mutex
+	closed   bool
+	txs      map[sessionKey]*transaction
+	baseline baseline
+}
+
+// baseline is a position of the primary that was read under a lease. Every
+// write that was acknowledged before that lease lies at or before it.
+type baseline struct {
+	epoch    uint64
+	term     uint64
+	position logpos.Position
+	known    bool
+}
+
+func newServer(o *Owner, v *serverView) *server {
+	s := &server{
+		id: v.spec.ID, group: v.spec.Group, address: v.spec.Address,
+		limits: o.opts.Limits, leases: o.leases, entries: o.entries,
+		log: o.opts.Logger.With().Str("server", v.spec.ID).Str("group", v.spec.Group).Logger(),
+		txs: map[sessionKey]*transaction{},
+	}
+	connect := func(ctx context.Context) (Conn, error) { return o.opts.Connect(ctx, s.address, s.group) }
+	s.sched = NewScheduler(SchedulerOptions{Slots: v.spec.Slots, Ranks: v.ranks, Window: s.limits.FloorWindow})
+	s.pool = newPool(connect, v.connections(), s.limits.Opening, s.limits.ConnectTimeout)
+	s.permits = newPermits(v.connections())
+	s.monitor = newMonitor(s.limits, connect, func() { s.pool.retire(s.limits.SilentGrace) }, s.log)
+	s.setView(v)
+	return s
+}
+
+func (s *server) setView(v *serverView) {
+	s.view.Store(v)
+	s.sched.Configure(v.spec.Slots, v.ranks)
+	s.pool.setLimit(v.connections())
+	s.permits.setLimit(v.connections())
+	s.monitor.setMembers(s.id, v.members)
+}
+
+// loop keeps connections open ahead of need until ctx ends.
+func (s *server) loop(ctx context.Context) {
+	ticker := time.NewTicker(s.limits.Sweep)
+	defer ticker.Stop()
+	for {
+		s.pool.warm(ctx, s.view.Load().spec.Slots)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// close ends the service of the server: waiting cycles are refused, waiting
+// commits become unknown, transactions are rolled back.
+func (s *server) close(reason string) {
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
+	s.stop()
+	s.sched.Close(errkind.New(errkind.NotOwner, "%s", reason))
+	s.monitor.close()
+	s.endTransactions(reason, func(*transaction) bool { return true })
+	s.pool.close()
+}
+
+// admit checks what must hold when a cycle is about to be sent.
+func (s *server) admit(args *ownerrpc.ExecArgs) (controlrpc.HeldLease, error) {
+	l, ok := s.leases.valid(s.id)
+	if !ok {
+		return l, errkind.New(errkind.NotOwner, "the host holds no valid lease for server %s", s.id)
+	}
+	if since := s.view.Load().drainingSince; !args.InTx && !since.IsZero() &&
+		(!l.Primary || time.Since(since) > s.limits.DrainPrimary) {
+		return l, errkind.New(errkind.Draining, "server %s is leaving service", s.id)
+	}
+	if !args.Write {
+		return l, nil
+	}
+	switch {
+	case args.Term != l.Term:
+		return l, errkind.New(errkind.StaleTerm, "the request names term %d, the lease is for term %d", args.Term, l.Term)
+	case !l.Primary:
+		return l, errkind.New(errkind.NoPrimary, "server %s is not the primary of term %d", s.id, l.Term)
+	case s.monitor.fencedAbove(l.Term):
+		return l, errkind.New(errkind.StaleTerm, "server %s is fenced at a later term than %d", s.id, l.Term)
+	}
+	return l, nil
+}
+
+// mayAnswer reports whether the server may still answer as the primary of
+// the term of l.
+func (s *server) mayAnswer(l controlrpc.HeldLease) bool {
+	now, ok := s.leases.valid(s.id)
+	return ok && now.Primary && now.Term == l.Term && !s.monitor.fencedAbove(l.Term)
+}
+
+// load returns what answers report about the server.
+func (s *server) load() ownerrpc.Load {
+	queued, full, service := s.sched.Load()
+	v := s.view.Load()
+	s.monitor.mu.Lock()
+	applied := s.monitor.applied
+	s.monitor.mu.Unlock()
+	return ownerrpc.Load{
+		Server: s.id, Applied: applied, Queued: queued, Full: full, Service: service,
+		Slots: v.spec.Slots, Draining: !v.drainingSince.IsZero(),
+	}
+}
+
+func (s *server) status(l controlrpc.HeldLease, until time.Time) ownerrpc.ServerStatus {
+	s.monitor.mu.Lock()
+	heard := time.Since(s.monitor.heard)
+	s.monitor.mu.Unlock()
+	load := s.load()
+	return ownerrpc.ServerStatus{
+		Server: s.id, Group: s.group, Epoch: l.Epoch, Term: l.Term, Primary: l.Primary,
+		LeaseLeft: max(0, time.Until(until)), Reachable: heard <= s.limits.SuspectAfter, HeardAge: heard,
+		Applied: load.Applied, Load: load, Connections: s.pool.size(), OpenTx: s.permits.open(),
+		Successes: s.successes.Load(), Failures: s.failures.Load(), Refused: s.refused.Load(),
+	}
+}
--- /dev/null
+++ b/internal/owner/slot.go
@@ -0,0 +1,9 @@
+package owner
+
+import "time"
+
+// Slot is the right to run one statement at a server.
+type Slot struct {
+	rank  *rankQueue
+	start time.Time
+}
