--- /dev/null
+++ b/internal/owner/bench_test.go
@@ -0,0 +1,147 @@
+package owner_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/arbutusring/arbutusring/internal/backend"
+	"github.com/arbutusring/arbutusring/internal/owner"
+	"github.com/arbutusring/arbutusring/pkg/logpos"
+)
+
+// instantConn answers at once and allocates nothing, so that the benchmark
+// shows the cost of the owner alone.
+type instantConn struct{ answer backend.Answer }
+
+func (c *instantConn) Relay(context.Context, []byte, int) (backend.Answer, error) {
+	return c.answer, nil
+}
+
+func (c *instantConn) RelayCommit(context.Context, []byte, int) (backend.Answer, logpos.Position, error) {
+	return c.answer, logpos.Position{Term: 1, LSN: 1}, nil
+}
+
+func (c *instantConn) Status(context.Context) (backend.Status, error) {
+	return backend.Status{ServerID: "s1", Term: 1, Primary: true}, nil
+}
+
+func (c *instantConn) Replicas(context.Context) ([]backend.Replica, error) {
+	return []backend.Replica{{ServerID: "s2", Received: logpos.Position{Term: 1, LSN: 1}}}, nil
+}
+func (c *instantConn) Closed() bool { return false }
+func (c *instantConn) Close() error { return nil }
+
+func BenchmarkExec(b *testing.B) {
+	r := newRig(b, owner.Options{})
+	fake := &fakeConn{server: r.server, status: 'I'}
+	conn := &instantConn{answer: fake.answer("SELECT 1", "1", "")}
+	r.server.connected = func() owner.Conn { return conn }
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go r.Run(ctx)
+	a := r.read(1, "SELECT 1")
+	b.ReportAllocs()
+	for b.Loop() {
+		a.ID.Number++
+		if got := r.exec(a); got.Kind != "" {
+			b.Fatal(got.Kind, got.Detail)
+		}
+	}
+}
+
+// BenchmarkSchedulerFlood measures the urgent rank at 10% of the capacity,
+// alone and with bulk work of ten times the capacity, and the bulk's share.
+// It runs in real time, so it includes the noise of the machine;
+// TestUrgentInFlood prints the same figures in virtual time.
+func BenchmarkSchedulerFlood(b *testing.B) {
+	serve := func() time.Duration { return 5 * time.Millisecond }
+	for b.Loop() {
+		alone, _ := urgentUnder(2*time.Second, serve, 0)
+		loaded, bulk := urgentUnder(2*time.Second, serve, 10)
+		b.ReportMetric(float64(alone.ValueAtQuantile(99)), "alone-p99-us")
+		b.ReportMetric(float64(loaded.ValueAtQuantile(50)), "flood-p50-us")
+		b.ReportMetric(float64(loaded.ValueAtQuantile(99)), "flood-p99-us")
+		b.ReportMetric(bulk, "bulk-share")
+	}
+}
+
+// TestUrgentInFlood guards against bulk work delaying the urgent rank by more
+// than about the rest of one running statement.
+func TestUrgentInFlood(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	var mu sync.Mutex
+	for _, tc := range []struct {
+		name  string
+		serve func() time.Duration
+		ratio float64
+	}{
+		{"fixed service time", func() time.Duration { return 5 * time.Millisecond }, 2},
+		{"exponential service time", func() time.Duration {
+			mu.Lock()
+			defer mu.Unlock()
+			return time.Duration(random.ExpFloat64() * float64(5*time.Millisecond))
+		}, 1.5},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				alone, _ := urgentUnder(30*time.Second, tc.serve, 0)
+				loaded, bulk := urgentUnder(30*time.Second, tc.serve, 10)
+				ratio := float64(loaded.ValueAtQuantile(99)) / float64(alone.ValueAtQuantile(99))
+				t.Logf("urgent p50 %d us and p99 %d us alone, %d us and %d us in the flood (p99 ratio %.2f); bulk's share %.2f",
+					alone.ValueAtQuantile(50), alone.ValueAtQuantile(99), loaded.ValueAtQuantile(50), loaded.ValueAtQuantile(99), ratio, bulk)
+				if ratio > tc.ratio || bulk < 0.75 {
+					t.Errorf("p99 ratio is %.2f, must be at most %.1f; bulk's share is %.2f", ratio, tc.ratio, bulk)
+				}
+			})
+		})
+	}
+}
+
+// urgentUnder returns the time from arrival to end of urgent cycles.
+func urgentUnder(length time.Duration, serve func() time.Duration, times int) (*hdrhistogram.Histogram, float64) {
+	const slots, mean = 3, 5 * time.Millisecond
+	s := owner.NewScheduler(owner.SchedulerOptions{Slots: slots, Ranks: ranks(0, 0.2, 0.1)})
+	ctx, cancel := context.WithTimeout(context.Background(), length)
+	defer cancel()
+	h := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
+	var mu sync.Mutex
+	var bulk atomic.Int64
+	var all sync.WaitGroup
+	work := func(rank string) {
+		start := time.Now()
+		slot, err := s.Acquire(ctx, rank, start.Add(time.Minute))
+		if err != nil {
+			return
+		}
+		d := serve()
+		time.Sleep(d)
+		s.Release(slot)
+		if rank == "bulk" {
+			bulk.Add(int64(d))
+			return
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		_ = h.RecordValue(time.Since(start).Microseconds()) // no value is beyond a minute
+	}
+	arrive := func(rank string, every time.Duration) {
+		// The interval is no multiple of the service time, so arrivals meet
+		// every phase of the running statements.
+		for ctx.Err() == nil {
+			time.Sleep(every)
+			all.Go(func() { work(rank) })
+		}
+	}
+	all.Go(func() { arrive("urgent", mean/slots*10+137*time.Microsecond) })
+	if times > 0 {
+		all.Go(func() { arrive("bulk", mean/time.Duration(slots*times)) })
+	}
+	all.Wait()
+	return h, float64(bulk.Load()) / float64(length*slots)
+}
--- /dev/null
+++ b/internal/owner/commit_test.go
@@ -0,0 +1,192 @@
+package owner_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/arbutusring/arbutusring/internal/controlrpc"
+	"github.com/arbutusring/arbutusring/internal/owner"
+	"github.com/arbutusring/arbutusring/internal/ownerrpc"
+	"github.com/arbutusring/arbutusring/pkg/errkind"
+	"github.com/arbutusring/arbutusring/pkg/logpos"
+	"github.com/matryer/is"
+)
+
+func (r *rig) revoke(epoch, term uint64) {
+	var reply ownerrpc.RevokeReply
+	_ = r.service.Revoke(&ownerrpc.RevokeArgs{Server: "s1", Epoch: epoch, Term: term}, &reply) // never an error
+}
+
+// TestCommitIsAcknowledgedOnlyByRightOwner guards against acknowledging a
+// write that a failover may lose. In each case a write is replicated after
+// 400 ms and something happens after 100 ms. With the mechanism off, the same
+// case must be acknowledged, which shows that the case tests the mechanism.
+func TestCommitIsAcknowledgedOnlyByRightOwner(t *testing.T) {
+	lease, majority := owner.Disabled{LeaseAtAnswer: true}, owner.Disabled{Majority: true}
+	for _, tc := range []struct {
+		name string
+		act  func(r *rig)
+		off  owner.Disabled // zero if no single mechanism stands for the case
+		want errkind.Kind
+	}{
+		{"undisturbed", func(*rig) {}, owner.Disabled{}, errkind.OK},
+		{"lease renewed", func(r *rig) { r.lease(time.Hour, true, 1) }, owner.Disabled{}, errkind.OK},
+		{"no majority", func(r *rig) { r.server.set(func(f *fakeServer) { f.stalled = true }) }, majority, errkind.OutcomeUnknown},
+		{"lease expires", func(r *rig) { r.lease(200*time.Millisecond, true, 1) }, lease, errkind.OutcomeUnknown},
+		{"expired, renewed later", func(r *rig) {
+			r.lease(100*time.Millisecond, true, 1)
+			time.Sleep(200 * time.Millisecond)
+			r.lease(time.Hour, true, 1)
+		}, owner.Disabled{}, errkind.OK},
+		{"primary role revoked", func(r *rig) { r.revoke(0, 1) }, lease, errkind.OutcomeUnknown},
+		{"lease revoked", func(r *rig) { r.revoke(1, 0) }, owner.Disabled{}, errkind.OutcomeUnknown},
+		{"no longer primary", func(r *rig) { r.lease(time.Hour, false, 2) }, lease, errkind.OutcomeUnknown},
+		{"primary of a later term", func(r *rig) { r.lease(time.Hour, true, 2) }, lease, errkind.OutcomeUnknown},
+		{"server fenced", func(r *rig) { r.server.set(func(f *fakeServer) { f.status.Term = 2 }) }, lease, errkind.OutcomeUnknown},
+		{"lease not listed", func(r *rig) {
+			r.SetLeases(time.Now(), &controlrpc.HeartbeatReply{TTL: time.Hour})
+		}, owner.Disabled{}, errkind.OutcomeUnknown},
+	} {
+		variants := []owner.Disabled{{}}
+		if tc.off != (owner.Disabled{}) {
+			variants = append(variants, tc.off)
+		}
+		for i, off := range variants {
+			name := tc.name + []string{"", ", mechanism off"}[i]
+			t.Run(name, func(t *testing.T) {
+				run(t, owner.Options{Disabled: off}, func(t *testing.T, r *rig) {
+					is := is.New(t)
+					r.server.set(func(f *fakeServer) { f.lag = 400 * time.Millisecond })
+					a := r.args(1, "INSERT a")
+					a.Budget = time.Second
+					done := r.start(a)
+					time.Sleep(100 * time.Millisecond)
+					tc.act(r)
+					got := <-done
+					want := tc.want
+					if off != (owner.Disabled{}) {
+						want = errkind.OK
+					}
+					is.Equal(got.Kind, want)
+					is.Equal(got.Position != logpos.Position{}, want == errkind.OK)
+					is.Equal(r.server.times("INSERT a"), 1)
+				})
+			})
+		}
+	}
+}
+
+// TestRefusedBeforeSending guards against running a cycle that was refused,
+// and against refusing for the wrong reason.
+func TestRefusedBeforeSending(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		act  func(r *rig, a *ownerrpc.ExecArgs)
+		want errkind.Kind
+	}{
+		{"older term", func(r *rig, _ *ownerrpc.ExecArgs) { r.lease(time.Hour, true, 2) }, errkind.StaleTerm},
+		{"replica", func(r *rig, _ *ownerrpc.ExecArgs) { r.lease(time.Hour, false, 1) }, errkind.NoPrimary},
+		{"fenced", func(r *rig, _ *ownerrpc.ExecArgs) {
+			r.server.set(func(f *fakeServer) { f.status.Term = 2 })
+			time.Sleep(200 * time.Millisecond)
+		}, errkind.StaleTerm},
+		{"expired", func(r *rig, _ *ownerrpc.ExecArgs) {
+			r.lease(time.Millisecond, true, 1)
+			time.Sleep(time.Millisecond)
+		}, errkind.NotOwner},
+		{"revoked, listed by an older reply", func(r *rig, _ *ownerrpc.ExecArgs) {
+			r.revoke(1, 0)
+			r.lease(time.Hour, true, 1)
+		}, errkind.NotOwner},
+		{"role revoked, listed by an older reply", func(r *rig, _ *ownerrpc.ExecArgs) {
+			r.revoke(0, 1)
+			r.lease(time.Hour, true, 1)
+		}, errkind.NoPrimary},
+		{"late reply to an old heartbeat", func(r *rig, _ *ownerrpc.ExecArgs) {
+			sent := time.Now()
+			time.Sleep(time.Millisecond)
+			r.SetLeases(time.Now(), &controlrpc.HeartbeatReply{TTL: time.Hour})
+			r.SetLeases(sent, &controlrpc.HeartbeatReply{TTL: time.Hour, Leases: []controlrpc.HeldLease{{Server: "s1", Epoch: 9, Term: 1, Primary: true}}})
+		}, errkind.NotOwner},
+		{"other server", func(_ *rig, a *ownerrpc.ExecArgs) { a.Server = "s9" }, errkind.NotOwner},
+		{"position", func(_ *rig, a *ownerrpc.ExecArgs) { a.Require = logpos.Position{Term: 1, LSN: 99} }, errkind.PositionNotReached},
+		{"no time left", func(_ *rig, a *ownerrpc.ExecArgs) { a.Budget = -1 }, errkind.DeadlineExceeded},
+		{"unreachable", func(r *rig, _ *ownerrpc.ExecArgs) {
+			r.server.set(func(f *fakeServer) { f.down = true; f.silentOld = f.conns })
+			time.Sleep(time.Second)
+		}, errkind.ConnectFailed},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			run(t, owner.Options{}, func(t *testing.T, r *rig) {
+				is := is.New(t)
+				a := r.args(1, "INSERT a")
+				tc.act(r, a)
+				got := r.exec(a)
+				is.Equal(got.Kind, tc.want)
+				is.Equal(got.Kind.Info().Outcome, errkind.NotRun)
+				is.Equal(r.server.times("INSERT a"), 0)
+			})
+		})
+	}
+}
+
+// TestConnectionLostAfterCommit guards against answering not_run, or sending
+// again, when the connection is lost between a commit and its answer.
+func TestConnectionLostAfterCommit(t *testing.T) {
+	run(t, owner.Options{}, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		r.server.set(func(f *fakeServer) { f.cutCommit = true })
+		is.Equal(r.exec(r.args(1, "INSERT a")).Kind, errkind.OutcomeUnknown)
+		r.begin(t, 2)
+		commit := r.args(2, "COMMIT")
+		commit.InTx = true
+		is.Equal(r.exec(commit).Kind, errkind.OutcomeUnknown)
+		is.Equal(r.server.times("INSERT a"), 1)
+		is.Equal(r.server.times("COMMIT"), 1)
+	})
+}
+
+// TestPositionWaitHoldsNoSlot guards against readers of a lagging server
+// blocking others, and against a read before the position is applied.
+func TestPositionWaitHoldsNoSlot(t *testing.T) {
+	run(t, owner.Options{}, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		var waiting []<-chan ownerrpc.ExecReply
+		for i := range 10 {
+			a := r.read(uint64(i+10), "SELECT late")
+			a.Require = logpos.Position{Term: 1, LSN: 11}
+			waiting = append(waiting, r.start(a))
+		}
+		time.Sleep(time.Millisecond)
+		start := time.Now()
+		is.Equal(r.exec(r.read(1, "SELECT 1")).Kind, errkind.OK)
+		is.Equal(time.Since(start), time.Millisecond) // the service time alone
+		is.Equal(r.server.times("SELECT late"), 0)
+		is.Equal(r.exec(r.args(1, "INSERT a")).Kind, errkind.OK)
+		for _, w := range waiting {
+			is.Equal((<-w).Kind, errkind.OK)
+		}
+	})
+}
+
+// TestPositionCoversAcknowledgedWrites guards against a confirmed position
+// before an acknowledged write, and against one without a valid lease.
+func TestPositionCoversAcknowledgedWrites(t *testing.T) {
+	run(t, owner.Options{}, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		ask := func() (reply ownerrpc.PositionReply) {
+			_ = r.service.Position(&ownerrpc.PositionArgs{Group: "orders", Term: 1}, &reply) // never an error
+			return reply
+		}
+		is.Equal(ask().Position, logpos.Position{Term: 1, LSN: 10})
+		for range 5 {
+			got := r.exec(r.args(1, "INSERT a"))
+			is.True(ask().Position.Covers(got.Position))
+		}
+		r.lease(time.Millisecond, true, 1)
+		time.Sleep(time.Millisecond)
+		is.Equal(ask().Kind, errkind.NotOwner)
+		r.lease(time.Hour, true, 2)
+		is.Equal(ask().Kind, errkind.StaleTerm)
+	})
+}
--- a/internal/owner/execution.go
+++ b/internal/owner/execution.go
@@ -273,7 +273,7 @@
 func (x *execution) answer(ctx context.Context, res result) error {
 	kind := errkind.Of(res.err)
 	if kind != errkind.OK && kind != errkind.AnswerTooLarge {
-		return x.unknown(res.err)
+		return x.answerError(res.err)
 	}
 	if kind == errkind.OK && res.answer.SQLState == readOnlyState && res.answer.TxStatus == 'I' {
 		if effect, _ := tags(res.answer.Messages); !effect {
@@ -341,6 +341,15 @@
 	return nil
 }
 
+// answerError returns the error for a cycle that a relay failed on. A kind
+// whose outcome is not_run means that nothing was sent.
+func (x *execution) answerError(err error) error {
+	if errkind.Of(err).Info().Outcome == errkind.NotRun {
+		return err
+	}
+	return x.unknown(err)
+}
+
 // unknown returns the error for a cycle that was sent and has no answer. The
 // kind of a repeatable read lets the entry send it to another member.
 func (x *execution) unknown(err error) error {
@@ -354,7 +363,7 @@
 // of it ran. Only a commit within the cycle makes the outcome unknown.
 func (x *execution) lost(reason string, res result) error {
 	if res.err != nil {
-		return x.unknown(res.err)
+		return x.answerError(res.err)
 	}
 	if effect, commit := tags(res.answer.Messages); effect && commit {
 		return errkind.New(errkind.OutcomeUnknown, "the cycle committed, then its transaction was lost: %s", reason)
--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -32,6 +32,9 @@
 	conns     int
 	open      int
 	polls     int
+	hideRows  int               // lookups of outcomes that find nothing
+	commits   int               // transactions that were committed
+	connected func() owner.Conn // replaces the connections
 }
 
 func newFakeServer() *fakeServer {
@@ -67,6 +70,9 @@
 	if f.down {
 		return nil, errors.New("connection refused")
 	}
+	if f.connected != nil {
+		return f.connected(), nil
+	}
 	f.conns++
 	f.open++
 	return &fakeConn{server: f, number: f.conns, status: 'I', ended: make(chan struct{})}, nil
@@ -204,6 +210,7 @@
 			f.outcomes[k] = v
 		}
 		c.status = 'I'
+		f.commits++
 		f.commit()
 		return c.answer("COMMIT", "", "")
 	case "ROLLBACK":
@@ -216,12 +223,11 @@
 		return c.answer("", "", "22000")
 	case "INSERT":
 		if strings.Contains(sql, "arbutusring_outcome") {
-			v := strings.Split(sql, "'")
-			if _, dup := f.outcomes[v[1]]; dup {
+			if _, dup := f.outcomes[key(sql)]; dup {
 				c.status = 'E'
 				return c.answer("", "", "23505")
 			}
-			c.rows[v[1]] = v[3]
+			c.rows[key(sql)] = strings.TrimSuffix(sql[strings.LastIndex(sql, ", '")+3:], "')")
 			return c.answer("INSERT 0 1", "", "")
 		}
 		if c.status == 'I' {
@@ -230,7 +236,12 @@
 		return c.answer("INSERT 0 1", "", "")
 	}
 	if strings.Contains(sql, "arbutusring_outcome") {
-		if v, ok := f.outcomes[strings.Split(sql, "'")[1]]; ok {
+		v, ok := f.outcomes[key(sql)]
+		if f.hideRows > 0 {
+			f.hideRows--
+			ok = false
+		}
+		if ok {
 			return c.answer("SELECT 1", v, "")
 		}
 		return c.answer("SELECT 0", "", "")
@@ -238,6 +249,14 @@
 	return c.answer("SELECT 1", sql, "")
 }
 
+// key returns the request token of a statement on the outcome table, which is
+// its first literal.
+func key(sql string) string {
+	_, rest, _ := strings.Cut(sql, "'")
+	text, _, _ := strings.Cut(strings.ReplaceAll(rest, "''", "\x00"), "'")
+	return text
+}
+
 func (c *fakeConn) answer(tag, row, state string) backend.Answer {
 	var out []byte
 	if row != "" {
--- a/internal/owner/monitor.go
+++ b/internal/owner/monitor.go
@@ -21,7 +21,8 @@
 	log     zerolog.Logger
 	kick    chan struct{} // capacity 1; ends a slow wait
 
-	conn Conn // used by run only
+	conn      Conn // used by run only
+	wasSilent bool // a connection was silent and no new one has worked since; used by run only
 
 	mu          sync.Mutex
 	status      backend.Status
@@ -89,20 +90,20 @@
 // poll observes the server once. If the present connection fails, it tries a
 // new one: only that tells a dead server from a dead connection.
 func (m *monitor) poll(ctx context.Context) bool {
-	wasSilent := false
 	if m.conn != nil {
 		began := time.Now()
 		err := m.observe(ctx)
 		if err == nil {
 			return true
 		}
-		wasSilent = time.Since(began) >= m.limits.StatusTimeout
+		m.wasSilent = m.wasSilent || time.Since(began) >= m.limits.StatusTimeout
 		m.disconnect()
 	}
 	if !m.probe(ctx) {
 		return false
 	}
-	if wasSilent {
+	if m.wasSilent {
+		m.wasSilent = false
 		m.log.Warn().Msg("a connection was silent while a new one works; closing the idle connections")
 		m.silent()
 	}
--- a/internal/owner/pool.go
+++ b/internal/owner/pool.go
@@ -114,7 +114,13 @@
 	}
 	p.mu.Lock()
 	c := &pooledConn{generation: p.generation}
+	closed := p.closed
 	p.mu.Unlock()
+	if closed {
+		<-p.opening
+		p.drop()
+		return nil, errkind.New(errkind.NotOwner, "the lease of the server has ended")
+	}
 	ctx, cancel := context.WithTimeout(ctx, p.timeout)
 	conn, err := p.connect(ctx)
 	cancel()
--- a/internal/owner/rig_test.go
+++ b/internal/owner/rig_test.go
@@ -37,6 +37,7 @@
 	*owner.Owner
 	service *owner.Service
 	server  *fakeServer
+	state   controlrpc.State
 	epoch   uint64
 	numbers atomic.Uint64
 }
@@ -50,10 +51,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r.SetState(controlrpc.State{
+	r.state = controlrpc.State{
 		Groups:  map[string]controlrpc.Group{"orders": {Name: "orders", Term: 1, Members: []string{"s1", "s2", "s3"}}},
 		Servers: map[string]controlrpc.Server{"s1": {ID: "s1", Group: "orders", Address: "a", Slots: 3, Connections: 10}},
-	}, cfg)
+	}
+	r.SetState(r.state, cfg)
 	r.lease(time.Hour, true, 1)
 	return r
 }
@@ -66,12 +68,14 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		ended := make(chan struct{})
 		go func() { r.Run(ctx); close(ended) }()
+		defer func() {
+			cancel()
+			<-ended
+			synctest.Wait()
+			time.Sleep(time.Minute) // lets timers of the fake server end
+		}()
 		time.Sleep(300 * time.Millisecond)
 		test(t, r)
-		cancel()
-		<-ended
-		synctest.Wait()
-		time.Sleep(time.Minute) // lets timers of the fake server end
 	})
 }
 
--- a/internal/owner/server.go
+++ b/internal/owner/server.go
@@ -110,6 +110,11 @@
 		(!l.Primary || time.Since(since) > s.limits.DrainPrimary) {
 		return l, errkind.New(errkind.Draining, "server %s is leaving service", s.id)
 	}
+	if !args.InTx && s.monitor.suspect() {
+		// An idle connection may look usable; a cycle sent on it would leave
+		// the outcome unknown.
+		return l, errkind.New(errkind.ConnectFailed, "server %s is unreachable", s.id)
+	}
 	if !args.Write {
 		return l, nil
 	}
--- a/internal/owner/token.go
+++ b/internal/owner/token.go
@@ -86,12 +86,8 @@
 		return result{}, false, errkind.Wrap(errkind.ConnectFailed, err, "the transaction of request_id could not begin")
 	}
 	body := x.relay(ctx, c, false)
-	switch errkind.Of(body.err) {
-	case errkind.OK:
-	case errkind.ConnectFailed:
-		return result{}, false, body.err
-	default:
-		return result{}, false, x.unknown(body.err)
+	if body.err != nil {
+		return result{}, false, x.answerError(body.err)
 	}
 	switch body.answer.TxStatus {
 	case 'I':
@@ -113,7 +109,7 @@
 	}
 	end := x.statement(ctx, c, "COMMIT", true)
 	if end.err != nil {
-		return result{}, false, x.unknown(end.err)
+		return result{}, false, x.answerError(end.err)
 	}
 	if end.answer.TxStatus != 'I' || end.answer.SQLState != "" {
 		return result{}, false, errkind.New(errkind.OutcomeUnknown, "COMMIT answered SQLSTATE %s", end.answer.SQLState)
--- /dev/null
+++ b/internal/owner/tx_test.go
@@ -0,0 +1,163 @@
+package owner_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/arbutusring/arbutusring/internal/owner"
+	"github.com/arbutusring/arbutusring/internal/ownerrpc"
+	"github.com/arbutusring/arbutusring/pkg/errkind"
+	"github.com/matryer/is"
+)
+
+// begin opens a read-write transaction of a session.
+func (r *rig) begin(t *testing.T, session uint64) {
+	t.Helper()
+	a := r.args(session, fmt.Sprintf("BEGIN --%d", session))
+	a.Begin = true
+	if got := r.exec(a); got.TxStatus != 'T' {
+		t.Fatalf("BEGIN: %s %s", got.Kind, got.Detail)
+	}
+}
+
+func (r *rig) inTx(session uint64, sql string) ownerrpc.ExecReply {
+	a := r.args(session, sql)
+	a.InTx = true
+	return r.exec(a)
+}
+
+// TestTransactionsAreNotMixed guards against a statement that runs in the
+// transaction of another session, also when a cycle opens a transaction that
+// nobody announced.
+func TestTransactionsAreNotMixed(t *testing.T) {
+	for _, off := range []bool{false, true} {
+		t.Run(fmt.Sprintf("mechanism off %v", off), func(t *testing.T) {
+			run(t, owner.Options{Disabled: owner.Disabled{CleanReturn: off}}, func(t *testing.T, r *rig) {
+				done := make(chan string)
+				for i := range uint64(30) {
+					go func() {
+						if i%3 == 0 { // opens a transaction without being marked
+							r.exec(r.args(i, fmt.Sprintf("BEGIN --%d", i)))
+							done <- ""
+							return
+						}
+						a := r.args(i, fmt.Sprintf("BEGIN --%d", i))
+						a.Begin = true
+						if got := r.exec(a); got.TxStatus != 'T' {
+							done <- fmt.Sprint(got.Kind, got.Detail)
+							return
+						}
+						for range 3 {
+							r.exec(r.read(100+i, fmt.Sprintf("SELECT --%d", 100+i)))
+							r.inTx(i, fmt.Sprintf("INSERT --%d", i))
+						}
+						done <- string(r.inTx(i, "COMMIT").Kind)
+					}()
+				}
+				for range 30 {
+					if fault := <-done; fault != "" {
+						t.Error(fault)
+					}
+				}
+				if r.server.mixed != off {
+					t.Errorf("statements of different sessions were mixed: %v", r.server.mixed)
+				}
+			})
+		})
+	}
+}
+
+// TestTransactionEnds guards against a transaction that outlives its session,
+// its entry, the lease or the primary role, and against ending one too early.
+func TestTransactionEnds(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		act  func(r *rig)
+		lost bool
+	}{
+		{"entry polls", func(r *rig) {
+			for range 20 {
+				time.Sleep(200 * time.Millisecond)
+				_ = r.service.Status(&ownerrpc.StatusArgs{Entry: "e1"}, new(ownerrpc.StatusReply)) // never an error
+			}
+		}, false},
+		{"entry silent for less than the limit", func(*rig) { time.Sleep(1900 * time.Millisecond) }, false},
+		{"entry silent", func(*rig) { time.Sleep(2100 * time.Millisecond) }, true},
+		{"released", func(r *rig) {
+			_ = r.service.Release(&ownerrpc.ReleaseArgs{Entry: "e1", Session: 1, Server: "s1"}, new(ownerrpc.ReleaseReply)) // never an error
+		}, true},
+		{"other session released", func(r *rig) {
+			_ = r.service.Release(&ownerrpc.ReleaseArgs{Entry: "e1", Session: 2, Server: "s1"}, new(ownerrpc.ReleaseReply)) // never an error
+		}, false},
+		{"lease expired", func(r *rig) {
+			r.lease(time.Millisecond, true, 1)
+			time.Sleep(60 * time.Millisecond)
+			r.lease(time.Hour, true, 1)
+		}, true},
+		{"role lost", func(r *rig) { r.lease(time.Hour, false, 1) }, true},
+		{"later term", func(r *rig) { r.lease(time.Hour, true, 2) }, true},
+		{"revoked", func(r *rig) { r.revoke(0, 1) }, true},
+		{"idle", func(r *rig) {
+			for range 200 {
+				time.Sleep(200 * time.Millisecond)
+				_ = r.service.Status(&ownerrpc.StatusArgs{Entry: "e1"}, new(ownerrpc.StatusReply)) // never an error
+			}
+		}, true},
+		{"drain time-out", func(r *rig) {
+			go func() {
+				for range 30 {
+					time.Sleep(200 * time.Millisecond)
+					r.exec(r.read(7, "SELECT 1")) // keeps the entry heard; refused
+				}
+			}()
+			if err := r.Drain(context.Background()); err != nil {
+				panic(err)
+			}
+		}, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			run(t, owner.Options{}, func(t *testing.T, r *rig) {
+				is := is.New(t)
+				r.begin(t, 1)
+				tc.act(r)
+				got := r.inTx(1, "INSERT a")
+				if !tc.lost {
+					is.Equal(got.Kind, errkind.OK)
+					is.Equal(r.inTx(1, "COMMIT").Kind, errkind.OK)
+					return
+				}
+				is.True(got.Kind == errkind.TransactionLost || got.Kind == errkind.Draining)
+				is.Equal(r.server.times("INSERT a"), 0)
+				is.Equal(r.Dump().(owner.State).Servers[0].OpenTx, 0)
+				time.Sleep(7 * time.Second)
+			})
+		})
+	}
+}
+
+// TestTransactionsLeaveConnections guards against open transactions of a low
+// rank taking the connections that higher ranks need. The server has 7 usable
+// connections; bulk has two higher ranks, and one connection is for cycles
+// outside of transactions.
+func TestTransactionsLeaveConnections(t *testing.T) {
+	run(t, owner.Options{}, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		open := func(session uint64, rank string) errkind.Kind {
+			a := r.args(session, "BEGIN")
+			a.Begin, a.Rank, a.Budget = true, rank, 50*time.Millisecond
+			return r.exec(a).Kind
+		}
+		for i := range uint64(4) {
+			is.Equal(open(i, "bulk"), errkind.OK)
+		}
+		is.Equal(open(4, "bulk"), errkind.Overloaded)
+		is.Equal(open(5, "normal"), errkind.OK)
+		is.Equal(open(6, "normal"), errkind.Overloaded)
+		is.Equal(open(7, "urgent"), errkind.OK)
+		is.Equal(r.exec(r.read(8, "SELECT 1")).Kind, errkind.OK)
+		is.Equal(r.inTx(5, "COMMIT").Kind, errkind.OK)
+		is.Equal(open(9, "urgent"), errkind.OK)
+	})
+}
