--- a/internal/owner/execution.go
+++ b/internal/owner/execution.go
@@ -86,7 +86,7 @@
 	s.endTransactions("the session began another transaction", func(tx *transaction) bool { return tx.key == key })
 	v := s.view.Load()
 	rank := v.rank(x.args.Rank)
-	if err := s.permits.acquire(ctx, v.higher[rank]); err != nil {
+	if err := s.permits.acquire(ctx, v.higher[rank], v.effective[rank].QueueLimit); err != nil {
 		return err
 	}
 	c, slot, err := x.prepare(ctx)
@@ -210,11 +210,12 @@
 		return nil, Slot{}, err
 	}
 	start := time.Now()
-	slot, err := s.sched.Acquire(ctx, s.view.Load().rank(x.args.Rank), x.deadline)
+	rank := s.view.Load().rank(x.args.Rank)
+	slot, err := s.sched.Acquire(ctx, rank, x.deadline)
 	if err != nil {
 		return nil, Slot{}, err
 	}
-	since(x.owner.meters.slotWait, start)
+	since(x.owner.meters.slotWait(rank), start)
 	c, err := s.pool.get(ctx)
 	if err != nil {
 		s.sched.Release(slot)
--- a/internal/owner/meters.go
+++ b/internal/owner/meters.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"sync"
 	"time"
 
 	"github.com/arbutusring/arbutusring/pkg/errkind"
@@ -14,8 +15,9 @@
 
 // meters are the metrics of an owner. Durations are in microseconds.
 type meters struct {
+	registry   metrics.Registry
 	kinds      map[errkind.Kind]metrics.Counter
-	slotWait   metrics.Histogram
+	waits      sync.Map // rank to metrics.Histogram
 	service    metrics.Histogram
 	commitWait metrics.Histogram
 }
@@ -23,7 +25,7 @@
 func newMeters(r metrics.Registry) *meters {
 	m := &meters{
 		kinds:      map[errkind.Kind]metrics.Counter{errkind.OK: metrics.GetOrRegisterCounter("owner.exec.ok", r)},
-		slotWait:   histogram(r, "owner.slot_wait_us"),
+		registry:   r,
 		service:    histogram(r, "owner.service_us"),
 		commitWait: histogram(r, "owner.commit_wait_us"),
 	}
@@ -37,6 +39,16 @@
 	return metrics.GetOrRegisterHistogram(name, r, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
 }
 
+// slotWait returns the histogram of the time that a rank waits for slots.
+func (m *meters) slotWait(rank string) metrics.Histogram {
+	if h, ok := m.waits.Load(rank); ok {
+		return h.(metrics.Histogram)
+	}
+	h := histogram(m.registry, "owner.slot_wait_us."+rank)
+	m.waits.Store(rank, h)
+	return h
+}
+
 func (m *meters) count(k errkind.Kind) {
 	c, ok := m.kinds[k]
 	if !ok {
--- a/internal/owner/monitor.go
+++ b/internal/owner/monitor.go
@@ -17,7 +17,8 @@
 type monitor struct {
 	limits  Limits
 	connect func(ctx context.Context) (Conn, error)
-	silent  func() // called when a connection was silent while a new one works
+	leased  func() bool // without a lease the monitor holds no connection
+	silent  func()      // called when a connection was silent while a new one works
 	log     zerolog.Logger
 	kick    chan struct{} // capacity 1; ends a slow wait
 
@@ -42,9 +43,9 @@
 	closed      bool
 }
 
-func newMonitor(limits Limits, connect func(ctx context.Context) (Conn, error), silent func(), log zerolog.Logger) *monitor {
+func newMonitor(limits Limits, connect func(ctx context.Context) (Conn, error), leased func() bool, silent func(), log zerolog.Logger) *monitor {
 	return &monitor{
-		limits: limits, connect: connect, silent: silent, log: log,
+		limits: limits, connect: connect, leased: leased, silent: silent, log: log,
 		kick: make(chan struct{}, 1), changed: make(chan struct{}), heard: time.Now(),
 	}
 }
@@ -90,6 +91,11 @@
 // poll observes the server once. If the present connection fails, it tries a
 // new one: only that tells a dead server from a dead connection.
 func (m *monitor) poll(ctx context.Context) bool {
+	if !m.leased() {
+		m.disconnect()
+		m.heardTraffic() // nothing was asked, so silence proves nothing
+		return false
+	}
 	if m.conn != nil {
 		began := time.Now()
 		err := m.observe(ctx)
@@ -232,7 +238,7 @@
 	m.changed = make(chan struct{})
 }
 
-// heardTraffic records an answer of the server to a cycle.
+// heardTraffic records an answer of the server outside of the polls.
 func (m *monitor) heardTraffic() {
 	m.mu.Lock()
 	m.hear()
--- a/internal/owner/outcomestore.go
+++ b/internal/owner/outcomestore.go
@@ -90,6 +90,7 @@
 	for len(s.repeatable) > s.limits.OutcomeRecords/repeatableShare ||
 		(s.bytes > s.limits.OutcomeBytes && len(s.repeatable) > 0) {
 		s.forget(s.repeatable[0])
+		s.repeatable[0] = nil // lets go of the answer before the array moves
 		s.repeatable = s.repeatable[1:]
 	}
 	for s.bytes > s.limits.OutcomeBytes && s.firmBodies < len(s.firm) {
@@ -184,6 +185,7 @@
 	n := 0
 	for n < len(records) && time.Since(records[n].at) > s.limits.OutcomeKeep {
 		s.forget(records[n])
+		records[n] = nil
 		n++
 	}
 	return n
--- a/internal/owner/permits.go
+++ b/internal/owner/permits.go
@@ -2,41 +2,76 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"github.com/arbutusring/arbutusring/pkg/errkind"
 )
 
-// permits bounds the connections that open transactions hold. A rank may
-// open one only if a connection then remains for each higher rank, and one
-// for cycles outside of transactions.
+// permits bounds the connections that open transactions hold. A rank may hold
+// one only if a connection then remains for each higher rank, and one for
+// each slot. Cycles outside of transactions therefore never wait for a
+// connection while they hold a slot.
 type permits struct {
 	mu      sync.Mutex
-	limit   int // connections of the pool
+	limit   int // connections of the pool less one for each slot
 	held    int
-	changed chan struct{} // closed when a permit was released or the limit changed
+	waiting [][]chan struct{} // by number of higher ranks, first come first
 }
 
-func newPermits(limit int) *permits {
-	return &permits{limit: limit, changed: make(chan struct{})}
-}
+func newPermits(limit int) *permits { return &permits{limit: limit} }
 
 // acquire waits until the rank with that many higher ranks may hold one more
-// connection.
-func (p *permits) acquire(ctx context.Context, higher int) error {
-	for {
-		p.mu.Lock()
-		if p.held < max(1, p.limit-higher-1) {
-			p.held++
-			p.mu.Unlock()
-			return nil
-		}
-		changed := p.changed
+// connection. At most queue cycles of a rank wait.
+func (p *permits) acquire(ctx context.Context, higher, queue int) error {
+	p.mu.Lock()
+	for len(p.waiting) <= higher {
+		p.waiting = append(p.waiting, nil)
+	}
+	if len(p.waiting[higher]) == 0 && p.admits(higher) {
+		p.held++
 		p.mu.Unlock()
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return endOf(ctx, errkind.Overloaded, "open transactions hold all connections that this rank may use")
+		return nil
+	}
+	if len(p.waiting[higher]) >= queue {
+		p.mu.Unlock()
+		return errkind.New(errkind.Overloaded, "too many transactions of this rank wait for a connection")
+	}
+	w := make(chan struct{})
+	p.waiting[higher] = append(p.waiting[higher], w)
+	p.mu.Unlock()
+	select {
+	case <-w:
+		return nil
+	case <-ctx.Done():
+	}
+	p.abandon(higher, w)
+	return endOf(ctx, errkind.Overloaded, "open transactions hold all connections that this rank may use")
+}
+
+func (p *permits) abandon(higher int, w chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if i := slices.Index(p.waiting[higher], w); i >= 0 {
+		p.waiting[higher] = slices.Delete(p.waiting[higher], i, i+1)
+		return
+	}
+	// The permit was granted at the same time.
+	p.held--
+	p.grant()
+}
+
+// admits reports whether a rank may hold one more connection. Even a very
+// small server can run one transaction.
+func (p *permits) admits(higher int) bool { return p.held < max(1, p.limit-higher) }
+
+// grant serves waiting transactions, the highest rank first.
+func (p *permits) grant() {
+	for higher := range p.waiting {
+		for len(p.waiting[higher]) > 0 && p.admits(higher) {
+			close(p.waiting[higher][0])
+			p.waiting[higher] = slices.Delete(p.waiting[higher], 0, 1)
+			p.held++
 		}
 	}
 }
@@ -45,19 +80,14 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.held--
-	p.signal()
+	p.grant()
 }
 
 func (p *permits) setLimit(limit int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.limit = limit
-	p.signal()
-}
-
-func (p *permits) signal() {
-	close(p.changed)
-	p.changed = make(chan struct{})
+	p.grant()
 }
 
 func (p *permits) open() int {
--- a/internal/owner/scheduler.go
+++ b/internal/owner/scheduler.go
@@ -253,12 +253,12 @@
 		if h == r {
 			break
 		}
-		ahead += float64(h.length) * float64(h.service)
+		ahead += float64(h.length) * float64(s.serviceOf(h))
 		taken += float64(h.sum) / float64(s.window)
 	}
 	// The first free slot comes after about service/slots, so a cycle waits
 	// for one such time more than there are cycles ahead of it.
-	own := float64(r.length+1) * float64(r.service)
+	own := float64(r.length+1) * float64(s.serviceOf(r))
 	share := max(slots-taken, r.spec.Floor*slots, 0.05*slots)
 	wait := ahead/slots + own/share
 	if floor := r.spec.Floor * slots; floor > 0 {
@@ -267,6 +267,15 @@
 	return time.Duration(wait)
 }
 
+// serviceOf returns the smoothed service time of a rank. A rank without any
+// observation counts as the average.
+func (s *Scheduler) serviceOf(r *rankQueue) time.Duration {
+	if r.service == 0 {
+		return s.service
+	}
+	return r.service
+}
+
 // advance charges the running cycles up to now.
 func (s *Scheduler) advance() {
 	now := s.now()
--- a/internal/owner/server.go
+++ b/internal/owner/server.go
@@ -29,6 +29,7 @@
 	permits *permits
 	view    atomic.Pointer[serverView]
 	stop    context.CancelFunc // ends the loops
+	idle    bool               // without a valid lease; used by sweep only, under mu
 
 	successes atomic.Uint64
 	failures  atomic.Uint64
@@ -57,19 +58,20 @@
 		txs: map[sessionKey]*transaction{},
 	}
 	connect := func(ctx context.Context) (Conn, error) { return o.opts.Connect(ctx, s.address, s.group) }
-	s.sched = NewScheduler(SchedulerOptions{Slots: v.spec.Slots, Ranks: v.ranks, Window: s.limits.FloorWindow})
+	s.sched = NewScheduler(SchedulerOptions{Slots: v.slots(), Ranks: v.ranks, Window: s.limits.FloorWindow})
 	s.pool = newPool(connect, v.connections(), s.limits.Opening, s.limits.ConnectTimeout)
-	s.permits = newPermits(v.connections())
-	s.monitor = newMonitor(s.limits, connect, func() { s.pool.retire(s.limits.SilentGrace) }, s.log)
+	s.permits = newPermits(v.transactions())
+	leased := func() bool { return s.leased() || o.opts.Disabled.LeaseAtAnswer }
+	s.monitor = newMonitor(s.limits, connect, leased, func() { s.pool.retire(s.limits.SilentGrace) }, s.log)
 	s.setView(v)
 	return s
 }
 
 func (s *server) setView(v *serverView) {
 	s.view.Store(v)
-	s.sched.Configure(v.spec.Slots, v.ranks)
+	s.sched.Configure(v.slots(), v.ranks)
 	s.pool.setLimit(v.connections())
-	s.permits.setLimit(v.connections())
+	s.permits.setLimit(v.transactions())
 	s.monitor.setMembers(s.id, v.members)
 }
 
@@ -78,7 +80,9 @@
 	ticker := time.NewTicker(s.limits.Sweep)
 	defer ticker.Stop()
 	for {
-		s.pool.warm(ctx, s.view.Load().spec.Slots)
+		if s.leased() {
+			s.pool.warm(ctx, s.view.Load().slots())
+		}
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -98,6 +102,13 @@
 	s.monitor.close()
 	s.endTransactions(reason, func(*transaction) bool { return true })
 	s.pool.close()
+	s.log.Info().Str("reason", reason).Msg("stopped serving the server")
+}
+
+// leased reports whether the host holds a valid lease for the server.
+func (s *server) leased() bool {
+	_, ok := s.leases.valid(s.id)
+	return ok
 }
 
 // admit checks what must hold when a cycle is about to be sent.
@@ -145,7 +156,7 @@
 	s.monitor.mu.Unlock()
 	return ownerrpc.Load{
 		Server: s.id, Applied: applied, Queued: queued, Full: full, Service: service,
-		Slots: v.spec.Slots, Draining: !v.drainingSince.IsZero(),
+		Slots: v.slots(), Draining: !v.drainingSince.IsZero(),
 	}
 }
 
--- a/internal/owner/servertx.go
+++ b/internal/owner/servertx.go
@@ -84,17 +84,34 @@
 // sweep rolls back transactions that may not go on.
 func (s *server) sweep() {
 	l, valid := s.leases.valid(s.id)
+	s.followLease(valid)
 	s.endTransactions("the lease or the primary role has ended", func(tx *transaction) bool {
 		return !valid || !tx.mayGoOn(l)
 	})
 	s.endTransactions("the entry was silent", func(tx *transaction) bool {
 		return s.entries.silent(tx.key.entry, s.limits.EntrySilence)
 	})
+	if since := s.view.Load().drainingSince; !since.IsZero() && time.Since(since) > s.limits.DrainTx {
+		s.endTransactions("the server is leaving service", func(*transaction) bool { return true })
+	}
 	s.endTransactions("the transaction was idle", func(tx *transaction) bool {
 		return !tx.busy && time.Since(tx.used) > s.limits.TxIdle
 	})
 }
 
+// followLease gives up the connections when the lease has expired: the next
+// owner needs them within the connection limit of the server.
+func (s *server) followLease(valid bool) {
+	s.mu.Lock()
+	expired := !valid && !s.idle
+	s.idle = !valid
+	s.mu.Unlock()
+	if expired {
+		s.log.Warn().Msg("the lease expired; closing the connections")
+		s.pool.retire(s.limits.SilentGrace)
+	}
+}
+
 func (s *server) openTransactions() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/owner/serverview.go
+++ b/internal/owner/serverview.go
@@ -29,6 +29,13 @@
 	return max(1, v.spec.Connections-reservedForControl-reservedForMonitor)
 }
 
+// transactions returns the limit of the connections that open transactions
+// hold.
+func (v *serverView) transactions() int { return v.connections() - v.slots() }
+
+// slots returns the number of slots, of which each needs a connection.
+func (v *serverView) slots() int { return max(1, min(v.spec.Slots, v.connections())) }
+
 // rank returns the rank that a cycle is served in.
 func (v *serverView) rank(name string) string {
 	if _, ok := v.effective[name]; ok {
