--- a/internal/owner/execution.go
+++ b/internal/owner/execution.go
@@ -89,29 +89,26 @@
 	if err := s.permits.acquire(ctx, v.higher[rank], v.effective[rank].QueueLimit); err != nil {
 		return err
 	}
+	// From here on, a release of the session or the end of the lease finds
+	// the transaction, although it is not open yet.
+	tx := &transaction{key: key, rank: rank, primary: x.args.Write, term: x.args.Term, busy: true}
+	if err := s.bind(tx); err != nil {
+		s.permits.release()
+		return err
+	}
 	c, slot, err := x.prepare(ctx)
 	if err != nil {
-		s.permits.release()
+		s.settle(tx, false, false)
 		return err
 	}
 	res, c, err := x.send(ctx, c)
 	x.release(slot)
 	if err != nil {
-		s.permits.release()
+		s.settle(tx, false, false)
 		return err
 	}
-	if res.err == nil && res.answer.TxStatus != 'I' {
-		tx := &transaction{key: key, conn: c, rank: rank, primary: x.args.Write, term: x.lease.Term}
-		if !s.bind(tx) {
-			s.pool.put(c, false)
-			s.permits.release()
-			return x.lost("the transaction could not be kept", res)
-		}
-		return x.answerOpen(ctx, res, key)
-	}
-	s.pool.put(c, res.clean())
-	s.permits.release()
-	return x.answer(ctx, res)
+	tx.conn = c
+	return x.answerTransaction(ctx, res, tx)
 }
 
 // runInTransaction executes a cycle of the session's open transaction.
@@ -129,7 +126,7 @@
 		}
 		return err
 	}
-	primary, err := x.checkTransaction(tx)
+	primary, err := x.checkTransaction(ctx, tx)
 	if err != nil {
 		s.sched.Release(slot)
 		s.settle(tx, errkind.Of(err) == errkind.Cancelled, false)
@@ -137,12 +134,17 @@
 	}
 	res := x.relay(ctx, tx.conn, primary)
 	x.release(slot)
-	open := res.err == nil && res.answer.TxStatus != 'I'
-	reason := s.settle(tx, open, res.clean())
 	if errkind.Of(res.err) == errkind.ConnectFailed {
+		s.settle(tx, false, false)
 		return errkind.Wrap(errkind.TransactionLost, res.err, "the connection of the transaction was lost before the cycle was sent")
 	}
-	if reason != "" {
+	return x.answerTransaction(ctx, res, tx)
+}
+
+// answerTransaction answers a cycle that a transaction ran.
+func (x *execution) answerTransaction(ctx context.Context, res result, tx *transaction) error {
+	open := res.err == nil && res.answer.TxStatus != 'I'
+	if reason := x.server.settle(tx, open, res.clean()); reason != "" {
 		return x.lost(reason, res)
 	}
 	if open {
@@ -164,9 +166,12 @@
 
 // checkTransaction checks what must hold when a cycle of a transaction is
 // about to be sent, and marks the cycle as started. It returns whether the transaction may write.
-func (x *execution) checkTransaction(tx *transaction) (bool, error) {
+func (x *execution) checkTransaction(ctx context.Context, tx *transaction) (bool, error) {
 	l, ok := x.server.leases.valid(x.server.id)
 	x.lease = l
+	if x.server.pool.isRetired(tx.conn) && !x.answers(ctx, tx.conn) {
+		return false, errkind.New(errkind.TransactionLost, "the connection of the transaction is silent")
+	}
 	x.server.mu.Lock()
 	defer x.server.mu.Unlock()
 	switch {
@@ -187,6 +192,16 @@
 	return tx.primary, nil
 }
 
+// answers reports whether a connection of a transaction still works. A cycle
+// that is sent on a silent one would hold a slot until its deadline and leave
+// its outcome unknown.
+func (x *execution) answers(ctx context.Context, c *pooledConn) bool {
+	ctx, cancel := context.WithTimeout(ctx, x.server.limits.StatusTimeout)
+	defer cancel()
+	res := x.statement(ctx, c, "SELECT 1", false)
+	return res.err == nil
+}
+
 // precheck refuses early what cannot run, and waits for the position that the
 // cycle requires. It holds no slot meanwhile.
 func (x *execution) precheck(ctx context.Context) error {
--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -64,6 +64,13 @@
 	return n
 }
 
+// connections returns the number of open connections.
+func (f *fakeServer) connections() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.open
+}
+
 func (f *fakeServer) connect(context.Context, string, string) (owner.Conn, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -221,8 +221,11 @@
 func (o *Owner) enter(args *ownerrpc.ExecArgs) error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.draining && (!args.InTx || o.expelled) {
+	switch {
+	case o.draining && !args.InTx:
 		return errkind.New(errkind.Draining, "the host is being shut down")
+	case o.expelled:
+		return errkind.New(errkind.TransactionLost, "the host is being shut down; the transaction was rolled back")
 	}
 	o.running++
 	return nil
--- a/internal/owner/pool.go
+++ b/internal/owner/pool.go
@@ -194,19 +194,32 @@
 	}
 }
 
-// retire closes the idle connections and lets no present one return. It is
-// called when a connection was found silent while new ones work. A request
-// that is still under way on a present connection after grace is cut off,
-// because its answer would otherwise block a slot until its deadline.
-func (p *pool) retire(grace time.Duration) {
+// retire closes the idle connections and lets no present one return.
+func (p *pool) retire() {
 	p.mu.Lock()
 	p.generation++
+	p.mu.Unlock()
+	p.closeIdle()
+}
+
+// isRetired reports whether c is older than the last call of retire.
+func (p *pool) isRetired(c *pooledConn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return c.generation != p.generation
+}
+
+// cutOff closes, after grace, the connections whose present request is then
+// still under way. It is called when a connection was found silent while new
+// ones work: a request on another silent one would block a slot until its
+// deadline.
+func (p *pool) cutOff(grace time.Duration) {
+	p.mu.Lock()
 	used := make(map[*pooledConn]uint64, len(p.used))
 	for c := range p.used {
 		used[c] = c.number.Load()
 	}
 	p.mu.Unlock()
-	p.closeIdle()
 	time.AfterFunc(grace, func() {
 		for c, number := range used {
 			if number%2 == 1 && c.number.Load() == number {
--- a/internal/owner/server.go
+++ b/internal/owner/server.go
@@ -62,7 +62,10 @@
 	s.pool = newPool(connect, v.connections(), s.limits.Opening, s.limits.ConnectTimeout)
 	s.permits = newPermits(v.transactions())
 	leased := func() bool { return s.leased() || o.opts.Disabled.LeaseAtAnswer }
-	s.monitor = newMonitor(s.limits, connect, leased, func() { s.pool.retire(s.limits.SilentGrace) }, s.log)
+	s.monitor = newMonitor(s.limits, connect, leased, func() {
+		s.pool.cutOff(s.limits.SilentGrace)
+		s.pool.retire()
+	}, s.log)
 	s.setView(v)
 	return s
 }
--- a/internal/owner/servertx.go
+++ b/internal/owner/servertx.go
@@ -7,17 +7,20 @@
 	"github.com/arbutusring/arbutusring/pkg/errkind"
 )
 
-// bind keeps the connection of a transaction that has begun. The transaction
-// holds a permit until it ends. It fails if the server was closed meanwhile.
-func (s *server) bind(tx *transaction) bool {
+// bind registers a transaction that is about to begin, with a permit that it
+// holds until it ends.
+func (s *server) bind(tx *transaction) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed || s.txs[tx.key] != nil {
-		return false
+	switch {
+	case s.closed:
+		return errkind.New(errkind.NotOwner, "the lease of the server has ended")
+	case s.txs[tx.key] != nil:
+		return errkind.New(errkind.RequestInProgress, "another cycle of the session is running")
 	}
 	tx.used = time.Now()
 	s.txs[tx.key] = tx
-	return true
+	return nil
 }
 
 // claim gives the transaction of a session to a cycle.
@@ -49,7 +52,9 @@
 	}
 	delete(s.txs, tx.key)
 	s.mu.Unlock()
-	s.pool.put(tx.conn, clean && !open)
+	if tx.conn != nil {
+		s.pool.put(tx.conn, clean && !open)
+	}
 	s.permits.release()
 	if !open {
 		return ""
@@ -108,7 +113,7 @@
 	s.mu.Unlock()
 	if expired {
 		s.log.Warn().Msg("the lease expired; closing the connections")
-		s.pool.retire(s.limits.SilentGrace)
+		s.pool.retire()
 	}
 }
 
--- a/internal/owner/tx.go
+++ b/internal/owner/tx.go
@@ -12,7 +12,7 @@
 // server.mu guards it; the connection belongs to the cycle that set busy.
 type transaction struct {
 	key     sessionKey
-	conn    *pooledConn
+	conn    *pooledConn // nil until the first cycle was sent
 	rank    string
 	primary bool // begun at a primary: ends with the primary role of term
 	term    uint64
--- a/internal/owner/tx_test.go
+++ b/internal/owner/tx_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/arbutusring/arbutusring/internal/controlrpc"
 	"github.com/arbutusring/arbutusring/internal/owner"
 	"github.com/arbutusring/arbutusring/internal/ownerrpc"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
@@ -88,6 +89,10 @@
 		{"released", func(r *rig) {
 			_ = r.service.Release(&ownerrpc.ReleaseArgs{Entry: "e1", Session: 1, Server: "s1"}, new(ownerrpc.ReleaseReply)) // never an error
 		}, true},
+		{"silent connection, found before the next cycle", func(r *rig) {
+			r.server.set(func(f *fakeServer) { f.silentOld = f.conns })
+			time.Sleep(500 * time.Millisecond)
+		}, true},
 		{"other session released", func(r *rig) {
 			_ = r.service.Release(&ownerrpc.ReleaseArgs{Entry: "e1", Session: 2, Server: "s1"}, new(ownerrpc.ReleaseReply)) // never an error
 		}, false},
@@ -128,7 +133,7 @@
 					is.Equal(r.inTx(1, "COMMIT").Kind, errkind.OK)
 					return
 				}
-				is.True(got.Kind == errkind.TransactionLost || got.Kind == errkind.Draining)
+				is.Equal(got.Kind, errkind.TransactionLost)
 				is.Equal(r.server.times("INSERT a"), 0)
 				is.Equal(r.Dump().(owner.State).Servers[0].OpenTx, 0)
 				time.Sleep(7 * time.Second)
@@ -137,6 +142,39 @@
 	}
 }
 
+// TestReleaseDuringBegin guards against a transaction that opens after its
+// session was released, which nobody would end.
+func TestReleaseDuringBegin(t *testing.T) {
+	run(t, owner.Options{}, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		a := r.args(1, "BEGIN")
+		a.Begin = true
+		done := r.start(a)
+		time.Sleep(500 * time.Microsecond)
+		_ = r.service.Release(&ownerrpc.ReleaseArgs{Entry: "e1", Session: 1, Server: "s1"}, new(ownerrpc.ReleaseReply)) // never an error
+		is.Equal((<-done).Kind, errkind.TransactionLost)
+		is.Equal(r.Dump().(owner.State).Servers[0].OpenTx, 0)
+	})
+}
+
+// TestExpiredLeaseFreesConnections guards against keeping connections that
+// the next owner needs within the server's limit.
+func TestExpiredLeaseFreesConnections(t *testing.T) {
+	run(t, owner.Options{}, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		r.begin(t, 1)
+		r.lease(10*time.Millisecond, true, 1)
+		time.Sleep(500 * time.Millisecond)
+		is.Equal(r.server.connections(), 0)
+		r.lease(time.Hour, true, 1)
+		time.Sleep(500 * time.Millisecond)
+		is.Equal(r.exec(r.args(2, "INSERT a")).Kind, errkind.OK)
+		r.SetLeases(time.Now(), &controlrpc.HeartbeatReply{TTL: time.Hour})
+		time.Sleep(500 * time.Millisecond)
+		is.Equal(r.server.connections(), 0)
+	})
+}
+
 // TestTransactionsLeaveConnections guards against open transactions of a low
 // rank taking the connections that higher ranks need. The server has 7 usable
 // connections, of which 3 are for the slots; bulk has two higher ranks.
