Add caller connections, sessions and routing

caller serves the PostgreSQL protocol on nbio and splits it into cycles. entry classifies cycles, chooses members, retries and keeps session tokens.

--- /dev/null
+++ b/internal/caller/framer.go
@@ -0,0 +1,130 @@
+package caller
+
+import (
+	"encoding/binary"
+
+	"github.com/arbutusring/arbutusring/pkg/errkind"
+)
+
+// headerLen is the length of the type byte and the length word.
+const headerLen = 5
+
+// Framer splits the byte stream after startup into cycles. It is not safe for
+// concurrent use. The limits must be set before the first Push.
+type Framer struct {
+	MaxMessage int // bytes of one message with its header
+	MaxCycle   int // bytes of all messages of a cycle
+
+	buf  []byte // bytes that no returned cycle contains
+	scan int    // offset in buf of the first message that was not examined
+	err  error  // the stream is unusable after the first error
+}
+
+// Push appends received bytes.
+func (f *Framer) Push(data []byte) { f.buf = append(f.buf, data...) }
+
+// Buffered returns the number of bytes that no returned cycle contains.
+func (f *Framer) Buffered() int { return len(f.buf) }
+
+// Next returns the next complete cycle. It returns false if more bytes are
+// needed. An error has kind BadRequest; the stream cannot be continued.
+func (f *Framer) Next() (Cycle, bool, error) {
+	for f.err == nil {
+		rest := f.buf[f.scan:]
+		if len(rest) < headerLen {
+			return Cycle{}, false, nil
+		}
+		kind, size, err := f.examine(rest)
+		if err != nil {
+			f.err = err
+			break
+		}
+		if len(rest) < size {
+			return Cycle{}, false, nil
+		}
+		switch {
+		case kind == 0:
+			f.scan += size
+		case kind == KindFlush:
+			c := Cycle{Kind: kind, Messages: f.take(f.scan)}
+			f.drop(size)
+			if len(c.Messages) > 0 {
+				return c, true, nil
+			}
+		case rest[0] == 'd' || rest[0] == 'c' || rest[0] == 'f':
+			f.drop(size)
+		default:
+			return Cycle{Kind: kind, Messages: f.take(f.scan + size)}, true, nil
+		}
+	}
+	return Cycle{}, false, f.err
+}
+
+// examine checks the header at the start of rest. The kind is 0 for a message
+// that does not end a cycle.
+func (f *Framer) examine(rest []byte) (Kind, int, error) {
+	length := binary.BigEndian.Uint32(rest[1:headerLen])
+	if length < 4 {
+		return 0, 0, errkind.New(errkind.BadRequest, "message of type %q states length %d", rest[0], length)
+	}
+	if int64(length)+1 > int64(f.MaxMessage) {
+		return 0, 0, errkind.New(errkind.BadRequest, "message of type %q has %d bytes, the limit is %d", rest[0], int64(length)+1, f.MaxMessage)
+	}
+	size := int(length) + 1
+	if f.scan+size > f.MaxCycle {
+		return 0, 0, errkind.New(errkind.BadRequest, "cycle has more than %d bytes", f.MaxCycle)
+	}
+	var kind Kind
+	switch rest[0] {
+	case 'P', 'B', 'D', 'E', 'C':
+		return 0, size, nil
+	case 'S':
+		return KindExtended, size, nil
+	case 'H':
+		return KindFlush, size, nil
+	case 'X':
+		f.scan = 0 // an unfinished cycle before Terminate is dropped with the connection
+		return kindTerminate, size, nil
+	case 'd', 'c', 'f':
+		// PostgreSQL ignores copy messages that arrive after a copy has failed.
+		kind = KindQuery
+	case 'Q':
+		kind = KindQuery
+	case 'F':
+		kind = KindFunctionCall
+	default:
+		return 0, 0, errkind.New(errkind.BadRequest, "unknown message type %q", rest[0])
+	}
+	if f.scan > 0 {
+		return 0, 0, errkind.New(errkind.BadRequest, "message of type %q before the Sync of the extended-protocol messages", rest[0])
+	}
+	return kind, size, nil
+}
+
+// take removes the first n bytes of the buffer and returns them. The buffer
+// itself is handed over when it holds nothing else, which avoids a copy and
+// leaves an idle connection without a buffer.
+func (f *Framer) take(n int) []byte {
+	f.scan = 0
+	if n == 0 {
+		return nil
+	}
+	if n == len(f.buf) {
+		taken := f.buf
+		f.buf = nil
+		return taken
+	}
+	taken := append([]byte(nil), f.buf[:n]...)
+	f.drop(n)
+	return taken
+}
+
+// drop removes the first n bytes of the buffer.
+func (f *Framer) drop(n int) {
+	f.scan = 0
+	if n == len(f.buf) {
+		f.buf = nil
+		return
+	}
+	f.buf = f.buf[n:]
+}
--- /dev/null
+++ b/internal/caller/server.go
@@ -0,0 +1,185 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/logging"
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of errors of starting and stopping a Server.
+var Error = errs.Class("caller")
+
+// acceptPause is the pause after a failed accept, normally for want of file
+// descriptors.
+const acceptPause = 50 * time.Millisecond
+
+// readChunk is how much one read from a socket takes at most.
+const readChunk = 32 << 10
+
+// Server accepts callers and runs their cycles on a Handler.
+type Server struct {
+	opts     Options
+	engine   *nbio.Engine
+	listener net.Listener
+	workers  *workers
+	registry registry
+	buffers  sync.Pool // *[]byte of readChunk bytes
+	ctx      context.Context
+	cancel   context.CancelFunc
+	draining atomic.Bool
+	closing  atomic.Bool
+	accepted sync.WaitGroup // the accept loop
+	cancels  sync.WaitGroup // Handler.Cancel calls
+}
+
+// New returns a server that is not started.
+func New(opts Options) *Server {
+	opts.setDefaults()
+	s := &Server{opts: opts, workers: newWorkers(opts.MaxWorkers)}
+	s.registry.conns = make(map[uint32]*conn)
+	s.buffers.New = func() any {
+		b := make([]byte, readChunk)
+		return &b
+	}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	return s
+}
+
+// Start listens and serves. Errors are those of listening.
+func (s *Server) Start() error {
+	ln, err := net.Listen("tcp", s.opts.Address)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	s.listener = ln
+	logging.SetLevel(logging.LevelError) // nbio announces every start and stop on stdout
+	s.engine = nbio.NewEngine(nbio.Config{
+		Name:           "caller",
+		NPoller:        s.opts.Pollers,
+		ReadBufferSize: 1, // the package reads into its own buffers
+		EpollMod:       nbio.EPOLLET,
+	})
+	s.engine.OnOpen(func(nc *nbio.Conn) {
+		// Before the first read event, so that it cannot undo the clearing of
+		// the deadline when the startup is complete.
+		_ = nc.SetReadDeadline(time.Now().Add(s.opts.StartupTimeout))
+	})
+	s.engine.OnClose(func(nc *nbio.Conn, _ error) {
+		if c, ok := nc.Session().(*conn); ok {
+			c.onClose()
+		}
+	})
+	s.engine.OnRead(func(nc *nbio.Conn) {
+		if c, ok := nc.Session().(*conn); ok {
+			c.onRead()
+		}
+	})
+	s.engine.OnWrittenSize(func(nc *nbio.Conn, _ []byte, n int) {
+		if c, ok := nc.Session().(*conn); ok {
+			c.onWritten(n)
+		}
+	})
+	if err := s.engine.Start(); err != nil {
+		return Error.Wrap(errors.Join(err, ln.Close()))
+	}
+	s.accepted.Add(1)
+	go s.loop()
+	return nil
+}
+
+// Addr returns the address that the server listens on.
+func (s *Server) Addr() net.Addr { return s.listener.Addr() }
+
+// Connections returns the number of open connections.
+func (s *Server) Connections() int { return s.registry.count() }
+
+// loop accepts connections until the listener is closed.
+func (s *Server) loop() {
+	defer s.accepted.Done()
+	for {
+		sock, err := s.listener.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			s.opts.Logger.Warn().Err(err).Msg("accepting a caller failed")
+			time.Sleep(acceptPause)
+			continue
+		}
+		s.accept(sock)
+	}
+}
+
+func (s *Server) accept(sock net.Conn) {
+	nc, err := nbio.NBConn(sock)
+	if err != nil {
+		_ = sock.Close()
+		return
+	}
+	c := &conn{srv: s, nc: nc}
+	c.framer.MaxMessage, c.framer.MaxCycle = s.opts.MaxMessageBytes, s.opts.MaxCycleBytes
+	s.registry.add(c)
+	nc.SetSession(c)
+	if _, err := s.engine.AddConn(nc); err != nil {
+		s.registry.remove(c)
+		s.opts.Logger.Warn().Err(err).Msg("registering a caller connection failed")
+	}
+}
+
+// Shutdown stops accepting, ends idle connections with 57P01 and waits for
+// the cycles and transactions in progress. When ctx ends first, the remaining
+// connections are ended with 57P01 and the error of ctx is returned.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.draining.Store(true)
+	_ = s.listener.Close()
+	s.accepted.Wait()
+	var err error
+	for s.registry.count() > 0 {
+		for _, c := range s.registry.all() {
+			c.endIfIdle()
+		}
+		select {
+		case <-ctx.Done():
+			err = Error.Wrap(ctx.Err())
+		case <-time.After(5 * time.Millisecond):
+			continue
+		}
+		break
+	}
+	s.stop()
+	return err
+}
+
+// Close ends all connections at once.
+func (s *Server) Close() error {
+	s.draining.Store(true)
+	err := s.listener.Close()
+	s.accepted.Wait()
+	s.stop()
+	if errors.Is(err, net.ErrClosed) {
+		err = nil
+	}
+	return Error.Wrap(err)
+}
+
+// stop ends what is left and releases the goroutines. It waits for running
+// handler functions, whose context is cancelled.
+func (s *Server) stop() {
+	if s.closing.Swap(true) {
+		return
+	}
+	s.cancel()
+	for _, c := range s.registry.all() {
+		c.endNow()
+	}
+	s.engine.Stop()
+	s.workers.close()
+	s.cancels.Wait()
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,269 @@
+// Package entry is the caller's side of an entry host: sessions, statement
+// classification, the choice of a member for each statement, retries, session
+// tokens and staleness samples. It executes nothing itself; it sends each
+// cycle to the owner of a backend server.
+//
+// # Consistency
+//
+// Every read states the position that the member must have applied, and the
+// owner checks it when the read is about to run. The position is the later of
+// the session's token and either the oldest staleness sample within the
+// accepted age, or, for a session without a token, the position that the
+// primary confirmed to a request that started after the session did.
+//
+// # Outcomes
+//
+// An error states not_run only if nothing was sent, or the owner answered that
+// the cycle did not run, or the owner process that the cycle was sent to has
+// confirmed its cancellation. A cycle that is not repeatable is sent again
+// only in these cases. Decide is the retry table.
+//
+// # Attributes
+//
+// rank, max_staleness, repeatable, request_id, session_token and deadline are
+// set by startup parameter ("arbutusring.rank", also within "options" as
+// "-c name=value") or by SET, and read by SHOW. SET takes effect at once and
+// is not undone by ROLLBACK. A request_id applies to the next cycle that
+// executes a statement, whether it succeeds or not; a cycle that only prepares
+// statements does not use it up.
+//
+// # Transactions
+//
+// A transaction is bound to one owner and server. Any refusal within it
+// aborts it, as in PostgreSQL: the caller sees status 'E' until it ends the
+// transaction, and the owner is told to roll back.
+//
+// # Concurrency
+//
+// The cycles of a session run one at a time; only session.mu guards what
+// Cancel and Dump need. Views are immutable and replaced as a whole.
+//
+// Lock order: Entry.stateMu, then Entry.mu, then group.mu or member.mu or session.mu. The last
+// three are never held together, and no lock is held during a call.
+//
+// # Usage
+//
+//	ent := entry.New(entry.Options{Host: host, Owners: ownerrpc.Client{Call: pool.Call}})
+//	defer ent.Close()
+//	ent.SetState(state, cfg)
+//	ent.Confirmed(time.Now())
+//	srv := caller.New(caller.Options{Address: addr, Handler: ent.Handler()})
+package entry
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/arbutusring/arbutusring/internal/controlrpc"
+	"github.com/arbutusring/arbutusring/internal/ownerrpc"
+	"github.com/arbutusring/arbutusring/pkg/errkind"
+	"github.com/arbutusring/arbutusring/pkg/policy"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+)
+
+// Options configures an Entry.
+type Options struct {
+	Host     controlrpc.Host // of this process
+	Owners   ownerrpc.Client
+	Logger   zerolog.Logger
+	Registry metrics.Registry // nil: a private one
+
+	StaleAfter     time.Duration // age of the last confirmation at which new work is refused; default 3 s
+	StatusInterval time.Duration // of the status polls; default 200 ms
+	SampleInterval time.Duration // of the staleness samples; default 50 ms
+}
+
+// Defaults of Options.
+const (
+	defaultStaleAfter     = 3 * time.Second
+	defaultStatusInterval = 200 * time.Millisecond
+	defaultSampleInterval = 50 * time.Millisecond
+)
+
+// Entry routes the cycles of its sessions. All methods are safe for
+// concurrent use.
+type Entry struct {
+	opts    Options
+	id      string // host id and incarnation
+	metrics *entryMetrics
+	created time.Time // base of the monotonic clock of confirmed
+
+	view      atomic.Pointer[view]
+	confirmed atomic.Int64 // time since created of the last confirmation, in ns; 0: never
+	seq       atomic.Uint64
+	numbers   atomic.Uint64 // last session number
+	draining  atomic.Bool
+
+	ctx        context.Context
+	cancel     context.CancelFunc
+	background sync.WaitGroup
+
+	stateMu  sync.Mutex // serializes SetState
+	mu       sync.Mutex
+	members  map[string]*member
+	groups   map[string]*group
+	sessions map[uint64]*session
+	polling  map[string]bool // owners with a status poll in progress, by address
+}
+
+// New returns an entry without state: it refuses work until SetState and
+// Confirmed have been called. Close ends its goroutines.
+func New(opts Options) *Entry {
+	if opts.StaleAfter <= 0 {
+		opts.StaleAfter = defaultStaleAfter
+	}
+	if opts.StatusInterval <= 0 {
+		opts.StatusInterval = defaultStatusInterval
+	}
+	if opts.SampleInterval <= 0 {
+		opts.SampleInterval = defaultSampleInterval
+	}
+	e := &Entry{
+		opts:     opts,
+		id:       opts.Host.ID + "/" + opts.Host.Incarnation,
+		metrics:  newMetrics(opts.Registry),
+		created:  time.Now(),
+		members:  make(map[string]*member),
+		groups:   make(map[string]*group),
+		sessions: make(map[uint64]*session),
+		polling:  make(map[string]bool),
+	}
+	e.ctx, e.cancel = context.WithCancel(context.Background())
+	e.view.Store(newView(e, controlrpc.State{}, new(policy.Config)))
+	e.background.Add(2)
+	go e.loopStatus()
+	go e.loopSamples()
+	return e
+}
+
+// Close ends the goroutines of the entry. Sessions must have been closed.
+func (e *Entry) Close() {
+	e.cancel()
+	e.background.Wait()
+}
+
+// SetState puts a state of control and its configuration into force. A state
+// older than the one in force is ignored.
+func (e *Entry) SetState(state controlrpc.State, cfg *policy.Config) {
+	e.stateMu.Lock()
+	defer e.stateMu.Unlock()
+	if state.Version < e.view.Load().state.Version {
+		return
+	}
+	e.mu.Lock()
+	for id := range e.members {
+		if _, known := state.Servers[id]; !known {
+			delete(e.members, id)
+		}
+	}
+	e.mu.Unlock()
+	old := e.view.Swap(newView(e, state, cfg))
+	close(old.changed)
+}
+
+// Confirmed records that control confirmed the state by answering a request
+// that was sent at that time.
+func (e *Entry) Confirmed(at time.Time) {
+	since := max(int64(at.Sub(e.created)), 1)
+	for {
+		old := e.confirmed.Load()
+		if old >= since || e.confirmed.CompareAndSwap(old, since) {
+			return
+		}
+	}
+}
+
+// Ready reports whether the load balancer should send callers here.
+func (e *Entry) Ready() bool {
+	return !e.draining.Load() && e.fresh() && len(e.view.Load().groups) > 0
+}
+
+// fresh reports whether the state was confirmed recently enough.
+func (e *Entry) fresh() bool {
+	last := e.confirmed.Load()
+	return last != 0 && time.Since(e.created)-time.Duration(last) <= e.opts.StaleAfter
+}
+
+// admitWork refuses new work that would run on an outdated configuration.
+func (e *Entry) admitWork(group string) error {
+	if !e.fresh() {
+		return errkind.New(errkind.ConfigStale, "the configuration was not confirmed within %v", e.opts.StaleAfter)
+	}
+	if e.groupView(group) == nil {
+		return errkind.New(errkind.UnknownGroup, "database group %q is not declared", group)
+	}
+	return nil
+}
+
+// Drain refuses new sessions and waits until none is left, or until ctx ends.
+// The owner of the caller connections ends the idle ones meanwhile.
+func (e *Entry) Drain(ctx context.Context) error {
+	e.draining.Store(true)
+	tick := time.NewTicker(10 * time.Millisecond)
+	defer tick.Stop()
+	for e.sessionCount() > 0 {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return errkind.Wrap(errkind.Draining, ctx.Err(), "%d sessions are left", e.sessionCount())
+		}
+	}
+	return nil
+}
+
+func (e *Entry) sessionCount() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.sessions)
+}
+
+func (e *Entry) config() *policy.Config { return e.view.Load().cfg }
+
+func (e *Entry) groupView(name string) *groupView { return e.view.Load().groups[name] }
+
+func (e *Entry) nextSeq() uint64 { return e.seq.Add(1) }
+
+// member returns the knowledge about a server.
+func (e *Entry) member(id string) *member {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	m := e.members[id]
+	if m == nil {
+		m = &member{server: id}
+		e.members[id] = m
+	}
+	return m
+}
+
+// group returns what is kept about a database group.
+func (e *Entry) group(name string) *group {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	g := e.groups[name]
+	if g == nil {
+		g = &group{name: name}
+		e.groups[name] = g
+	}
+	return g
+}
+
+// Round trips that are assumed until one has been measured. Only their order
+// matters.
+const (
+	sameDataCentre = 500 * time.Microsecond
+	sameRegion     = 2 * time.Millisecond
+	otherRegion    = 40 * time.Millisecond
+)
+
+func (e *Entry) distance(host controlrpc.Host) time.Duration {
+	switch {
+	case host.DataCentre == e.opts.Host.DataCentre:
+		return sameDataCentre
+	case host.Region == e.opts.Host.Region:
+		return sameRegion
+	}
+	return otherRegion
+}
--- /dev/null
+++ b/internal/entry/loops.go
@@ -0,0 +1,127 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/arbutusring/arbutusring/internal/ownerrpc"
+)
+
+const (
+	// pollTimeout bounds a status poll.
+	pollTimeout = time.Second
+	// sampleIdle is how long after the last read that accepted staleness the
+	// sampling of a group goes on.
+	sampleIdle = 2 * time.Second
+)
+
+// loopStatus polls the owners in use, which also renews the transactions that
+// the entry has open there.
+func (e *Entry) loopStatus() {
+	defer e.background.Done()
+	tick := time.NewTicker(e.opts.StatusInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-e.ctx.Done():
+			return
+		}
+		for address := range e.ownersInUse() {
+			e.startPoll(address)
+		}
+	}
+}
+
+// ownersInUse returns the addresses of the owners of groups with sessions.
+func (e *Entry) ownersInUse() map[string]bool {
+	v := e.view.Load()
+	addresses := make(map[string]bool)
+	e.mu.Lock()
+	groups := make([]*group, 0, len(e.groups))
+	for _, g := range e.groups {
+		groups = append(groups, g)
+	}
+	e.mu.Unlock()
+	for _, g := range groups {
+		gv := v.groups[g.name]
+		if gv == nil || !g.used() {
+			continue
+		}
+		for _, t := range gv.targets {
+			addresses[t.address] = true
+		}
+	}
+	return addresses
+}
+
+// startPoll polls one owner unless the last poll of it still runs.
+func (e *Entry) startPoll(address string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.polling[address] {
+		return
+	}
+	e.polling[address] = true
+	e.background.Add(1)
+	go e.runPoll(address)
+}
+
+func (e *Entry) runPoll(address string) {
+	defer e.background.Done()
+	ctx, cancel := context.WithTimeout(e.ctx, pollTimeout)
+	defer cancel()
+	start := time.Now()
+	reply, err := e.opts.Owners.Status(ctx, address, &ownerrpc.StatusArgs{Entry: e.id})
+	now := time.Now()
+	e.mu.Lock()
+	delete(e.polling, address)
+	var known []*member
+	if err == nil {
+		for _, st := range reply.Servers {
+			known = append(known, e.members[st.Server])
+		}
+	}
+	e.mu.Unlock()
+	for i, m := range known {
+		if m == nil {
+			continue
+		}
+		st := reply.Servers[i]
+		load := st.Load
+		load.Applied = load.Applied.Max(st.Applied)
+		m.report(load, now)
+		m.reachable(st.Reachable)
+		m.measure(now.Sub(start))
+	}
+}
+
+// loopSamples takes staleness samples for the groups that need them.
+func (e *Entry) loopSamples() {
+	defer e.background.Done()
+	tick := time.NewTicker(e.opts.SampleInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-e.ctx.Done():
+			return
+		}
+		e.mu.Lock()
+		for _, g := range e.groups {
+			e.sampleGroup(g)
+		}
+		e.mu.Unlock()
+	}
+}
+
+// sampleGroup starts a position request, unless one runs or nobody needs it.
+// Caller holds e.mu.
+func (e *Entry) sampleGroup(g *group) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.sessions == 0 || g.running != nil || g.pending != nil || time.Since(g.lastStale) > sampleIdle {
+		return
+	}
+	e.startFlight(g, &flight{done: make(chan struct{})})
+}
--- /dev/null
+++ b/internal/entry/samples.go
@@ -0,0 +1,60 @@
+package entry
+
+import (
+	"sort"
+	"time"
+
+	"github.com/arbutusring/arbutusring/pkg/logpos"
+)
+
+// maxSampleAge is how long samples are kept. A read that accepts older data
+// gets the oldest sample, which is stricter than necessary.
+const maxSampleAge = time.Minute
+
+// sample states that pos covers every write acknowledged before at.
+type sample struct {
+	seq uint64
+	at  time.Time // start of the request, on the monotonic clock
+	pos logpos.Position
+}
+
+// samples is the list of samples of a group in the order of their start.
+type samples struct {
+	list []sample
+}
+
+// add inserts s. Requests may finish in another order than they started.
+func (l *samples) add(s sample) {
+	i := sort.Search(len(l.list), func(i int) bool { return l.list[i].at.After(s.at) })
+	l.list = append(l.list, sample{})
+	copy(l.list[i+1:], l.list[i:])
+	l.list[i] = s
+	l.trim()
+}
+
+// trim drops samples that are too old, but keeps the newest.
+func (l *samples) trim() {
+	newest := l.list[len(l.list)-1].at
+	n := 0
+	for n < len(l.list)-1 && newest.Sub(l.list[n].at) > maxSampleAge {
+		n++
+	}
+	l.list = append(l.list[:0], l.list[n:]...)
+}
+
+// newest returns the sample that started last.
+func (l *samples) newest() (sample, bool) {
+	if len(l.list) == 0 {
+		return sample{}, false
+	}
+	return l.list[len(l.list)-1], true
+}
+
+// oldestSince returns the oldest sample that started at t or later.
+func (l *samples) oldestSince(t time.Time) (sample, bool) {
+	i := sort.Search(len(l.list), func(i int) bool { return !l.list[i].at.Before(t) })
+	if i == len(l.list) {
+		return sample{}, false
+	}
+	return l.list[i], true
+}
--- /dev/null
+++ b/internal/entry/view.go
@@ -0,0 +1,97 @@
+package entry
+
+import (
+	"sync"
+
+	"github.com/arbutusring/arbutusring/internal/controlrpc"
+	"github.com/arbutusring/arbutusring/pkg/policy"
+)
+
+// view is the state of control in the form in which the entry uses it. It is
+// immutable apart from the cache of effective policies.
+type view struct {
+	state   controlrpc.State
+	cfg     *policy.Config
+	groups  map[string]*groupView
+	changed chan struct{} // closed when a newer view is in force
+
+	effective sync.Map // effectiveKey -> policy.Effective
+}
+
+// effectiveKey identifies an effective policy.
+type effectiveKey struct{ group, rank string }
+
+// groupView is one database group.
+type groupView struct {
+	name    string
+	term    uint64
+	primary *target // nil while there is none that can be reached
+	targets []*target
+}
+
+// target is a member of a group together with the host that owns it.
+type target struct {
+	server      string
+	dataCentre  string // of the owner
+	address     string // rpc address of the owner
+	host        string // id of the owner
+	incarnation string // of the owner process
+	epoch       uint64
+	primary     bool
+	draining    bool // no new work
+	member      *member
+}
+
+func newView(e *Entry, state controlrpc.State, cfg *policy.Config) *view {
+	v := &view{state: state, cfg: cfg, groups: make(map[string]*groupView), changed: make(chan struct{})}
+	for _, declared := range cfg.DatabaseGroups {
+		v.groups[declared.Name] = v.newGroup(e, declared.Name, state.Groups[declared.Name])
+	}
+	return v
+}
+
+func (v *view) newGroup(e *Entry, name string, g controlrpc.Group) *groupView {
+	gv := &groupView{name: name, term: g.Term}
+	for _, id := range g.Members {
+		lease, leased := v.state.Leases[id]
+		host, known := v.state.Hosts[lease.Host]
+		if !leased || !known {
+			continue
+		}
+		server := v.state.Servers[id]
+		t := &target{
+			server:      id,
+			dataCentre:  host.DataCentre,
+			address:     host.Address,
+			host:        host.ID,
+			incarnation: host.Incarnation,
+			epoch:       lease.Epoch,
+			primary:     g.Phase == controlrpc.PhaseSteady && g.Primary == id,
+			draining:    server.Departing || v.state.Draining[id],
+			member:      e.member(id),
+		}
+		t.member.place(e.distance(host))
+		gv.targets = append(gv.targets, t)
+		if t.primary {
+			gv.primary = t
+		}
+	}
+	return gv
+}
+
+// policyFor returns what holds for a group and rank. A rank that is no longer
+// declared is treated as the default rank.
+func (v *view) policyFor(group, rank string) (policy.Effective, bool) {
+	key := effectiveKey{group, rank}
+	if eff, ok := v.effective.Load(key); ok {
+		return eff.(policy.Effective), true
+	}
+	eff, ok := v.cfg.Effective(group, rank)
+	if !ok {
+		eff, ok = v.cfg.Effective(group, "")
+	}
+	if ok {
+		v.effective.Store(key, eff)
+	}
+	return eff, ok
+}
