--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -46,6 +46,7 @@
 	phase        phase
 	txStatus     byte // after the last cycle
 	running      bool // a worker works on the connection
+	watching     bool // the timer of the write timeout runs
 	paused       bool // not read, because too many cycles wait
 	skipping     bool // discard messages up to Sync after a failed flush
 	encryption   uint8
@@ -220,7 +221,12 @@
 	case c.phase == phaseClosed:
 		c.closeSession()
 		return false
-	case c.phase == phaseLinger || c.phase == phaseStartup:
+	case c.phase == phaseStartup:
+		return false
+	case c.phase == phaseLinger:
+		if !c.mustPark() {
+			c.halfClose()
+		}
 		return false
 	case c.phase == phaseOpening:
 		c.open()
@@ -250,7 +256,7 @@
 	}
 	c.parked.Store(true)
 	if c.unsent.Load() > 0 {
-		c.watchWrites(c.unsent.Load())
+		c.watchWrites()
 		return true
 	}
 	// The last byte was sent in between. If onWritten has already taken the
@@ -260,15 +266,23 @@
 }
 
 // watchWrites closes the connection if the number of unsent bytes is the same
-// after WriteTimeout.
-func (c *conn) watchWrites(unsent int64) {
+// after WriteTimeout. Caller holds c.mu.
+func (c *conn) watchWrites() {
+	if c.watching {
+		return
+	}
+	c.watching = true
+	unsent := c.unsent.Load()
 	time.AfterFunc(c.srv.opts.WriteTimeout, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.watching = false
 		switch left := c.unsent.Load(); {
-		case left == 0:
+		case left == 0 || c.phase == phaseClosed:
 		case left == unsent:
 			_ = c.nc.Close()
 		default:
-			c.watchWrites(left)
+			c.watchWrites()
 		}
 	})
 }
@@ -384,24 +398,27 @@
 	c.linger()
 }
 
-// linger half-closes the connection and discards input for a short time.
-// Caller holds c.mu.
+// linger ends the connection after the pending answer: input is discarded from
+// now on. Caller holds c.mu.
 func (c *conn) linger() {
 	c.phase, c.paused = phaseLinger, false
 	c.waiting, c.waitingBytes = nil, 0
 	c.framer.buf = nil
-	wait := lingerTime
-	if unsent := c.unsent.Load(); unsent > 0 {
-		// A half-close would cut off the rest of the answer: leave the
-		// connection to the caller and to the write timeout.
-		wait = c.srv.opts.WriteTimeout
-	} else if raw, err := c.nc.SyscallConn(); err == nil {
-		_ = raw.Control(func(fd uintptr) { _ = syscall.Shutdown(int(fd), syscall.SHUT_WR) })
+	if !c.mustPark() {
+		c.halfClose()
 	}
-	_ = c.nc.SetReadDeadline(time.Now().Add(wait))
 	c.read()
 }
 
+// halfClose tells the caller that nothing more comes, and leaves it a short
+// time to read the answer and to close. Caller holds c.mu.
+func (c *conn) halfClose() {
+	if raw, err := c.nc.SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) { _ = syscall.Shutdown(int(fd), syscall.SHUT_WR) })
+	}
+	_ = c.nc.SetReadDeadline(time.Now().Add(lingerTime))
+}
+
 // endIfIdle ends a connection that has no cycle, no transaction and no unsent
 // answer.
 func (c *conn) endIfIdle() {
--- a/internal/caller/framer.go
+++ b/internal/caller/framer.go
@@ -45,6 +45,9 @@
 		switch {
 		case kind == 0:
 			f.scan += size
+		case kind == kindTerminate:
+			f.drop(len(f.buf)) // whatever the caller left unfinished
+			return Cycle{Kind: kind}, true, nil
 		case kind == KindFlush:
 			c := Cycle{Kind: kind, Messages: f.take(f.scan)}
 			f.drop(size)
@@ -83,7 +86,6 @@
 	case 'H':
 		return KindFlush, size, nil
 	case 'X':
-		f.scan = 0 // an unfinished cycle before Terminate is dropped with the connection
 		return kindTerminate, size, nil
 	case 'd', 'c', 'f':
 		// PostgreSQL ignores copy messages that arrive after a copy has failed.
--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -29,7 +29,7 @@
 			full++
 			continue
 		}
-		class, cost := t.member.judge(pos, now)
+		class, cost := t.member.judge(pos, gv.view.ahead[rank], now)
 		s := scored{t, class, cost}
 		if t.primary {
 			primary = s
--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -21,11 +21,12 @@
 // The first answer without an error wins. The second attempt is paid from the
 // retry budget of its member.
 type hedge struct {
-	session *session
-	request *request
-	pos     logpos.Position
-	results chan result // buffered for all attempts
-	pending []attempt
+	session  *session
+	request  *request
+	pos      logpos.Position
+	replicas bool
+	results  chan result // buffered for all attempts
+	pending  []attempt
 }
 
 // do returns the first success, or the last failure.
@@ -62,7 +63,7 @@
 	for t := range tried {
 		skip[t] = true
 	}
-	t, err := gv.choose(h.pos, h.request.eff.Rank.Name, true, skip, time.Now())
+	t, err := gv.choose(h.pos, h.request.eff.Rank.Name, h.replicas, skip, time.Now())
 	if err != nil || !t.member.spendRetry() {
 		return
 	}
--- a/internal/entry/member.go
+++ b/internal/entry/member.go
@@ -141,13 +141,14 @@
 )
 
 // judge returns the standing for a read that requires pos, and the estimated
-// time until the answer.
-func (m *member) judge(pos logpos.Position, now time.Time) (standing, time.Duration) {
+// time until the answer: the round trip and the service of the cycles of this
+// entry and of the queues that are served before the read.
+func (m *member) judge(pos logpos.Position, ahead []string, now time.Time) (standing, time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	waiting := m.inflight
-	for _, n := range m.load.Queued {
-		waiting = max(waiting, n)
+	for _, rank := range ahead {
+		waiting += m.load.Queued[rank]
 	}
 	service := max(m.load.Service, 100*time.Microsecond)
 	cost := m.distance + service*time.Duration(waiting+1)/time.Duration(max(m.load.Slots, 1))
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -38,9 +38,6 @@
 	if s.tx != nil {
 		return s.runInTx(ctx, r, c)
 	}
-	if p.begin && !s.awaitRelease(ctx) {
-		return s.refuse(c.Kind, nil, r.final(nil))
-	}
 	var (
 		reply *ownerrpc.ExecReply
 		t     *target
@@ -110,7 +107,7 @@
 // the owner answered with, or the kind of the transport's failure.
 func (s *session) call(ctx context.Context, r *request, t *target, id ownerrpc.RequestID, pos logpos.Position, term uint64) (*ownerrpc.ExecReply, Sent, error) {
 	keep := reserve(r.deadline)
-	if time.Until(r.deadline) <= 0 {
+	if r.plan.begin && !s.awaitRelease(ctx, t) || time.Until(r.deadline) <= 0 {
 		return nil, NotSent, errkind.New(errkind.DeadlineExceeded, "the deadline passed before the statement was sent")
 	}
 	args := r.args(s, t, id, pos, term)
--- a/internal/entry/runread.go
+++ b/internal/entry/runread.go
@@ -48,12 +48,15 @@
 		}
 		if r.costly > 0 && !t.member.spendRetry() {
 			s.entry.metrics.budgetEmpty.Inc(1)
+			if errkind.Of(r.last) == errkind.Overloaded {
+				return nil, nil, r.last
+			}
 			if !pause.wait(ctx, v) {
 				return nil, nil, r.last
 			}
 			continue
 		}
-		res := s.attemptRead(ctx, r, gv, t, pos, tried)
+		res := s.attemptRead(ctx, r, gv, t, pos, replicas, tried)
 		if res.err == nil {
 			if replicas && !res.target.primary && !r.plan.begin && refusedReadOnly(res.reply.Messages) {
 				replicas = false
@@ -134,13 +137,13 @@
 }
 
 // attemptRead makes one attempt, with a hedge if the policy asks for it.
-func (s *session) attemptRead(ctx context.Context, r *request, gv *groupView, t *target, pos logpos.Position, tried map[*target]bool) result {
+func (s *session) attemptRead(ctx context.Context, r *request, gv *groupView, t *target, pos logpos.Position, replicas bool, tried map[*target]bool) result {
 	if r.sends > 0 {
 		s.entry.metrics.retries.Inc(1)
 	}
 	var res result
 	if r.eff.HedgeAfter > 0 && r.repeatable && !r.plan.begin {
-		h := &hedge{session: s, request: r, pos: pos, results: make(chan result, 2)}
+		h := &hedge{session: s, request: r, pos: pos, replicas: replicas, results: make(chan result, 2)}
 		res = h.do(ctx, gv, t, tried)
 	} else {
 		res = result{target: t, id: r.id(s, t)}
--- a/internal/entry/runtx.go
+++ b/internal/entry/runtx.go
@@ -113,42 +113,44 @@
 }
 
 // release rolls back what the session has open at a server. Until it is done,
-// the session begins no other transaction, which a late Release would end.
+// the session begins no other transaction at that owner, which a late Release
+// would end.
 func (s *session) release(t *target) {
-	before := s.released
 	done := make(chan struct{})
-	s.released = done
+	s.releases = append(s.releases, pendingRelease{t, done})
 	s.entry.background.Add(1)
-	go s.entry.runRelease(&ownerrpc.ReleaseArgs{Entry: s.entry.id, Session: s.number, Server: t.server}, t.address, before, done)
+	go s.entry.runRelease(&ownerrpc.ReleaseArgs{Entry: s.entry.id, Session: s.number, Server: t.server}, t.address, done)
 }
 
-// awaitRelease waits for releases; it returns false when ctx ends first.
-func (s *session) awaitRelease(ctx context.Context) bool {
-	if s.released == nil {
-		return true
-	}
-	select {
-	case <-s.released:
-		s.released = nil
-		return true
-	case <-ctx.Done():
-		return false
+// awaitRelease waits until no release is on its way to the owner of t. It
+// returns false when ctx ends first.
+func (s *session) awaitRelease(ctx context.Context, t *target) bool {
+	var left []pendingRelease
+	for _, r := range s.releases {
+		if r.target.server == t.server && r.target.address == t.address {
+			select {
+			case <-r.done:
+			case <-ctx.Done():
+				return false
+			}
+		}
+		select {
+		case <-r.done:
+		default:
+			left = append(left, r)
+		}
 	}
+	s.releases = left
+	return true
 }
 
 // runRelease repeats the release until it arrives. An owner that cannot be
 // reached rolls back by itself.
-func (e *Entry) runRelease(args *ownerrpc.ReleaseArgs, address string, before, done chan struct{}) {
+func (e *Entry) runRelease(args *ownerrpc.ReleaseArgs, address string, done chan struct{}) {
 	defer e.background.Done()
 	defer close(done)
 	ctx, cancel := context.WithTimeout(e.ctx, releaseTime)
 	defer cancel()
-	if before != nil {
-		select {
-		case <-before:
-		case <-ctx.Done():
-		}
-	}
 	var pause backoff
 	for {
 		callCtx, cancelCall := context.WithTimeout(ctx, releaseCallTime)
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -26,7 +26,7 @@
 	tx      *transaction    // nil outside of a transaction
 	stmts   map[string]*prepared
 
-	released chan struct{} // closed when the last abandoned transaction was released; nil if there was none
+	releases []pendingRelease // abandoned transactions
 
 	mu       sync.Mutex
 	inflight []attempt          // requests that wait for an answer
@@ -48,6 +48,12 @@
 	failed   bool // lost or refused; the caller has not ended it yet
 }
 
+// pendingRelease is a transaction that is being rolled back at its owner.
+type pendingRelease struct {
+	target *target
+	done   chan struct{} // closed when the release has arrived or was given up
+}
+
 // status returns the transaction status for ReadyForQuery.
 func (s *session) status() byte {
 	switch {
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -15,6 +15,10 @@
 	groups  map[string]*groupView
 	changed chan struct{} // closed when a newer view is in force
 
+	// ahead lists for each rank the ranks that owners serve before it or
+	// together with it.
+	ahead map[string][]string
+
 	effective sync.Map // effectiveKey -> policy.Effective
 }
 
@@ -23,6 +27,7 @@
 
 // groupView is one database group.
 type groupView struct {
+	view    *view
 	name    string
 	term    uint64
 	primary *target // nil while there is none that can be reached
@@ -44,6 +49,14 @@
 
 func newView(e *Entry, state controlrpc.State, cfg *policy.Config) *view {
 	v := &view{state: state, cfg: cfg, groups: make(map[string]*groupView), changed: make(chan struct{})}
+	v.ahead = make(map[string][]string)
+	for _, r := range cfg.Ranks() {
+		for _, other := range cfg.Ranks() {
+			if other.Order <= r.Order {
+				v.ahead[r.Name] = append(v.ahead[r.Name], other.Name)
+			}
+		}
+	}
 	for _, declared := range cfg.DatabaseGroups {
 		v.groups[declared.Name] = v.newGroup(e, declared.Name, state.Groups[declared.Name])
 	}
@@ -51,7 +64,7 @@
 }
 
 func (v *view) newGroup(e *Entry, name string, g controlrpc.Group) *groupView {
-	gv := &groupView{name: name, term: g.Term}
+	gv := &groupView{view: v, name: name, term: g.Term}
 	for _, id := range g.Members {
 		lease, leased := v.state.Leases[id]
 		host, known := v.state.Hosts[lease.Host]
