--- /dev/null
+++ b/internal/process/entry.go
@@ -0,0 +1,261 @@
+// Package process puts the parts of an entry process and of a control process
+// together: it opens the listeners, connects the parts with each other by
+// their function fields, and stops them in order.
+//
+// # Planned stop
+//
+// An entry process first reports not ready and asks control for no new
+// leases, so that the balancer and the other hosts turn away from it. Its
+// owner side finishes what it has taken; control then moves its leases; its
+// sessions end when they are idle. Only then are the listeners closed. A
+// control process hands over leadership before it stops.
+//
+// # Usage
+//
+//	p, err := process.StartEntry(process.EntryOptions{Settings: cfg, Logger: log})
+//	<-ctx.Done()
+//	err = p.Stop(stopCtx)
+package process
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/arbutusring/arbutusring/internal/backend"
+	"github.com/arbutusring/arbutusring/internal/caller"
+	"github.com/arbutusring/arbutusring/internal/controlrpc"
+	"github.com/arbutusring/arbutusring/internal/entry"
+	"github.com/arbutusring/arbutusring/internal/operator"
+	"github.com/arbutusring/arbutusring/internal/owner"
+	"github.com/arbutusring/arbutusring/internal/ownerrpc"
+	"github.com/arbutusring/arbutusring/internal/peer"
+	"github.com/arbutusring/arbutusring/pkg/settings"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of every error of this package.
+var Error = errs.Class("process")
+
+// backendUser is the PostgreSQL user of connections to backend servers.
+const backendUser = "arbutusring"
+
+// EntryOptions configure an entry process.
+type EntryOptions struct {
+	Settings settings.Settings
+	Logger   zerolog.Logger
+}
+
+// Entry is a running entry process: its caller side and its owner side.
+type Entry struct {
+	opts     EntryOptions
+	host     controlrpc.Host
+	registry metrics.Registry
+	pool     *peer.Pool
+	peers    *peer.Server
+	callers  *caller.Server
+	http     *operator.Server
+	control  *controlrpc.Client
+	entry    *entry.Entry
+	owner    *owner.Owner
+	follower *follower
+	lns      listeners
+	tasks    tasks
+}
+
+// StartEntry opens the listeners and starts the process. Port 0 in the
+// settings lets the system choose; Addresses tells the result.
+func StartEntry(opts EntryOptions) (*Entry, error) {
+	lns, err := listen(opts.Settings.Listen)
+	if err != nil {
+		return nil, err
+	}
+	p := &Entry{opts: opts, lns: lns, registry: metrics.NewRegistry(), pool: peer.NewPool(peer.PoolOptions{})}
+	p.host = newHost(opts.Settings.Host, lns)
+	p.control = &controlrpc.Client{Addresses: opts.Settings.Control.Addresses, Call: p.pool.Call}
+	p.owner = owner.New(owner.Options{
+		Host:           p.host.ID,
+		Connect:        connectBackend,
+		Logger:         opts.Logger.With().Str("part", "owner").Logger(),
+		Registry:       p.registry,
+		MaxAnswerBytes: opts.Settings.Entry.MaxAnswerBytes,
+	})
+	p.entry = entry.New(entry.Options{
+		Host:     p.host,
+		Owners:   ownerrpc.Client{Call: p.callOwner},
+		Logger:   opts.Logger.With().Str("part", "entry").Logger(),
+		Registry: p.registry,
+	})
+	p.follower = newFollower(p)
+	if err := p.start(); err != nil {
+		p.abort()
+		return nil, err
+	}
+	return p, nil
+}
+
+func (p *Entry) start() error {
+	p.peers = peer.NewServer(peer.ServerOptions{})
+	if err := p.peers.Register("Owner", p.owner.Service()); err != nil {
+		return err
+	}
+	p.callers = caller.New(caller.Options{
+		Address:        p.opts.Settings.Listen.Callers,
+		Handler:        p.entry.Handler(),
+		Logger:         p.opts.Logger.With().Str("part", "caller").Logger(),
+		MaxConnections: p.opts.Settings.Entry.MaxConnections,
+		MaxCycleBytes:  p.opts.Settings.Entry.MaxCycleBytes,
+	})
+	if err := p.callers.Start(); err != nil {
+		return err
+	}
+	p.http = operator.NewServer(p.handlers(), p.opts.Logger)
+	p.tasks.start(p.owner.Run)
+	p.tasks.start(p.follower.loopHeartbeat)
+	p.tasks.start(p.follower.loopWatch)
+	p.tasks.start(p.runPeers)
+	p.tasks.start(p.runOperators)
+	p.opts.Logger.Info().Str("host", p.host.ID).Stringer("callers", p.callers.Addr()).
+		Str("peers", p.host.Address).Str("operators", p.host.OperatorAddress).Msg("entry process started")
+	return nil
+}
+
+func (p *Entry) runPeers(context.Context) {
+	if err := p.peers.Serve(p.lns.peers); err != nil {
+		p.opts.Logger.Error().Err(err).Msg("peer listener failed")
+	}
+}
+
+func (p *Entry) runOperators(context.Context) {
+	if err := p.http.Serve(p.lns.operators); err != nil {
+		p.opts.Logger.Error().Err(err).Msg("operator listener failed")
+	}
+}
+
+func (p *Entry) handlers() operator.Handlers {
+	return operator.Handlers{
+		Announce: p.control.Announce,
+		Apply:    p.control.Apply,
+		Get:      p.control.Get,
+		Drain:    p.control.Drain,
+		Failover: p.control.Failover,
+		Dump:     func() any { return p.Dump() },
+		Ready:    p.entry.Ready,
+		Registry: p.registry,
+	}
+}
+
+// callOwner calls the owner side of a host. A call to this host takes no
+// network, so that it works also when the peer listener is the fault.
+func (p *Entry) callOwner(ctx context.Context, address, method string, args, reply any) error {
+	return p.pool.Call(ctx, address, method, args, reply)
+}
+
+// CallerAddress returns the address that callers connect to.
+func (p *Entry) CallerAddress() string { return p.callers.Addr().String() }
+
+// OperatorAddress returns the address of the operator interface.
+func (p *Entry) OperatorAddress() string { return p.host.OperatorAddress }
+
+// EntryDump is the state of an entry process.
+type EntryDump struct {
+	Host          controlrpc.Host        `json:"host"`
+	StateVersion  uint64                 `json:"state_version"`
+	ConfigVersion uint64                 `json:"config_version"`
+	Connections   int                    `json:"connections"`
+	Leases        []controlrpc.HeldLease `json:"leases"`
+	Entry         any                    `json:"entry"`
+	Owner         any                    `json:"owner"`
+}
+
+// Dump returns the state of the process.
+func (p *Entry) Dump() EntryDump {
+	state := p.follower.state.Load()
+	return EntryDump{
+		Host:          p.host,
+		StateVersion:  state.Version,
+		ConfigVersion: state.ConfigVersion,
+		Connections:   p.callers.Connections(),
+		Leases:        p.owner.Leases(),
+		Entry:         p.entry.Dump(),
+		Owner:         p.owner.Dump(),
+	}
+}
+
+// Stop is the planned stop. Its error tells that ctx ended before everything
+// in progress was finished.
+func (p *Entry) Stop(ctx context.Context) error {
+	var group errs.Group
+	group.Add(p.entry.Drain(ctx))
+	group.Add(p.owner.Drain(ctx))
+	p.follower.drain(ctx)
+	group.Add(p.callers.Shutdown(ctx))
+	group.Add(p.http.Shutdown(ctx))
+	group.Add(p.peers.Shutdown(ctx))
+	p.abort()
+	p.opts.Logger.Info().AnErr("unfinished", group.Err()).Msg("entry process stopped")
+	return Error.Wrap(group.Err())
+}
+
+// Abort ends the process at once, as a crash does.
+func (p *Entry) Abort() {
+	_ = p.callers.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = p.peers.Shutdown(ctx)
+	_ = p.http.Shutdown(ctx)
+	p.abort()
+}
+
+func (p *Entry) abort() {
+	p.lns.close()
+	p.tasks.stop()
+	p.entry.Close()
+	p.pool.Close()
+}
+
+func newHost(cfg settings.Host, lns listeners) controlrpc.Host {
+	return controlrpc.Host{
+		ID:              cfg.ID,
+		Incarnation:     strconv.FormatInt(time.Now().UnixNano(), 36),
+		Address:         lns.peers.Addr().String(),
+		OperatorAddress: lns.operators.Addr().String(),
+		DataCentre:      cfg.DataCentre,
+		Region:          cfg.Region,
+		Labels:          cfg.Labels,
+	}
+}
+
+func connectBackend(ctx context.Context, address, database string) (owner.Conn, error) {
+	conn, err := backend.Connect(ctx, backend.ConnOptions{Address: address, Database: database, User: backendUser})
+	if err != nil {
+		return nil, err
+	}
+	return conn, nil
+}
+
+// listeners are the listeners of a process besides that of its callers.
+type listeners struct {
+	peers, operators net.Listener
+}
+
+func listen(cfg settings.Listen) (listeners, error) {
+	peers, err := net.Listen("tcp", cfg.Peers)
+	if err != nil {
+		return listeners{}, Error.New("listen.peers: %v", err)
+	}
+	operators, err := net.Listen("tcp", cfg.Operators)
+	if err != nil {
+		_ = peers.Close()
+		return listeners{}, Error.New("listen.operators: %v", err)
+	}
+	return listeners{peers: peers, operators: operators}, nil
+}
+
+func (l listeners) close() {
+	_ = l.peers.Close()
+	_ = l.operators.Close()
+}
--- /dev/null
+++ b/internal/process/sender.go
@@ -0,0 +1,86 @@
+package process
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/arbutusring/arbutusring/internal/consensus"
+)
+
+const (
+	// sendTimeout is longer than a round trip between regions; a later answer
+	// is worthless because the message is repeated with the next heartbeat.
+	sendTimeout = 300 * time.Millisecond
+	// sendQueue holds the messages to one host; more are dropped.
+	sendQueue = 256
+	// sendWorkers send to one host at the same time, so that a round trip of
+	// 40 ms between regions does not limit the rate of messages.
+	sendWorkers = 4
+)
+
+// sender passes the messages of the replicated log on to the other control
+// hosts without blocking. Messages may be dropped and reordered.
+type sender struct {
+	call func(ctx context.Context, address, method string, args, reply any) error
+
+	mu     sync.Mutex
+	queues map[string]chan consensus.Message // by address
+	tasks  tasks
+}
+
+func newSender(call func(ctx context.Context, address, method string, args, reply any) error) *sender {
+	return &sender{call: call, queues: make(map[string]chan consensus.Message)}
+}
+
+func (s *sender) send(to consensus.Member, m consensus.Message) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	q := s.queues[to.Address]
+	if q == nil {
+		q = make(chan consensus.Message, sendQueue)
+		s.queues[to.Address] = q
+		for range sendWorkers {
+			s.tasks.start(func(ctx context.Context) { s.loop(ctx, to.Address, q) })
+		}
+	}
+	select {
+	case q <- m:
+	default:
+	}
+}
+
+func (s *sender) loop(ctx context.Context, address string, q <-chan consensus.Message) {
+	for {
+		select {
+		case m := <-q:
+			s.deliver(ctx, address, &m)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// deliver sends one message. Its loss needs no handling: the log repeats what
+// was not acknowledged.
+func (s *sender) deliver(ctx context.Context, address string, m *consensus.Message) {
+	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	defer cancel()
+	_ = s.call(ctx, address, "Consensus.Step", m, new(StepReply))
+}
+
+func (s *sender) close() { s.tasks.stop() }
+
+// StepReply is empty: the answer to a message is a message of its own.
+type StepReply struct{}
+
+// consensusService receives the messages of the replicated log.
+type consensusService struct {
+	step func(consensus.Message)
+}
+
+// Step handles one message.
+func (c *consensusService) Step(m *consensus.Message, _ *StepReply) error {
+	c.step(*m)
+	return nil
+}
--- /dev/null
+++ b/pkg/settings/defaults.go
@@ -0,0 +1,19 @@
+package settings
+
+import (
+	"time"
+
+	"github.com/arbutusring/arbutusring/pkg/tomlstrict"
+)
+
+func defaults() Settings {
+	return Settings{
+		Entry: Entry{
+			MaxConnections: 10_000,
+			MaxCycleBytes:  16 << 20,
+			MaxAnswerBytes: 16 << 20,
+			StopTimeout:    tomlstrict.Duration(30 * time.Second),
+		},
+		Log: Log{Level: "info"},
+	}
+}
--- /dev/null
+++ b/pkg/settings/settings.go
@@ -0,0 +1,97 @@
+// Package settings reads the settings of one process from a TOML file: its
+// addresses, its data centre and its limits. What operators change while the
+// system runs is not here but in pkg/policy.
+//
+// Every value is checked at start. An unknown key, a bad duration, two
+// sections with the same address or a missing data folder is an error that
+// names the file, the line where there is one, and the key.
+//
+// # Usage
+//
+//	cfg, err := settings.Load("entry.toml", settings.RoleEntry)
+package settings
+
+import (
+	"os"
+
+	"github.com/arbutusring/arbutusring/pkg/tomlstrict"
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of every error of this package.
+var Error = errs.Class("settings")
+
+// Role is the kind of process that the settings are for.
+type Role string
+
+// The roles.
+const (
+	RoleEntry   Role = "entry"
+	RoleControl Role = "control"
+)
+
+// Settings are the settings of one process.
+type Settings struct {
+	Host    Host    `toml:"host"`
+	Listen  Listen  `toml:"listen"`
+	Control Control `toml:"control"`
+	Entry   Entry   `toml:"entry"`
+	Log     Log     `toml:"log"`
+}
+
+// Host says where the process runs.
+type Host struct {
+	ID         string            `toml:"id"` // unique among the hosts of its role
+	DataCentre string            `toml:"data_centre"`
+	Region     string            `toml:"region"`
+	Labels     map[string]string `toml:"labels"`
+}
+
+// Listen holds the addresses that the process listens on, each as ip:port.
+type Listen struct {
+	Callers   string `toml:"callers"`   // PostgreSQL protocol; entry only
+	Peers     string `toml:"peers"`     // the project's own processes
+	Operators string `toml:"operators"` // HTTP: operators, readiness, announcements
+}
+
+// Control concerns the control hosts.
+type Control struct {
+	Addresses  []string          `toml:"addresses"`   // peer addresses of all control hosts
+	DataFolder string            `toml:"data_folder"` // control only
+	Bootstrap  bool              `toml:"bootstrap"`   // control only: first start of a new installation
+	Members    map[string]string `toml:"members"`     // control only: id to peer address of the first members
+}
+
+// Entry holds the limits of an entry process.
+type Entry struct {
+	MaxConnections int                 `toml:"max_connections"`
+	MaxCycleBytes  int                 `toml:"max_cycle_bytes"`
+	MaxAnswerBytes int                 `toml:"max_answer_bytes"`
+	StopTimeout    tomlstrict.Duration `toml:"stop_timeout"` // longest planned stop
+}
+
+// Log configures the log, which is written as JSON lines to standard error.
+type Log struct {
+	Level string `toml:"level"` // debug, info, warn or error
+}
+
+// Load reads and checks the settings of a process.
+func Load(file string, role Role) (Settings, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, Error.Wrap(err)
+	}
+	return Parse(file, string(text), role)
+}
+
+// Parse is Load for a text that has been read already.
+func Parse(file, text string, role Role) (Settings, error) {
+	cfg := defaults()
+	if err := tomlstrict.Decode(file, text, &cfg); err != nil {
+		return Settings{}, err
+	}
+	if err := cfg.check(file, role); err != nil {
+		return Settings{}, err
+	}
+	return cfg, nil
+}
