--- /dev/null
+++ b/cmd/arbutusring/command_line.go
@@ -0,0 +1,167 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/integrii/flaggy"
+	"github.com/rs/zerolog"
+)
+
+// defaultOperatorAddress is the operator address that `arbutusring dev` uses.
+const defaultOperatorAddress = "127.0.0.1:6480"
+
+// Forms of --output.
+const (
+	outputText = "text"
+	outputJSON = "json"
+)
+
+// commandLine is the parsed command line. Each command has a method that runs
+// it and takes its arguments from the fields below.
+type commandLine struct {
+	args   []string
+	stdout io.Writer
+	stderr io.Writer
+
+	settingsFile string
+	logLevel     string
+	address      string
+	output       string
+	timeout      time.Duration
+	changeID     string
+	operator     string
+	baseVersion  uint64
+	wait         bool
+	undo         bool
+	kind         string
+	selector     string
+	positional   string
+	dev          devFlags
+	load         loadFlags
+}
+
+// command is one subcommand of the command line.
+type command struct {
+	name string
+	help string
+	add  func(sub *flaggy.Subcommand)
+	run  func(ctx context.Context) error
+}
+
+func newCommandLine(args []string, stdout, stderr io.Writer) *commandLine {
+	return &commandLine{
+		args:     args,
+		stdout:   stdout,
+		stderr:   stderr,
+		logLevel: "info",
+		address:  defaultOperatorAddress,
+		output:   outputText,
+		timeout:  10 * time.Second,
+		dev:      defaultDevFlags(),
+		load:     defaultLoadFlags(),
+	}
+}
+
+func (c *commandLine) commands() []command {
+	return []command{
+		{"dev", "run a whole installation in one process on loopback", c.addDev, c.runDev},
+		{"entry", "run the process of an entry host", c.addProcess, c.runEntry},
+		{"control", "run the process of a control host", c.addProcess, c.runControl},
+		{"load", "run callers of several traffic ranks and print a report", c.addLoad, c.runLoad},
+		{"validate", "check settings and configuration files: validate FILE ...", c.addOutput, c.runValidate},
+		{"apply", "put a configuration into force: apply FILE", c.addApply, c.runApply},
+		{"get", "show the configuration, groups, leases and hosts", c.addGet, c.runGet},
+		{"health", "show what is up, degraded, down or unknown", c.addHealth, c.runHealth},
+		{"drain", "take a host or backend server out of service: drain ID", c.addDrain, c.runDrain},
+		{"failover", "ask for a new primary: failover GROUP", c.addFailover, c.runFailover},
+		{"dump", "show the state of one process", c.addOperator, c.runDump},
+	}
+}
+
+// run parses the arguments and runs the command.
+func (c *commandLine) run(ctx context.Context) error {
+	args, files := splitFiles(c.args)
+	parser := flaggy.NewParser("arbutusring")
+	parser.Description = "database proxy for PostgreSQL with session consistency"
+	parser.ShowHelpOnUnexpected = false
+	var chosen []*flaggy.Subcommand
+	all := c.commands()
+	for _, cmd := range all {
+		sub := flaggy.NewSubcommand(cmd.name)
+		sub.Description = cmd.help
+		cmd.add(sub)
+		parser.AttachSubcommand(sub, 1)
+		chosen = append(chosen, sub)
+	}
+	if err := parser.ParseArgs(args); err != nil {
+		return usageError{err}
+	}
+	if c.output != outputText && c.output != outputJSON {
+		return usageError{fmt.Errorf("--output %q is neither text nor json", c.output)}
+	}
+	for i, sub := range chosen {
+		if sub.Used {
+			c.dev.files = files
+			return all[i].run(ctx)
+		}
+	}
+	parser.ShowHelp()
+	return usageError{errors.New("no command was given")}
+}
+
+// splitFiles takes the files of `validate` out of the arguments, because the
+// argument parser supports no list of positional values.
+func splitFiles(args []string) (rest, files []string) {
+	if len(args) == 0 || args[0] != "validate" {
+		return args, nil
+	}
+	rest = append(rest, args[0])
+	for i := 1; i < len(args); i++ {
+		switch {
+		case args[i] == "--output" && i+1 < len(args):
+			rest = append(rest, args[i], args[i+1])
+			i++
+		case len(args[i]) > 0 && args[i][0] == '-':
+			rest = append(rest, args[i])
+		default:
+			files = append(files, args[i])
+		}
+	}
+	return rest, files
+}
+
+func (c *commandLine) addOutput(sub *flaggy.Subcommand) {
+	sub.String(&c.output, "o", "output", "text or json")
+}
+
+func (c *commandLine) addOperator(sub *flaggy.Subcommand) {
+	c.addOutput(sub)
+	sub.String(&c.address, "a", "address", "operator address of any entry or control host")
+	sub.Duration(&c.timeout, "t", "timeout", "longest wait for the answer")
+}
+
+func (c *commandLine) addChange(sub *flaggy.Subcommand) {
+	c.addOperator(sub)
+	sub.String(&c.changeID, "", "change-id", "id of the change; repeat it to resend a change safely")
+	sub.String(&c.operator, "", "operator", "name of the operator; default $USER")
+}
+
+// printJSON writes v as indented JSON.
+func (c *commandLine) printJSON(v any) error {
+	enc := json.NewEncoder(c.stdout)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
+
+func (c *commandLine) logger(level string) (zerolog.Logger, error) {
+	l, err := zerolog.ParseLevel(level)
+	if err != nil {
+		return zerolog.Logger{}, usageError{fmt.Errorf("log level %q: %w", level, err)}
+	}
+	return zerolog.New(c.stderr).Level(l).With().Timestamp().Logger(), nil
+}
--- /dev/null
+++ b/cmd/arbutusring/run_validate.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/arbutusring/arbutusring/pkg/policy"
+	"github.com/arbutusring/arbutusring/pkg/settings"
+	"github.com/pelletier/go-toml/v2"
+	"github.com/zeebo/errs"
+)
+
+// checked is the result for one file.
+type checked struct {
+	File  string `json:"file"`
+	Kind  string `json:"kind"` // settings of an entry or control process, or configuration
+	Error string `json:"error,omitempty"`
+}
+
+// runValidate checks files without starting anything. What a file is follows
+// from its sections.
+func (c *commandLine) runValidate(context.Context) error {
+	if len(c.dev.files) == 0 {
+		return usageError{errors.New("validate needs at least one file")}
+	}
+	var group errs.Group
+	results := make([]checked, 0, len(c.dev.files))
+	for _, file := range c.dev.files {
+		kind, err := validateFile(file)
+		result := checked{File: file, Kind: kind}
+		if err != nil {
+			result.Error = err.Error()
+			group.Add(err)
+		}
+		results = append(results, result)
+	}
+	if err := c.printChecked(results); err != nil {
+		return err
+	}
+	if group.Err() != nil {
+		return usageError{group.Err()}
+	}
+	return nil
+}
+
+func (c *commandLine) printChecked(results []checked) error {
+	if c.output == outputJSON {
+		return c.printJSON(results)
+	}
+	for _, r := range results {
+		if r.Error == "" {
+			fmt.Fprintf(c.stdout, "%s: %s: valid\n", r.File, r.Kind)
+		}
+	}
+	return nil
+}
+
+// sections tell the kinds of files apart.
+type sections struct {
+	Host    any `toml:"host"`
+	Control struct {
+		DataFolder *string `toml:"data_folder"`
+	} `toml:"control"`
+}
+
+func validateFile(file string) (string, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return "", err
+	}
+	var s sections
+	if err := toml.Unmarshal(text, &s); err != nil || s.Host == nil {
+		_, err := policy.Parse(file, string(text))
+		return "configuration", err
+	}
+	role := settings.RoleEntry
+	if s.Control.DataFolder != nil {
+		role = settings.RoleControl
+	}
+	_, err = settings.Parse(file, string(text), role)
+	return "settings of " + string(role), err
+}
--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -204,10 +204,20 @@
 			m, ok := node.Leader()
 			return m.Address, ok
 		},
-		TransferLeadership: node.TransferLeadership,
+		TransferLeadership: func(ctx context.Context) error { return handOver(ctx, node) },
 	}
 }
 
+// handOver transfers leadership, unless this host is the only voter.
+func handOver(ctx context.Context, node *consensus.Node) error {
+	for _, m := range node.Members() {
+		if !m.Learner && m.ID != node.Self().ID {
+			return node.TransferLeadership(ctx)
+		}
+	}
+	return nil
+}
+
 // members connects control to backend servers: one short connection for each
 // call, because control calls a server only when its primary changes.
 func members() control.Members {
--- a/internal/process/dev.go
+++ b/internal/process/dev.go
@@ -18,8 +18,9 @@
 
 // DevOptions configure a development installation.
 type DevOptions struct {
-	Callers [2]string // caller addresses of the two entry hosts
-	Logger  zerolog.Logger
+	Callers   [2]string // caller addresses of the two entry hosts
+	Operators string    // operator address of the first entry host; default chosen by the system
+	Logger    zerolog.Logger
 }
 
 // DevGroup is the database group of a development installation.
@@ -112,11 +113,15 @@
 }
 
 func (d *Dev) startEntry(i int, callers string, opts DevOptions) error {
+	operators := "127.0.0.1:0"
+	if i == 0 && opts.Operators != "" {
+		operators = opts.Operators
+	}
 	cfg, err := settings.Parse("dev", fmt.Sprintf(`
 host = { id = "entry-%d", data_centre = "loopback", region = "loopback" }
-listen = { callers = %q, peers = "127.0.0.1:0", operators = "127.0.0.1:0" }
+listen = { callers = %q, peers = "127.0.0.1:0", operators = %q }
 control = { addresses = [%q] }
-`, i+1, callers, d.control.PeerAddress()), settings.RoleEntry)
+`, i+1, callers, operators, d.control.PeerAddress()), settings.RoleEntry)
 	if err != nil {
 		return err
 	}
--- a/internal/process/follower.go
+++ b/internal/process/follower.go
@@ -23,6 +23,9 @@
 	watchTimeout = 3 * time.Second
 	// watchPause keeps a failing long poll from spinning.
 	watchPause = 50 * time.Millisecond
+	// handoverLimit bounds the wait of a planned stop for control to move the
+	// leases; nothing runs under them any more, so they may also run out.
+	handoverLimit = 2 * time.Second
 	// drainPoll is how often a stopping process looks at its leases.
 	drainPoll = 20 * time.Millisecond
 )
@@ -125,8 +128,10 @@
 }
 
 // drain tells control that this host gives up its leases, and waits until it
-// holds none or ctx ends.
+// holds none, which does not happen when there is no other host.
 func (f *follower) drain(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handoverLimit)
+	defer cancel()
 	f.draining.Store(true)
 	f.poke()
 	for len(f.p.owner.Leases()) > 0 && ctx.Err() == nil {
--- a/internal/process/membership.go
+++ b/internal/process/membership.go
@@ -25,12 +25,13 @@
 }
 
 func (p *Control) admit(ctx context.Context, st consensus.Status) {
-	for _, j := range st.Joining {
-		if old, ok := otherIncarnation(st, j); ok {
+	if len(st.Joining) > 0 {
+		joining := st.Joining[0]
+		if old, ok := otherIncarnation(st, joining); ok {
 			p.change(ctx, consensus.Change{Kind: consensus.Remove, Member: old})
 			return
 		}
-		p.change(ctx, consensus.Change{Kind: consensus.AddLearner, Member: j})
+		p.change(ctx, consensus.Change{Kind: consensus.AddLearner, Member: joining})
 		return
 	}
 	for _, m := range st.Members {
