control: bound the work at fleet size, test the replicated state

Filling the members of 10,000 groups sorted all servers for each group, which took minutes; servers are now indexed by group. Views share what has not changed. The leader removes servers and hosts that are gone.

--- a/internal/control/assigner.go
+++ b/internal/control/assigner.go
@@ -14,6 +14,11 @@
 // for a better placement. Hosts that restart again and again get none.
 const settleTime = 5 * time.Second
 
+// planEvery is how often the leader plans without a change of the state, which
+// finds hosts that have run out. One plan takes tens of milliseconds for
+// 30,000 servers.
+const planEvery = 200 * time.Millisecond
+
 // maxBatch limits the commands of one log entry.
 const maxBatch = 512
 
@@ -50,7 +55,7 @@
 
 // run works until ctx ends, which is the end of the leadership.
 func (a *Assigner) run(ctx context.Context) {
-	tick := time.NewTicker(a.opts.Tick)
+	tick := time.NewTicker(planEvery)
 	defer tick.Stop()
 	var group sync.WaitGroup
 	defer group.Wait()
--- a/internal/control/attempt.go
+++ b/internal/control/attempt.go
@@ -32,6 +32,7 @@
 	term    uint64                       // of this attempt
 	began   time.Time                    // when the leader saw that the state grants no role
 	before  map[string]MemberStatus      // status before the attempt
+	chosen  string                       // the new primary
 }
 
 // errNotNeeded ends an attempt whose reason no longer holds.
@@ -49,14 +50,20 @@
 	if err != nil {
 		return err
 	}
-	chosen, err := choose(fenced, len(a.members), a.avoid)
+	a.chosen, err = choose(fenced, len(a.members), a.avoid)
 	if err != nil {
 		return err
 	}
-	if err := a.promote(ctx, chosen); err != nil {
+	if err := a.promote(ctx, a.chosen); err != nil {
 		return err
 	}
-	return a.name(ctx, chosen)
+	if err := a.name(ctx, a.chosen); err != nil {
+		return err
+	}
+	if a.cause.planned() && a.avoid(a.chosen) {
+		return errkind.New(errkind.NoMember, "only %q has every acknowledged write and is primary again", a.chosen)
+	}
+	return nil
 }
 
 // prepare reads the group and checks that the attempt is needed and can
@@ -184,7 +191,7 @@
 	if a.opts.disabled.majority {
 		need = 1
 	}
-	fenced := a.ask(ctx, a.opts.StepTimeout, need, func(ctx context.Context, s controlrpc.Server) (MemberStatus, error) {
+	fenced := a.ask(ctx, a.opts.StepTimeout, need, len(a.before), func(ctx context.Context, s controlrpc.Server) (MemberStatus, error) {
 		st, err := a.opts.Members.Fence(ctx, s.Address, a.term)
 		if err == nil && st.Term != a.term {
 			err = errkind.New(errkind.StaleTerm, "server %q is fenced at term %d", s.ID, st.Term)
@@ -242,15 +249,16 @@
 
 // askAll calls every member and returns the answers that came in time.
 func (a *attempt) askAll(ctx context.Context, limit time.Duration, call memberCall) map[string]MemberStatus {
-	return a.ask(ctx, limit, len(a.members), call)
+	return a.ask(ctx, limit, len(a.members), len(a.members), call)
 }
 
 // memberCall is one call of Members.
 type memberCall func(ctx context.Context, s controlrpc.Server) (MemberStatus, error)
 
 // ask calls every member at the same time. Once enough have answered it waits
-// for the others only a little longer.
-func (a *attempt) ask(ctx context.Context, limit time.Duration, enough int, call memberCall) map[string]MemberStatus {
+// for the others only a little longer, and not at all once as many as expected
+// have answered.
+func (a *attempt) ask(ctx context.Context, limit time.Duration, enough, expected int, call memberCall) map[string]MemberStatus {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	type answer struct {
@@ -285,6 +293,9 @@
 		case <-ctx.Done():
 			return out
 		}
+		if len(out) >= max(enough, expected) {
+			return out
+		}
 		if len(out) >= enough && grace == nil {
 			grace = time.After(a.opts.FenceGrace)
 		}
--- a/internal/control/export_test.go
+++ b/internal/control/export_test.go
@@ -39,3 +39,10 @@
 	}
 	return o
 }
+
+// PlanAll plans for hosts that are all well.
+func PlanAll(v *View) (revoked, assigned int) {
+	yes := func(holder) bool { return true }
+	plan := makePlan(v, yes, yes, yes, false)
+	return len(plan.Revoke), len(plan.Target)
+}
--- a/internal/control/failover.go
+++ b/internal/control/failover.go
@@ -12,9 +12,12 @@
 	"github.com/rs/zerolog"
 )
 
-// leavingRetry is the delay before a planned change that could not start is
-// tried again. Nothing is broken meanwhile.
-const leavingRetry = 2 * time.Second
+// Limits of the delay before a planned change that failed is tried again.
+// Nothing is broken meanwhile, and each try may interrupt writes.
+const (
+	minPlannedRetry = 2 * time.Second
+	maxPlannedRetry = 30 * time.Second
+)
 
 // firstRetry is the shortest delay before a failed attempt is repeated.
 const firstRetry = 50 * time.Millisecond
@@ -187,7 +190,7 @@
 		w.lastError = err.Error()
 		delay := min(firstRetry<<min(w.failures, 10), f.opts.RetryDelay)
 		if cause.planned() {
-			delay = leavingRetry
+			delay = min(minPlannedRetry<<min(w.failures, 10), maxPlannedRetry)
 		}
 		w.failures++
 		w.notBefore = time.Now().Add(delay/2 + rand.N(delay/2+1))
--- a/internal/control/followers.go
+++ b/internal/control/followers.go
@@ -63,7 +63,7 @@
 
 // run works until ctx ends, which is the end of the leadership.
 func (f *Followers) run(ctx context.Context) {
-	tick := time.NewTicker(f.opts.Tick)
+	tick := time.NewTicker(planEvery)
 	defer tick.Stop()
 	var group sync.WaitGroup
 	defer group.Wait()
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -20,13 +20,15 @@
 	failover  *Failover
 	followers *Followers
 	registrar *registrar
+	cleaner   *cleaner
+	start     time.Time
 
 	mu        sync.Mutex
 	announced map[string]time.Time // last announcement by server id; guarded by mu
 }
 
 func newLeadership(ctx context.Context, opts Options, log *Log, machine *Machine) *leadership {
-	l := &leadership{log: log, ctx: ctx, announced: make(map[string]time.Time)}
+	l := &leadership{log: log, ctx: ctx, start: time.Now(), announced: make(map[string]time.Time)}
 	l.sessions = NewSessions(opts.TTL, opts.Drift)
 	if opts.disabled.newLeader {
 		l.sessions.start = time.Time{}
@@ -35,6 +37,10 @@
 	l.failover = newFailover(opts, log, machine, l.sessions)
 	l.followers = newFollowers(opts, machine)
 	l.registrar = newRegistrar(ctx, opts, log)
+	l.cleaner = &cleaner{
+		log: log, machine: machine, leadership: l,
+		logger: opts.Logger.With().Str("part", "cleaner").Logger(),
+	}
 	return l
 }
 
@@ -44,7 +50,7 @@
 	group.Go(func() { l.assigner.run(l.ctx) })
 	group.Go(func() { l.failover.run(l.ctx) })
 	group.Go(func() { l.followers.run(l.ctx) })
-	group.Go(func() { l.prune() })
+	group.Go(func() { l.cleaner.run(l.ctx) })
 	group.Wait()
 	l.registrar.wait()
 }
@@ -60,10 +66,13 @@
 	}
 }
 
-// prune frees the memory of hosts that are gone.
-func (l *leadership) prune() {
-	const keep = time.Minute
-	for sleep(l.ctx, keep) == nil {
-		l.sessions.Prune(keep)
+// silentFor returns the time since the last announcement of a server, or since
+// the start of the leadership if there was none.
+func (l *leadership) silentFor(server string) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if last, ok := l.announced[server]; ok {
+		return time.Since(last)
 	}
+	return time.Since(l.start)
 }
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -19,6 +19,7 @@
 	mu        sync.Mutex
 	state     controlrpc.State
 	config    *policy.Config      // parsed state.ConfigText
+	declared  map[string]int      // members by group, from config; replaced, never changed
 	wonBy     string              // operator of the configuration in force
 	wonChange string              // change id of the configuration in force
 	old       map[string]oldOwner // by group
@@ -26,7 +27,11 @@
 	servers   map[string]uint64   // revision by server id
 	hosts     map[string]uint64   // revision by host id
 	changes   *changes
-	view      *View         // of the current state; nil after a change
+	byHost    index         // ids of leased servers by host id
+	byGroup   index         // ids of servers by group
+	view      *View         // last view
+	dirty     dirty         // changes since view
+	stale     bool          // view is not the current state
 	changed   chan struct{} // closed at the next change
 }
 
@@ -62,6 +67,7 @@
 	for _, c := range commands {
 		r, changed := m.apply(index, c)
 		if changed {
+			m.dirty.mark(c)
 			m.touch(index)
 		}
 		results = append(results, r)
@@ -101,7 +107,7 @@
 	if m.state.Version < index {
 		m.state.Version = index
 	}
-	m.view = nil
+	m.stale = true
 	close(m.changed)
 	m.changed = make(chan struct{})
 }
@@ -110,8 +116,8 @@
 func (m *Machine) View() *View {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.view == nil {
-		m.view = newView(m)
+	if m.stale {
+		m.view, m.dirty, m.stale = newView(m, m.view, m.dirty), dirty{}, false
 	}
 	return m.view
 }
@@ -159,12 +165,21 @@
 	m.state.Leases = orEmpty(img.State.Leases)
 	m.state.Hosts = orEmpty(img.State.Hosts)
 	m.state.Draining = orEmpty(img.State.Draining)
-	m.config, m.wonBy, m.wonChange = config, img.WonBy, img.WonChange
+	m.config, m.declared = config, declaredMembers(config)
+	m.wonBy, m.wonChange = img.WonBy, img.WonChange
 	m.old = orEmpty(img.Old)
 	m.named = orEmpty(img.Named)
 	m.servers = orEmpty(img.Servers)
 	m.hosts = orEmpty(img.Hosts)
 	m.changes = newChanges(img.Changes)
+	m.byHost, m.byGroup = make(index), make(index)
+	for _, l := range m.state.Leases {
+		m.byHost.add(l.Host, l.Server)
+	}
+	for _, s := range m.state.Servers {
+		m.byGroup.add(s.Group, s.ID)
+	}
+	m.view, m.dirty, m.stale = new(View), allDirty(), true
 }
 
 func orEmpty[V any](in map[string]V) map[string]V {
@@ -173,3 +188,11 @@
 	}
 	return in
 }
+
+func declaredMembers(config *policy.Config) map[string]int {
+	out := make(map[string]int, len(config.DatabaseGroups))
+	for _, g := range config.DatabaseGroups {
+		out[g.Name] = g.Members
+	}
+	return out
+}
--- a/internal/control/machine_config.go
+++ b/internal/control/machine_config.go
@@ -28,7 +28,8 @@
 	}
 	m.state.ConfigVersion++
 	m.state.ConfigText = a.Text
-	m.config, m.wonBy, m.wonChange = config, a.Operator, a.ChangeID
+	m.config, m.declared = config, declaredMembers(config)
+	m.wonBy, m.wonChange = a.Operator, a.ChangeID
 	for _, g := range config.DatabaseGroups {
 		if _, ok := m.state.Groups[g.Name]; !ok {
 			m.state.Groups[g.Name] = controlrpc.Group{Name: g.Name, Phase: controlrpc.PhaseWaiting}
--- a/internal/control/machine_group.go
+++ b/internal/control/machine_group.go
@@ -12,8 +12,8 @@
 		return conflict("group %q is not in phase %s of term %d", c.Group, c.ExpectPhase, c.ExpectTerm), false
 	}
 	if g.Phase == controlrpc.PhaseWaiting {
-		if d, _ := m.config.Group(c.Group); len(g.Members) == 0 || len(g.Members) != d.Members {
-			return conflict("group %q has %d of %d members", c.Group, len(g.Members), d.Members), false
+		if n := m.declared[c.Group]; len(g.Members) == 0 || len(g.Members) != n {
+			return conflict("group %q has %d of %d members", c.Group, len(g.Members), n), false
 		}
 	}
 	if l, ok := m.state.Leases[g.Primary]; ok && g.Phase == controlrpc.PhaseSteady {
--- a/internal/control/machine_host.go
+++ b/internal/control/machine_host.go
@@ -26,10 +26,8 @@
 	if _, ok := m.state.Hosts[c.ID]; !ok || m.hosts[c.ID] != c.Revision {
 		return conflict("host %q has changed", c.ID), false
 	}
-	for _, l := range m.state.Leases {
-		if l.Host == c.ID {
-			return conflict("host %q holds the lease of %q", c.ID, l.Server), false
-		}
+	if held := m.byHost[c.ID]; len(held) > 0 {
+		return conflict("host %q holds the lease of %q", c.ID, held[0]), false
 	}
 	delete(m.state.Hosts, c.ID)
 	delete(m.hosts, c.ID)
--- a/internal/control/machine_lease.go
+++ b/internal/control/machine_lease.go
@@ -25,6 +25,8 @@
 	if l.Epoch != c.Epoch || (ok && !l.Revoking) {
 		return conflict("lease of %q is not free at epoch %d", c.Server, c.Epoch), false
 	}
+	m.byHost.remove(l.Host, c.Server)
+	m.byHost.add(c.Host, c.Server)
 	m.state.Leases[c.Server] = controlrpc.Lease{
 		Server: c.Server, Host: c.Host, Incarnation: c.Incarnation, Epoch: index,
 	}
--- a/internal/control/machine_server.go
+++ b/internal/control/machine_server.go
@@ -24,6 +24,7 @@
 	}
 	m.state.Servers[s.ID] = s
 	m.servers[s.ID] = index
+	m.byGroup.add(s.Group, s.ID)
 	m.fill(s.Group)
 	return Result{}, true
 }
@@ -38,6 +39,8 @@
 	}
 	delete(m.state.Servers, c.ID)
 	delete(m.servers, c.ID)
+	m.byGroup.remove(s.Group, c.ID)
+	m.byHost.remove(m.state.Leases[c.ID].Host, c.ID)
 	delete(m.state.Leases, c.ID)
 	delete(m.state.Draining, c.ID)
 	return Result{}, true
@@ -52,19 +55,19 @@
 	if !ok || g.Phase != controlrpc.PhaseWaiting {
 		return
 	}
-	declared, _ := m.config.Group(group)
+	declared := m.declared[group]
 	usable := func(id string) bool {
 		s, ok := m.state.Servers[id]
 		return ok && s.Group == group && !s.Departing
 	}
-	members := make([]string, 0, declared.Members)
+	members := make([]string, 0, declared)
 	for _, id := range g.Members {
-		if usable(id) && len(members) < declared.Members {
+		if usable(id) && len(members) < declared {
 			members = append(members, id)
 		}
 	}
-	for _, id := range slices.Sorted(maps.Keys(m.state.Servers)) {
-		if usable(id) && len(members) < declared.Members && !slices.Contains(members, id) {
+	for _, id := range m.byGroup[group] {
+		if usable(id) && len(members) < declared && !slices.Contains(members, id) {
 			members = append(members, id)
 		}
 	}
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -49,26 +49,32 @@
 	p := newPlanner(v, usable)
 	p.local = local
 	plan := Plan{Target: make(map[string]holder)}
-	var free, kept []controlrpc.Lease
+	var free, kept, primaries []controlrpc.Lease
 	moving := 0
-	for _, id := range slices.Sorted(maps.Keys(v.Servers)) {
-		l, ok := v.Leases[id]
-		h := holder{l.Host, l.Incarnation}
-		switch {
-		case !ok:
-			free = append(free, controlrpc.Lease{Server: id})
-		case l.Revoking:
-			moving++
-			free = append(free, l)
-		case v.HostDraining(l.Host) || v.Hosts[l.Host].Incarnation != l.Incarnation || !live(h):
-			if len(p.nearest(id)) > 0 {
+	for _, group := range slices.Sorted(maps.Keys(v.byGroup)) {
+		for _, id := range v.byGroup[group] {
+			l, ok := v.Leases[id]
+			h := holder{l.Host, l.Incarnation}
+			switch {
+			case !ok:
+				free = append(free, controlrpc.Lease{Server: id})
+			case l.Revoking:
 				moving++
-				plan.Revoke = append(plan.Revoke, l)
-			}
-		default:
-			kept = append(kept, l)
-			if c := p.byKey[h]; c != nil {
-				c.count++
+				free = append(free, l)
+			case v.HostDraining(l.Host) || v.Hosts[l.Host].Incarnation != l.Incarnation || !live(h):
+				if in, _ := p.nearest(id); len(in) > 0 {
+					moving++
+					plan.Revoke = append(plan.Revoke, l)
+				}
+			default:
+				if v.Groups[group].Primary == id {
+					primaries = append(primaries, l)
+				} else {
+					kept = append(kept, l)
+				}
+				if c := p.byKey[h]; c != nil {
+					c.count++
+				}
 			}
 		}
 	}
@@ -79,7 +85,7 @@
 		}
 	}
 	if moving == 0 {
-		plan.Revoke = append(plan.Revoke, p.improve(kept, settled)...)
+		plan.Revoke = append(plan.Revoke, p.improve(append(kept, primaries...), settled)...)
 	}
 	return plan
 }
@@ -105,23 +111,31 @@
 	return p
 }
 
+// place is how near a set of candidates is to a server.
+type place struct {
+	centre string // set if in the server's data centre
+	region string // set if only in its region
+}
+
 // nearest returns the candidates of the server's data centre, or else of its
-// region, or else all.
-func (p *planner) nearest(server string) []*candidate {
+// region, or else all, and which of these it was.
+func (p *planner) nearest(server string) ([]*candidate, place) {
 	centre := p.view.Servers[server].DataCentre
 	if in := p.centres[centre]; len(in) > 0 || p.local {
-		return in
+		return in, place{centre: centre}
 	}
-	if in := p.regions[p.region[centre]]; len(in) > 0 {
-		return in
+	region := p.region[centre]
+	if in := p.regions[region]; len(in) > 0 {
+		return in, place{region: region}
 	}
-	return p.all
+	return p.all, place{}
 }
 
 // pick returns the nearest candidate that owns the fewest servers, the first
 // by id among equals; nil if there is none.
 func (p *planner) pick(server string) *candidate {
-	return idlest(p.nearest(server))
+	in, _ := p.nearest(server)
+	return idlest(in)
 }
 
 func idlest(in []*candidate) *candidate {
@@ -135,41 +149,32 @@
 }
 
 // improve returns a few leases that should move although their holder is
-// well: to a nearer host, or from a busy host to an idle one in the same data
-// centre. Servers that are not primary go first, because a move of the
+// well: to a nearer host, or from a busy host to an idle one at the same
+// place. Servers that are not primary come first in kept, because a move of the
 // primary's owner interrupts writes.
 func (p *planner) improve(kept []controlrpc.Lease, settled func(holder) bool) []controlrpc.Lease {
-	slices.SortStableFunc(kept, func(a, b controlrpc.Lease) int {
-		return btoi(p.isPrimary(a.Server)) - btoi(p.isPrimary(b.Server))
-	})
+	idle := make(map[place]*candidate) // idlest settled candidate of a place
 	var out []controlrpc.Lease
 	for _, l := range kept {
-		if len(out) == improvementsAtOnce {
-			break
-		}
 		from := p.byKey[holder{l.Host, l.Incarnation}]
-		near := slices.DeleteFunc(slices.Clone(p.nearest(l.Server)), func(c *candidate) bool { return !settled(c.holder) })
-		to := idlest(near)
+		in, at := p.nearest(l.Server)
+		to, ok := idle[at]
+		if !ok {
+			to = idlest(slices.DeleteFunc(slices.Clone(in), func(c *candidate) bool { return !settled(c.holder) }))
+			idle[at] = to
+		}
 		if from == nil || to == nil {
 			continue
 		}
-		nearer := !slices.Contains(p.nearest(l.Server), from)
-		if nearer || from.count > to.count+1+to.count/slackShare {
+		far := (at.centre != "" && from.centre != at.centre) || (at.region != "" && from.region != at.region)
+		if far || from.count > to.count+1+to.count/slackShare {
 			from.count--
 			to.count++
-			out = append(out, l)
+			clear(idle)
+			if out = append(out, l); len(out) == improvementsAtOnce {
+				break
+			}
 		}
 	}
 	return out
 }
-
-func (p *planner) isPrimary(server string) bool {
-	return p.view.Groups[p.view.Servers[server].Group].Primary == server
-}
-
-func btoi(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -89,15 +89,18 @@
 	if reply.Answer = answer; lead == nil {
 		return nil
 	}
-	lead.heard(args.Server.ID)
 	v := s.c.machine.View()
 	if was, ok := v.Servers[args.Server.ID]; ok && sameServer(was, stored(args.Server)) {
+		lead.heard(args.Server.ID)
 		s.confirm(&reply.Answer, func() {})
 		return nil
 	}
 	reply.Answer, _ = s.change(Command{Announce: &AnnounceServer{
 		Server: stored(args.Server), Revision: v.servers[args.Server.ID],
 	}})
+	if reply.Kind == errkind.OK {
+		lead.heard(args.Server.ID)
+	}
 	return nil
 }
 
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 
 	"github.com/arbutusring/arbutusring/internal/controlrpc"
 	"github.com/arbutusring/arbutusring/pkg/policy"
@@ -18,8 +17,9 @@
 	named     map[string]bool     // groups that have had a primary
 	servers   map[string]uint64   // revision by server id
 	hosts     map[string]uint64   // revision by host id
-	byHost    map[string][]string // ids of leased servers by host id, sorted
-	byGroup   map[string][]string // server ids by group, sorted
+	byHost    index               // ids of leased servers by host id
+	byGroup   index               // ids of servers by group
+	declared  map[string]int      // members by group
 	wonBy     string
 	wonChange string
 }
@@ -46,10 +46,7 @@
 
 // Declared returns the declared number of members of a group, 0 if the group
 // is not declared.
-func (v *View) Declared(group string) int {
-	g, _ := v.Config.Group(group)
-	return g.Members
-}
+func (v *View) Declared(group string) int { return v.declared[group] }
 
 // Held returns the leases that a heartbeat reply grants to an incarnation of
 // a host. Leases that are being revoked and roles of a group that is in phase
@@ -74,26 +71,28 @@
 // GroupServers returns the ids of all servers of a group, members or not.
 func (v *View) GroupServers(group string) []string { return v.byGroup[group] }
 
-// newView copies what the Machine changes in place.
-func newView(m *Machine) *View {
-	v := &View{
-		State: m.state, Config: m.config,
-		old: maps.Clone(m.old), named: maps.Clone(m.named), servers: maps.Clone(m.servers), hosts: maps.Clone(m.hosts),
-		byHost: make(map[string][]string), byGroup: make(map[string][]string),
-		wonBy: m.wonBy, wonChange: m.wonChange,
-	}
-	v.Groups = maps.Clone(m.state.Groups)
-	v.Servers = maps.Clone(m.state.Servers)
-	v.Leases = maps.Clone(m.state.Leases)
-	v.Hosts = maps.Clone(m.state.Hosts)
-	v.Draining = maps.Clone(m.state.Draining)
-	for _, id := range slices.Sorted(maps.Keys(v.Leases)) {
-		host := v.Leases[id].Host
-		v.byHost[host] = append(v.byHost[host], id)
-	}
-	for _, id := range slices.Sorted(maps.Keys(v.Servers)) {
-		group := v.Servers[id].Group
-		v.byGroup[group] = append(v.byGroup[group], id)
-	}
+// newView copies what the Machine has changed in place since the last view,
+// and shares the rest with that view. At fleet size a full copy takes tens of
+// milliseconds.
+func newView(m *Machine, last *View, d dirty) *View {
+	v := &View{State: m.state, Config: m.config, declared: m.declared, wonBy: m.wonBy, wonChange: m.wonChange}
+	v.Servers = fresh(last.Servers, m.state.Servers, d.servers)
+	v.servers = fresh(last.servers, m.servers, d.servers)
+	v.byGroup = fresh(last.byGroup, m.byGroup, d.servers)
+	v.Hosts = fresh(last.Hosts, m.state.Hosts, d.hosts)
+	v.hosts = fresh(last.hosts, m.hosts, d.hosts)
+	v.Leases = fresh(last.Leases, m.state.Leases, d.leases)
+	v.byHost = fresh(last.byHost, m.byHost, d.leases)
+	v.Groups = fresh(last.Groups, m.state.Groups, d.groups)
+	v.old = fresh(last.old, m.old, d.groups)
+	v.named = fresh(last.named, m.named, d.groups)
+	v.Draining = fresh(last.Draining, m.state.Draining, d.draining)
 	return v
 }
+
+func fresh[V any](last, now map[string]V, changed bool) map[string]V {
+	if changed {
+		return maps.Clone(now)
+	}
+	return last
+}
