control: test failover with a fault at each step

The test writes through the owners, replicates with lag and checks that there is one owner of a primary and that a new primary has every acknowledged write.

--- a/internal/control/attempt.go
+++ b/internal/control/attempt.go
@@ -50,7 +50,11 @@
 	if err != nil {
 		return err
 	}
-	a.chosen, err = choose(fenced, len(a.members), a.avoid)
+	members := len(a.members)
+	if a.opts.disabled.majority {
+		members = 1
+	}
+	a.chosen, err = choose(fenced, members, a.avoid)
 	if err != nil {
 		return err
 	}
--- a/internal/control/world_test.go
+++ b/internal/control/world_test.go
@@ -18,6 +18,9 @@
 
 var errSilent = errors.New("no answer")
 
+// controlView is the state at one control host.
+type controlView = control.View
+
 // world simulates control hosts with one log, entry hosts and backend servers
 // in one synctest bubble. All fields are guarded by mu.
 type world struct {
@@ -35,16 +38,20 @@
 	// after is called when a proposal was applied; an error replaces its answer.
 	after   func(step string) error
 	calls   map[string]int // calls by step
-	running sync.WaitGroup // entry hosts
+	running sync.WaitGroup // entry hosts and traffic
+	// endTraffic is set by startTraffic.
+	endTraffic context.CancelFunc
 }
 
 // server is a backend server.
 type server struct {
 	id, address string
 	down        bool
+	lost        time.Time // since when it is down
 	term        uint64
 	primary     bool
 	received    logpos.Position
+	from        logpos.Position // received before its last promotion
 	follows     string
 }
 
@@ -55,7 +62,7 @@
 	client    *controlrpc.Client
 	paused    bool // the process is stopped, and with it its heartbeats
 	silent    bool // it does not answer calls of the owner service
-	suspects  []string
+	deaf      bool // replies to its heartbeats are lost
 	reply     controlrpc.HeartbeatReply
 	until     time.Time
 	epochs    map[string]uint64 // revoked up to, by server
@@ -85,6 +92,7 @@
 					return errkind.New(errkind.StaleTerm, "fenced at %d", s.term)
 				}
 				if !s.primary {
+					s.from = s.received
 					s.received = logpos.Position{Term: term, LSN: s.received.LSN + 1}
 				}
 				s.term, s.primary = term, true
@@ -135,7 +143,7 @@
 					out = r
 				}
 			}
-			if w.after != nil && w.after(step) != nil {
+			if after := w.getAfter(); after != nil && after(step) != nil {
 				return nil, errkind.New(errkind.OutcomeUnknown, "the answer was lost")
 			}
 			return out, nil
@@ -155,6 +163,12 @@
 	}
 }
 
+func (w *world) getAfter() func(string) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.after
+}
+
 // lead makes another control host the leader.
 func (w *world) lead(i int) {
 	w.mu.Lock()
@@ -291,7 +305,12 @@
 func (h *host) beat(ctx context.Context) {
 	h.w.mu.Lock()
 	paused, sent := h.paused, time.Now()
-	args := &controlrpc.HeartbeatArgs{Host: h.info, Suspects: h.suspects}
+	args := &controlrpc.HeartbeatArgs{Host: h.info}
+	for id := range h.acts() {
+		if s := h.w.servers["at-"+id]; s.down && time.Since(s.lost) >= 500*time.Millisecond {
+			args.Suspects = append(args.Suspects, id)
+		}
+	}
 	h.w.mu.Unlock()
 	if paused {
 		return
@@ -304,6 +323,9 @@
 	}
 	h.w.mu.Lock()
 	defer h.w.mu.Unlock()
+	if h.deaf {
+		return
+	}
 	h.reply, h.until = *reply, sent.Add(reply.TTL)
 }
 
@@ -355,6 +377,29 @@
 	}
 }
 
+// setBefore replaces the failing steps.
+func (w *world) setBefore(f func(step string) error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.before = f
+}
+
+// allFollow reports whether every server of a steady group has been told to
+// follow the primary.
+func (w *world) allFollow(group string) bool {
+	v := w.view()
+	g := v.Groups[group]
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, id := range v.GroupServers(group) {
+		s := w.servers["at-"+id]
+		if s.term != g.Term || (id != g.Primary && s.follows != "at-"+g.Primary) {
+			return false
+		}
+	}
+	return g.Phase == controlrpc.PhaseSteady
+}
+
 // stop ends everything, which synctest requires.
 func (w *world) stop() {
 	w.mu.Lock()
@@ -364,6 +409,9 @@
 	for _, h := range hosts {
 		h.cancelled()
 	}
+	if w.endTraffic != nil {
+		w.endTraffic()
+	}
 	w.running.Wait()
 	for _, c := range w.controls {
 		c.OnLeader(false, 0)
