--- a/internal/control/assigner.go
+++ b/internal/control/assigner.go
@@ -33,6 +33,9 @@
 	logger   zerolog.Logger
 
 	wake chan struct{} // a lease was released
+	// lost is told of a primary whose owner has run out. Nobody observes that
+	// primary until the next owner has its lease.
+	lost func(group string)
 
 	mu       sync.Mutex
 	releases map[string]*release // of revoking leases, by server id; guarded by mu
@@ -44,11 +47,12 @@
 	done  bool // the holder has let go or has run out
 }
 
-func newAssigner(opts Options, log *Log, machine *Machine, sessions *Sessions) *Assigner {
+func newAssigner(opts Options, log *Log, machine *Machine, sessions *Sessions, lost func(group string)) *Assigner {
 	return &Assigner{
 		opts: opts, log: log, machine: machine, sessions: sessions,
 		logger:   opts.Logger.With().Str("part", "assigner").Logger(),
 		wake:     make(chan struct{}, 1),
+		lost:     lost,
 		releases: make(map[string]*release),
 	}
 }
@@ -79,6 +83,9 @@
 	var commands []Command
 	for _, l := range plan.Revoke {
 		commands = append(commands, Command{Revoke: &RevokeLease{Server: l.Server, Epoch: l.Epoch}})
+		if g := v.Groups[v.Servers[l.Server].Group]; g.Primary == l.Server && !a.sessions.Live(holder{l.Host, l.Incarnation}) {
+			a.lost(g.Name)
+		}
 	}
 	for server, to := range plan.Target {
 		l, ok := v.Leases[server]
--- a/internal/control/failover_test.go
+++ b/internal/control/failover_test.go
@@ -36,7 +36,7 @@
 		s.down = false
 	}
 	for _, h := range w.hosts {
-		h.paused, h.silent, h.deaf = false, false, false
+		h.paused, h.silent, h.deaf, h.mute = false, false, false, false
 	}
 }
 
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -33,8 +33,10 @@
 	if opts.disabled.newLeader {
 		l.sessions.start = time.Time{}
 	}
-	l.assigner = newAssigner(opts, log, machine, l.sessions)
 	l.failover = newFailover(opts, log, machine, l.sessions)
+	l.assigner = newAssigner(opts, log, machine, l.sessions, func(group string) {
+		l.failover.Request(group, CauseSuspect)
+	})
 	l.followers = newFollowers(opts, machine)
 	l.registrar = newRegistrar(ctx, opts, log)
 	l.cleaner = &cleaner{
--- /dev/null
+++ b/internal/control/lease_test.go
@@ -0,0 +1,201 @@
+package control_test
+
+import (
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/arbutusring/arbutusring/internal/control"
+	"github.com/arbutusring/arbutusring/internal/controlrpc"
+	"github.com/arbutusring/arbutusring/pkg/logpos"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// event is one fault of a schedule, after a delay.
+type event struct {
+	delay time.Duration
+	kind  string // pause, resume, cut, isolate, mend, restart, lead, drain, undrain
+	host  string
+}
+
+// play sets up three hosts with three servers, plays the events and returns
+// the violations that traffic found.
+func play(t *testing.T, opts control.Options, events []event) []string {
+	var out []string
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3, opts)
+		defer w.stop()
+		startGroup(w)
+		tr := w.startTraffic()
+		for _, e := range events {
+			time.Sleep(e.delay)
+			w.play(e)
+		}
+		time.Sleep(2 * time.Second)
+		w.mu.Lock()
+		for _, h := range w.hosts {
+			h.paused, h.silent, h.deaf, h.mute = false, false, false, false
+		}
+		w.mu.Unlock()
+		for _, h := range []string{"h1", "h2", "h3"} {
+			setDraining(w, h, true)
+		}
+		w.eventually(10*time.Second, "each server has an owner", func() bool {
+			return len(w.owners("s1")) == 1 && len(w.owners("s2")) == 1 && len(w.owners("s3")) == 1
+		})
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		out = tr.violations
+	})
+	return out
+}
+
+func (w *world) play(e event) {
+	switch e.kind {
+	case "lead":
+		_ = replaceLeader(w)
+	case "drain", "undrain":
+		setDraining(w, e.host, e.kind == "undrain")
+	case "restart":
+		w.mu.Lock()
+		old := w.hosts["at-"+e.host]
+		old.cancelled()
+		// The old process no longer acts on anything.
+		old.until = time.Time{}
+		w.mu.Unlock()
+		w.addHost(e.host, "restarted at "+time.Now().String(), old.info.DataCentre, old.info.Region)
+	default:
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		h := w.hosts["at-"+e.host]
+		switch e.kind {
+		case "pause":
+			h.paused = true
+		case "resume":
+			h.paused = false
+		case "cut":
+			h.silent, h.deaf = true, true
+		case "isolate":
+			h.silent, h.mute = true, true
+		case "mend":
+			h.silent, h.deaf, h.mute = false, false, false
+		}
+	}
+}
+
+// TestOneOwner guards against two hosts that act on one lease at the same
+// time, whatever is paused, cut off, restarted, drained or replaced.
+func TestOneOwner(t *testing.T) {
+	draw := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) event {
+		return event{
+			delay: time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond,
+			kind: rapid.SampledFrom([]string{
+				"pause", "pause", "resume", "cut", "isolate", "mend", "restart", "lead", "drain", "undrain",
+			}).Draw(t, "kind"),
+			host: rapid.SampledFrom([]string{"h1", "h2", "h3"}).Draw(t, "host"),
+		}
+	}), 1, 12)
+	rapid.Check(t, func(rt *rapid.T) {
+		events := draw.Draw(rt, "events")
+		if v := play(t, control.Options{}, events); len(v) > 0 {
+			rt.Fatalf("%s", strings.Join(v, "; "))
+		}
+	})
+}
+
+// TestOneOwnerMechanisms shows that the check of TestOneOwner detects the
+// absence of each mechanism that it relies on.
+func TestOneOwnerMechanisms(t *testing.T) {
+	ms := time.Millisecond
+	for _, tc := range []struct {
+		mechanism string
+		events    []event
+	}{
+		{"run out", []event{{500 * ms, "cut", "h1"}, {10 * ms, "drain", "h1"}}},
+		{"new leader", []event{{500 * ms, "isolate", "h1"}, {10 * ms, "lead", ""}}},
+	} {
+		for _, mechanism := range []string{"", tc.mechanism} {
+			t.Run(tc.mechanism+", off: "+mechanism, func(t *testing.T) {
+				is := is.New(t)
+				found := play(t, control.Options{}.Without(mechanism), tc.events)
+				is.Equal(len(found) > 0, mechanism != "")
+			})
+		}
+	}
+}
+
+// TestNewLeader guards against a new leader that takes a lease from a host
+// which renewed with the old leader just before, and against leaders that
+// move leases of hosts which are well.
+func TestNewLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 3, control.Options{})
+		defer w.stop()
+		startGroup(w)
+		time.Sleep(10 * time.Second) // placements have settled
+		before := w.view().Leases
+		for range 5 {
+			_ = replaceLeader(w)
+			time.Sleep(700 * time.Millisecond)
+		}
+		is.Equal(w.view().Leases, before)
+		for server := range before {
+			is.Equal(len(w.owners(server)), 1)
+		}
+		is.NoErr(w.controls[w.leader].Stop(t.Context())) // planned stop
+		time.Sleep(2 * time.Second)
+		is.Equal(w.view().Leases, before)
+		for server := range before {
+			is.Equal(len(w.owners(server)), 1)
+		}
+	})
+}
+
+// TestDrainHost guards against leases that stay at a draining host or come
+// back to it, and against a move that leaves the server without owner for
+// longer than the new owner's next heartbeat.
+func TestDrainHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3, control.Options{})
+		defer w.stop()
+		startGroup(w)
+		time.Sleep(10 * time.Second)
+		w.play(event{kind: "drain", host: "h1"})
+		w.eventually(400*time.Millisecond, "the lease has moved", func() bool {
+			o := w.owners("s1")
+			return len(o) == 1 && o[0] != "h1/a"
+		})
+		time.Sleep(5 * time.Second)
+		if l := w.view().Leases["s1"]; l.Host == "h1" {
+			t.Errorf("a draining host owns s1: %v", l)
+		}
+		w.play(event{kind: "undrain", host: "h1"})
+		w.eventually(8*time.Second, "the lease is back in the server's data centre", func() bool {
+			o := w.owners("s1")
+			return len(o) == 1 && o[0] == "h1/a"
+		})
+	})
+}
+
+// TestDepartingServer guards against a departing primary that stays primary,
+// and against a member that is forgotten when it departs.
+func TestDepartingServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 3, control.Options{})
+		defer w.stop()
+		startGroup(w)
+		s := w.view().Servers["s2"]
+		s.Departing = true
+		_, err := w.client().Announce(t.Context(), &controlrpc.AnnounceArgs{Server: s})
+		is.NoErr(err)
+		w.eventually(2*time.Second, "another primary", func() bool { p := w.primary("orders"); return p != "" && p != "s2" })
+		w.addServer("s9", "orders", "dc-h1", logpos.Position{})
+		time.Sleep(30 * time.Second)
+		is.Equal(w.view().Groups["orders"].Members, []string{"s1", "s2", "s3"})
+		is.True(w.allFollow("orders")) // also the server that is no member
+	})
+}
--- a/internal/control/world_test.go
+++ b/internal/control/world_test.go
@@ -62,6 +62,7 @@
 	client    *controlrpc.Client
 	paused    bool // the process is stopped, and with it its heartbeats
 	silent    bool // it does not answer calls of the owner service
+	mute      bool // its heartbeats are lost
 	deaf      bool // replies to its heartbeats are lost
 	reply     controlrpc.HeartbeatReply
 	until     time.Time
@@ -304,7 +305,7 @@
 // while the host is paused takes effect only once it goes on.
 func (h *host) beat(ctx context.Context) {
 	h.w.mu.Lock()
-	paused, sent := h.paused, time.Now()
+	paused, sent := h.paused || h.mute, time.Now()
 	args := &controlrpc.HeartbeatArgs{Host: h.info}
 	for id := range h.acts() {
 		if s := h.w.servers["at-"+id]; s.down && time.Since(s.lost) >= 500*time.Millisecond {
