--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -28,11 +28,13 @@
 	id     uint64
 	nc     net.Conn
 	r      *bufio.Reader
+	prober *prober
 	closed atomic.Bool
 
 	header  [headerLen]byte
 	answer  []byte // reused; holds the answer that is being read
 	request []byte // reused; holds a cycle together with the position query
+	sending sending
 }
 
 var _ io.Closer = (*Conn)(nil)
--- a/internal/backend/connect.go
+++ b/internal/backend/connect.go
@@ -28,7 +28,9 @@
 	}
 	c := &Conn{id: generation.Add(1), nc: nc, r: bufio.NewReaderSize(nc, readBufferLen)}
 	stop := c.guard(ctx)
-	err = c.startup(opts)
+	if c.prober, err = newProber(nc); err == nil {
+		err = c.startup(opts)
+	}
 	if !stop() && err == nil {
 		err = ctx.Err() // the guard has closed the connection
 	}
--- a/internal/backend/relay.go
+++ b/internal/backend/relay.go
@@ -87,7 +87,11 @@
 	if err := checkCycle(cycle); err != nil {
 		return c.fail(errkind.BadRequest, err, "not sent")
 	}
-	if err := c.probe(); err != nil {
+	err := c.prober.check()
+	if err == nil && c.r.Buffered() > 0 {
+		err = errUnsolicited
+	}
+	if err != nil {
 		return c.fail(errkind.ConnectFailed, err, "connection is not usable")
 	}
 	return nil
@@ -111,7 +115,8 @@
 // send writes req. A long request is written by a goroutine, which ends at
 // the latest when the connection is closed; req is not reused before wait.
 func (c *Conn) send(req []byte) *sending {
-	s := &sending{}
+	s := &c.sending
+	*s = sending{}
 	if len(req) < concurrentWriteLen {
 		s.n, s.err = c.nc.Write(req)
 		if s.err != nil {
--- a/internal/backend/relay_test.go
+++ b/internal/backend/relay_test.go
@@ -361,23 +361,61 @@
 	is.Equal(errkind.Of(err), errkind.ConnectFailed)
 }
 
-// BenchmarkRelay measures the time and the allocations of one relayed read
-// and of one relayed commit, including the stand-in in the same process.
-func BenchmarkRelay(b *testing.B) {
-	srv, err := standin.New(standin.Options{})
-	if err == nil {
-		err = srv.Start()
-	}
+// serveCanned answers every read from the connection with the same bytes and
+// allocates nothing, so that a benchmark counts the client's own allocations.
+func serveCanned(b *testing.B, answer []byte) string {
+	b.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		b.Fatal(err)
 	}
-	defer srv.Abort()
-	c := connect(b, srv.Address())
+	b.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		nc, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer nc.Close()
+		buf := make([]byte, 64<<10)
+		startup := append(message('R', "\x00\x00\x00\x00"), message('Z', "I")...)
+		for reply := startup; ; reply = answer {
+			if _, err := nc.Read(buf); err != nil {
+				return
+			}
+			if _, err := nc.Write(reply); err != nil {
+				return
+			}
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// BenchmarkRelay measures the time and the allocations of one cycle at the
+// client, with and without the position of its commit.
+func BenchmarkRelay(b *testing.B) {
 	cycle := query("SELECT v FROM kv WHERE k = 'a'")
-	b.ReportAllocs()
-	for b.Loop() {
-		if _, err := c.Relay(b.Context(), cycle, limit); err != nil {
-			b.Fatal(err)
+	answer := append(message('D', "\x00\x01\x00\x00\x00\x011"), append(message('C', "SELECT 1\x00"), message('Z', "I")...)...)
+	position := append(message('D', "\x00\x02\x00\x00\x00\x011\x00\x00\x00\x030/1"), message('Z', "I")...)
+	b.Run("read", func(b *testing.B) {
+		c := connect(b, serveCanned(b, answer))
+		ctx, cancel := context.WithTimeout(b.Context(), time.Hour)
+		defer cancel()
+		b.ReportAllocs()
+		for b.Loop() {
+			if _, err := c.Relay(ctx, cycle, limit); err != nil {
+				b.Fatal(err)
+			}
 		}
-	}
+	})
+	b.Run("commit", func(b *testing.B) {
+		c := connect(b, serveCanned(b, append(answer, position...)))
+		ctx, cancel := context.WithTimeout(b.Context(), time.Hour)
+		defer cancel()
+		b.ReportAllocs()
+		for b.Loop() {
+			if _, _, err := c.RelayCommit(ctx, cycle, limit); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
 }
--- a/internal/load/options.go
+++ b/internal/load/options.go
@@ -28,6 +28,7 @@
 	Sessions     int
 	ReadShare    float64       // share of reads, 0 to 1
 	MaxStaleness time.Duration // sent as arbutusring.max_staleness unless 0
+	Deadline     time.Duration // sent as arbutusring.deadline unless 0
 	Rate         float64       // operations/s of all sessions of the rank in an open loop; 0 for a closed loop
 	Think        time.Duration // pause between operations in a closed loop
 	MoveEvery    int           // operations after which a session moves to the next DSN; 0 for never
--- a/internal/load/session.go
+++ b/internal/load/session.go
@@ -15,6 +15,7 @@
 const (
 	paramRank         = "arbutusring.rank"
 	paramMaxStaleness = "arbutusring.max_staleness"
+	paramDeadline     = "arbutusring.deadline"
 	paramToken        = "arbutusring.session_token"
 )
 
@@ -172,6 +173,9 @@
 	if s.rank.MaxStaleness > 0 {
 		cfg.RuntimeParams[paramMaxStaleness] = s.rank.MaxStaleness.String()
 	}
+	if s.rank.Deadline > 0 {
+		cfg.RuntimeParams[paramDeadline] = s.rank.Deadline.String()
+	}
 	if s.token != "" {
 		cfg.RuntimeParams[paramToken] = s.token
 	}
--- a/internal/standin/failover_test.go
+++ b/internal/standin/failover_test.go
@@ -142,6 +142,46 @@
 	is.True(received.LSN > 10) // the writers did write
 }
 
+// TestFenceStopsReplication guards against a replica that stores records of
+// a lower term after the fence has been confirmed. Those records would be
+// missing from the position that the choice of the next primary is based on.
+func TestFenceStopsReplication(t *testing.T) {
+	is := is.New(t)
+	servers := group(t, 2, nil)
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	for i := range 4 {
+		c := connect(t, servers[0])
+		wg.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				sql := fmt.Sprintf("INSERT INTO kv (k, v) VALUES ('k%d-%d', '')", i, n)
+				if _, err := c.Relay(ctx, queryMessage(sql), 1<<20); err != nil && ctx.Err() == nil {
+					t.Error(err)
+					return
+				}
+			}
+		})
+	}
+	primary, replica := connect(t, servers[0]), connect(t, servers[1])
+	for term := uint64(2); term < 22; term++ {
+		before, _ := servers[1].Positions()
+		eventually(t, "records arrive", func() bool { received, _ := servers[1].Positions(); return received.Compare(before) > 0 })
+		fenced, err := replica.Fence(t.Context(), term)
+		is.NoErr(err)
+		time.Sleep(5 * time.Millisecond)
+		received, _ := servers[1].Positions()
+		is.Equal(received, fenced.Received)
+		_, err = primary.Fence(t.Context(), term)
+		is.NoErr(err)
+		_, err = primary.Promote(t.Context(), term)
+		is.NoErr(err)
+		_, err = replica.Follow(t.Context(), servers[0].Address(), term)
+		is.NoErr(err)
+	}
+}
+
 // TestRestartKeepsLog guards against losing committed records, the fence or
 // the role by a kill, and against reading a damaged log.
 func TestRestartKeepsLog(t *testing.T) {
