--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -3,13 +3,18 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
+	"maps"
+	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/arbutusring/arbutusring/internal/backend"
 	"github.com/arbutusring/arbutusring/internal/load"
 	"github.com/arbutusring/arbutusring/internal/standin"
+	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/matryer/is"
 )
 
@@ -124,6 +129,86 @@
 	is.Equal(report.Violations(), int64(0))
 }
 
+// entry is a fake entry that answers every write with a new session token, and
+// records the startup parameters of each connection.
+type entry struct {
+	mu      sync.Mutex
+	started []map[string]string
+	issued  []string
+}
+
+// run serves the connections of ln.
+func (e *entry) run(ln net.Listener) {
+	for {
+		nc, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		go e.runConn(nc)
+	}
+}
+
+func (e *entry) runConn(nc net.Conn) {
+	defer nc.Close()
+	b := pgproto3.NewBackend(nc, nc)
+	msg, err := b.ReceiveStartupMessage()
+	startup, ok := msg.(*pgproto3.StartupMessage)
+	if err != nil || !ok {
+		return
+	}
+	e.mu.Lock()
+	e.started = append(e.started, maps.Clone(startup.Parameters))
+	e.mu.Unlock()
+	b.Send(&pgproto3.AuthenticationOk{})
+	b.Send(&pgproto3.ParameterStatus{Name: "standard_conforming_strings", Value: "on"})
+	b.Send(&pgproto3.ParameterStatus{Name: "client_encoding", Value: "UTF8"})
+	b.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+	for b.Flush() == nil {
+		msg, err := b.Receive()
+		if _, ok := msg.(*pgproto3.Query); err != nil || !ok {
+			return
+		}
+		e.mu.Lock()
+		token := fmt.Sprint("token-", len(e.issued))
+		e.issued = append(e.issued, token)
+		e.mu.Unlock()
+		b.Send(&pgproto3.CommandComplete{CommandTag: []byte("INSERT 0 1")})
+		b.Send(&pgproto3.ParameterStatus{Name: "arbutusring.session_token", Value: token})
+		b.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+	}
+}
+
+// TestSessionsCarryTheirToken guards against sessions that move without the
+// token of their last write, which would make violations of the proxy's
+// guarantee look like faults of the load generator, or hide them.
+func TestSessionsCarryTheirToken(t *testing.T) {
+	is := is.New(t)
+	e := &entry{}
+	var dsns []string
+	for range 2 {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		defer ln.Close()
+		go e.run(ln)
+		dsns = append(dsns, "postgres://test@"+ln.Addr().String()+"/orders?sslmode=disable&default_query_exec_mode=simple_protocol")
+	}
+	report, err := load.Run(t.Context(), load.Options{
+		DSNs: dsns, Count: 9,
+		Ranks: []load.Rank{{Name: "urgent", Sessions: 1, MaxStaleness: 2 * time.Second, Deadline: time.Second, MoveEvery: 3}},
+	})
+	is.NoErr(err)
+	is.Equal(report.Ranks[0].OK, int64(9))
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	is.Equal(len(e.started), 3)
+	for i, want := range []string{"", "token-2", "token-5"} {
+		is.Equal(e.started[i]["arbutusring.session_token"], want)
+		is.Equal(e.started[i]["arbutusring.rank"], "urgent")
+		is.Equal(e.started[i]["arbutusring.max_staleness"], "2s")
+		is.Equal(e.started[i]["arbutusring.deadline"], "1s")
+	}
+}
+
 // TestRunRefusesBadOptions guards against runs without an end and against
 // runs that measure nothing.
 func TestRunRefusesBadOptions(t *testing.T) {
--- a/internal/standin/execute.go
+++ b/internal/standin/execute.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strconv"
+	"time"
 )
 
 // execute runs one statement. An error makes the caller fail the transaction.
@@ -100,20 +101,8 @@
 }
 
 // work holds a slot for the service time of a statement and extra.
-func (c *conn) work(ctx context.Context, extra func(context.Context) error) error {
-	select {
-	case c.srv.slots <- struct{}{}:
-	case <-ctx.Done():
-		return sqlErrorf(codeCancelled, "canceling statement due to user request")
-	}
-	defer func() { <-c.srv.slots }()
-	if err := sleep(ctx, c.srv.faults.delay(FaultServiceTime)); err != nil {
-		return err
-	}
-	if extra == nil {
-		return nil
-	}
-	return extra(ctx)
+func (c *conn) work(ctx context.Context, extra time.Duration) error {
+	return c.srv.slots.use(ctx, c.srv.faults.delay(FaultServiceTime)+extra)
 }
 
 func (e expr) value(params []string) string {
@@ -140,7 +129,7 @@
 }
 
 func (c *conn) selectConst(ctx context.Context, st *statement, params []string) (*result, error) {
-	if err := c.work(ctx, nil); err != nil {
+	if err := c.work(ctx, 0); err != nil {
 		return nil, err
 	}
 	columns, _ := describeColumns(st)
@@ -233,7 +222,7 @@
 			return nil, err
 		}
 	}
-	if err := c.work(ctx, nil); err != nil {
+	if err := c.work(ctx, 0); err != nil {
 		return nil, err
 	}
 	c.touched = true
@@ -310,7 +299,7 @@
 	if err := c.lockTargets(ctx, st, params); err != nil {
 		return nil, err
 	}
-	if err := c.work(ctx, nil); err != nil {
+	if err := c.work(ctx, 0); err != nil {
 		return nil, err
 	}
 	c.touched = true
--- a/internal/standin/functions.go
+++ b/internal/standin/functions.go
@@ -133,8 +133,7 @@
 		return nil, sqlErrorf(codeBadValue, "invalid number of seconds %q", args[0])
 	}
 	d := time.Duration(seconds * float64(time.Second))
-	err = c.work(ctx, func(ctx context.Context) error { return sleep(ctx, d) })
-	return [][]any{{""}}, err
+	return [][]any{{""}}, c.work(ctx, d)
 }
 
 // setFault switches a fault on behalf of a client. A silence spares the
--- a/internal/standin/sender.go
+++ b/internal/standin/sender.go
@@ -150,7 +150,7 @@
 	}
 	var list []replicaProgress
 	for id, p := range n.replicas {
-		if p.received != (logpos.Position{}) {
+		if p.sender.hello.Term == n.meta.PrimaryTerm && p.received != (logpos.Position{}) {
 			list = append(list, replicaProgress{id, p.received, p.applied})
 		}
 	}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -20,7 +20,7 @@
 	faults *faults
 	node   *node
 	locks  *rowLocks
-	slots  chan struct{}
+	slots  slots
 
 	listener net.Listener
 	ctx      context.Context // ends when the server is aborted
@@ -58,7 +58,7 @@
 		faults: newFaults(opts),
 		node:   n,
 		locks:  &rowLocks{held: make(map[rowKey]*rowLock)},
-		slots:  make(chan struct{}, opts.Slots),
+		slots:  newSlots(opts.Slots),
 		conns:  make(map[*conn]struct{}),
 	}
 	n.applyDelay = func() time.Duration { return s.faults.delay(FaultApplyDelay) }
