--- a/internal/backend/relay_test.go
+++ b/internal/backend/relay_test.go
@@ -28,11 +28,7 @@
 	is.NoErr(err)
 	is.NoErr(srv.Start())
 	t.Cleanup(srv.Abort)
-	c := connect(t, srv.Address())
-	_, err = c.Fence(t.Context(), 1)
-	is.NoErr(err)
-	_, err = c.Promote(t.Context(), 1)
-	is.NoErr(err)
+	is.NoErr(srv.Promote(1))
 	return srv
 }
 
@@ -157,7 +153,12 @@
 			srv := start(t, standin.Options{})
 			c := connect(t, srv.Address())
 			is.NoErr(srv.SetFault(tc.fault, tc.value))
-			ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+			timeout := 5 * time.Second
+			switch tc.fault {
+			case standin.FaultStallAnswer, standin.FaultSilent, standin.FaultFreeze:
+				timeout = 300 * time.Millisecond // no answer comes
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), timeout)
 			defer cancel()
 			_, err := c.Relay(ctx, tc.cycle, tc.limit)
 			is.Equal(errkind.Of(err), tc.kind)
@@ -176,7 +177,7 @@
 			is.NoErr(err)
 			found := types(answer.Messages) == "TDCZ"
 			// A frozen server executes the cycle some time after the freeze.
-			for deadline := time.Now().Add(time.Second); !found && tc.ran && time.Now().Before(deadline); {
+			for deadline := time.Now().Add(5*time.Second); !found && tc.ran && time.Now().Before(deadline); {
 				answer, err := fresh.Relay(t.Context(), query("SELECT k FROM kv"), limit)
 				is.NoErr(err)
 				found = types(answer.Messages) == "TDCZ"
@@ -346,11 +347,13 @@
 func TestConnectFails(t *testing.T) {
 	is := is.New(t)
 	srv := start(t, standin.Options{Connections: 1})
-	opts := backend.ConnOptions{Address: srv.Address(), Database: "orders", User: "test", DialTimeout: 200 * time.Millisecond}
-	_, err := backend.Connect(t.Context(), opts) // the helper's connection takes the only place
+	opts := backend.ConnOptions{Address: srv.Address(), Database: "orders", User: "test", DialTimeout: 5 * time.Second}
+	connect(t, srv.Address()) // takes the only place
+	_, err := backend.Connect(t.Context(), opts)
 	is.Equal(errkind.Of(err), errkind.ConnectFailed)
 	is.True(strings.Contains(err.Error(), "53300"))
 	is.NoErr(srv.SetFault(standin.FaultFreeze, "on"))
+	opts.DialTimeout = 200 * time.Millisecond
 	_, err = backend.Connect(t.Context(), opts)
 	is.Equal(errkind.Of(err), errkind.ConnectFailed)
 	is.NoErr(srv.SetFault(standin.FaultRefuse, "on"))
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"fmt"
 	"maps"
 	"net"
@@ -11,7 +10,6 @@
 	"testing"
 	"time"
 
-	"github.com/arbutusring/arbutusring/internal/backend"
 	"github.com/arbutusring/arbutusring/internal/load"
 	"github.com/arbutusring/arbutusring/internal/standin"
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -36,24 +34,9 @@
 func assign(t *testing.T, primary, replica *standin.Server) {
 	t.Helper()
 	is := is.New(t)
-	call := func(srv *standin.Server, f func(context.Context, *backend.Conn) error) {
-		c, err := backend.Connect(t.Context(), backend.ConnOptions{Address: srv.Address(), Database: "orders", User: "test"})
-		is.NoErr(err)
-		defer c.Close()
-		is.NoErr(f(t.Context(), c))
-	}
-	call(primary, func(ctx context.Context, c *backend.Conn) error {
-		if _, err := c.Fence(ctx, 1); err != nil {
-			return err
-		}
-		_, err := c.Promote(ctx, 1)
-		return err
-	})
+	is.NoErr(primary.Promote(1))
 	if replica != nil {
-		call(replica, func(ctx context.Context, c *backend.Conn) error {
-			_, err := c.Follow(ctx, primary.Address(), 1)
-			return err
-		})
+		is.NoErr(replica.Follow(primary, 1))
 	}
 }
 
@@ -95,10 +78,10 @@
 func TestRunFindsStaleReads(t *testing.T) {
 	is := is.New(t)
 	primary, dsn1 := start(t, standin.Options{ID: "m1"})
-	replica, dsn2 := start(t, standin.Options{ID: "m2", ApplyDelay: 400 * time.Millisecond})
+	replica, dsn2 := start(t, standin.Options{ID: "m2", ApplyDelay: time.Minute})
 	assign(t, primary, replica)
 	report, err := load.Run(t.Context(), load.Options{
-		DSNs: []string{dsn1, dsn2}, Seed: 1, Duration: 700 * time.Millisecond, Keys: 2,
+		DSNs: []string{dsn1, dsn2}, Seed: 1, Count: 200, Keys: 2,
 		Ranks: []load.Rank{{Name: "any", Sessions: 2, ReadShare: 0.5, MoveEvery: 10}},
 	})
 	is.NoErr(err)
--- a/internal/standin/server_test.go
+++ b/internal/standin/server_test.go
@@ -57,7 +57,7 @@
 func TestDelaysOfReplicas(t *testing.T) {
 	is := is.New(t)
 	servers := group(t, 2, func(i int) standin.Options {
-		return standin.Options{ReplicationDelay: 40 * time.Millisecond, ApplyDelay: 60 * time.Millisecond}
+		return standin.Options{ReplicationDelay: 40 * time.Millisecond, ApplyDelay: 500 * time.Millisecond}
 	})
 	c := connect(t, servers[0])
 	begun := time.Now()
@@ -67,7 +67,7 @@
 	is.True(time.Since(begun) >= 40*time.Millisecond)
 	is.True(applied(servers[1]) != pos)
 	eventually(t, "record is applied", func() bool { return applied(servers[1]) == pos })
-	is.True(time.Since(begun) >= 100*time.Millisecond)
+	is.True(time.Since(begun) >= 540*time.Millisecond)
 }
 
 // TestFaultsOfConnections guards against fault switches that reach further
--- a/internal/standin/sql_test.go
+++ b/internal/standin/sql_test.go
@@ -11,7 +11,9 @@
 	"github.com/arbutusring/arbutusring/internal/standin"
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 )
 
 // code returns the SQLSTATE of err, or the text of another error.
@@ -124,7 +126,7 @@
 // not committed, and against waiting for ever.
 func TestRowLocks(t *testing.T) {
 	is := is.New(t)
-	srv := group(t, 1, func(int) standin.Options { return standin.Options{Slots: 1, LockTimeout: 300 * time.Millisecond} })[0]
+	srv := group(t, 1, func(int) standin.Options { return standin.Options{Slots: 1, LockTimeout: time.Second} })[0]
 	a, b := client(t, srv, ""), client(t, srv, "")
 	exec := func(c *pgx.Conn, sql string) string {
 		_, err := c.Exec(t.Context(), sql)
@@ -141,11 +143,13 @@
 	is.Equal(exec(b, "UPDATE kv SET v = v || 'b' WHERE k = 'a'"), "55P03")
 
 	second := make(chan string)
-	go func() { second <- exec(b, "UPDATE kv SET v = v || 'b' WHERE k = 'a'") }()
+	go func() { // waits once; then it holds the lock
+		second <- exec(b, "UPDATE kv SET v = v || 'b' WHERE k = 'a'; UPDATE kv SET v = v || 'b' WHERE k = 'a'")
+	}()
 	time.Sleep(50 * time.Millisecond)
 	is.Equal(exec(a, "COMMIT"), "") // needs the only slot while b waits
 	is.Equal(<-second, "")
-	is.Equal(value(a), "ab")
+	is.Equal(value(a), "abb")
 
 	is.Equal(exec(a, "BEGIN"), "")
 	is.Equal(exec(a, "INSERT INTO kv (k, v) VALUES ('n', '1')"), "")
@@ -162,3 +166,32 @@
 	is.Equal(exec(a, "SELECT 1"), "") // the slot is free again
 	is.True(time.Since(begun) < 2*time.Second)
 }
+
+// TestAnyStatementIsAnswered guards against statements that end the server or
+// leave a connection out of step.
+func TestAnyStatementIsAnswered(t *testing.T) {
+	c := connect(t, group(t, 1, nil)[0])
+	words := strings.Fields("select insert into update delete from kv k v values ( ) , ; = 'x' '' 1 -1 $1 $0 * . || :: text set where on conflict do nothing " +
+		"update excluded returning count pg_sleep arbutusring_status arbutusring_fence begin commit rollback show discard all read only for update \" ' -- /* */ \\ é")
+	rapid.Check(t, func(t *rapid.T) {
+		sql := strings.Join(rapid.SliceOfN(rapid.SampledFrom(words), 1, 14).Draw(t, "words"), " ")
+		cycle := queryMessage(sql)
+		if rapid.Bool().Draw(t, "extended") {
+			var err error
+			cycle, err = (&pgproto3.Parse{Query: sql}).Encode(nil)
+			for _, m := range []pgproto3.FrontendMessage{&pgproto3.Describe{ObjectType: 'S'}, &pgproto3.Bind{}, &pgproto3.Execute{}, &pgproto3.Sync{}} {
+				if err == nil {
+					cycle, err = m.Encode(cycle)
+				}
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		if _, err := c.Relay(ctx, cycle, 1<<20); err != nil {
+			t.Fatalf("%q: %v", sql, err)
+		}
+	})
+}
