--- a/internal/backend/relay_test.go
+++ b/internal/backend/relay_test.go
@@ -177,7 +177,7 @@
 			is.NoErr(err)
 			found := types(answer.Messages) == "TDCZ"
 			// A frozen server executes the cycle some time after the freeze.
-			for deadline := time.Now().Add(5*time.Second); !found && tc.ran && time.Now().Before(deadline); {
+			for deadline := time.Now().Add(5 * time.Second); !found && tc.ran && time.Now().Before(deadline); {
 				answer, err := fresh.Relay(t.Context(), query("SELECT k FROM kv"), limit)
 				is.NoErr(err)
 				found = types(answer.Messages) == "TDCZ"
