--- a/internal/owner/answers_test.go
+++ b/internal/owner/answers_test.go
@@ -16,6 +16,7 @@
 // another request, while deadlines cut cycles off, connections go silent and
 // are replaced, and requests are sent twice.
 func TestAnswersBelongToTheirRequests(t *testing.T) {
+	t.Parallel()
 	run(t, owner.Options{}, func(t *testing.T, r *rig) {
 		random := rand.New(rand.NewPCG(3, 4))
 		done := make(chan bool)
--- a/internal/owner/bench_test.go
+++ b/internal/owner/bench_test.go
@@ -74,6 +74,7 @@
 // TestUrgentInFlood guards against bulk work delaying the urgent rank by more
 // than about the rest of one running statement.
 func TestUrgentInFlood(t *testing.T) {
+	t.Parallel()
 	random := rand.New(rand.NewPCG(1, 2))
 	var mu sync.Mutex
 	for _, tc := range []struct {
--- a/internal/owner/commit_test.go
+++ b/internal/owner/commit_test.go
@@ -1,6 +1,7 @@
 package owner_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/arbutusring/arbutusring/internal/ownerrpc"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
 	"github.com/arbutusring/arbutusring/pkg/logpos"
+	"github.com/arbutusring/arbutusring/pkg/policy"
 	"github.com/matryer/is"
 )
 
@@ -76,6 +78,44 @@
 	}
 }
 
+// TestMajorityCountsMembers guards against a wrong majority: of the wrong
+// size, of servers outside of the group, or of a group that is not known.
+func TestMajorityCountsMembers(t *testing.T) {
+	for _, tc := range []struct {
+		members  string // the primary is s1
+		replicas string // that have the write
+		want     bool
+	}{
+		{"s1", "", true},
+		{"s1 s2", "", false},
+		{"s1 s2", "s2", true},
+		{"s1 s2 s3", "", false},
+		{"s1 s2 s3", "s3", true},
+		{"s1 s2 s3", "s9", false},
+		{"s1 s2 s3 s4", "s2", false},
+		{"s1 s2 s3 s4", "s2 s2", false},
+		{"s1 s2 s3 s4", "s2 s4", true},
+		{"s1 s2 s3 s4 s5", "s2", false},
+		{"s1 s2 s3 s4 s5", "s2 s5", true},
+		{"", "s2 s3", false},
+		{"s2 s3", "s2 s3", false},
+	} {
+		t.Run(tc.members+" have "+tc.replicas, func(t *testing.T) {
+			run(t, owner.Options{}, func(t *testing.T, r *rig) {
+				is := is.New(t)
+				cfg, err := policy.Parse("policy.toml", configText)
+				is.NoErr(err)
+				r.state.Groups = map[string]controlrpc.Group{"orders": {Name: "orders", Term: 1, Members: strings.Fields(tc.members)}}
+				r.SetState(r.state, cfg)
+				r.server.set(func(f *fakeServer) { f.replicas = strings.Fields(tc.replicas) })
+				a := r.args(1, "INSERT a")
+				a.Budget = 50 * time.Millisecond
+				is.Equal(r.exec(a).Kind == errkind.OK, tc.want)
+			})
+		})
+	}
+}
+
 // TestRefusedBeforeSending guards against running a cycle that was refused,
 // and against refusing for the wrong reason.
 func TestRefusedBeforeSending(t *testing.T) {
--- a/internal/owner/execution.go
+++ b/internal/owner/execution.go
@@ -165,13 +165,14 @@
 }
 
 // checkTransaction checks what must hold when a cycle of a transaction is
-// about to be sent, and marks the cycle as started. It returns whether the transaction may write.
+// about to be sent, and marks the cycle as started. It returns whether the
+// transaction may write.
 func (x *execution) checkTransaction(ctx context.Context, tx *transaction) (bool, error) {
-	l, ok := x.server.leases.valid(x.server.id)
-	x.lease = l
 	if x.server.pool.isRetired(tx.conn) && !x.answers(ctx, tx.conn) {
 		return false, errkind.New(errkind.TransactionLost, "the connection of the transaction is silent")
 	}
+	l, ok := x.server.leases.valid(x.server.id)
+	x.lease = l
 	x.server.mu.Lock()
 	defer x.server.mu.Unlock()
 	switch {
--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -26,6 +26,7 @@
 	silentOld int           // connections up to this number do not answer
 	cutCommit bool          // the connection is lost after a commit, before its answer
 	reported  logpos.Position
+	replicas  []string // that have what was reported
 	outcomes  map[string]string
 	ran       []string // statements in the order of execution
 	mixed     bool     // two sessions used one transaction
@@ -40,7 +41,7 @@
 func newFakeServer() *fakeServer {
 	p := logpos.Position{Term: 1, LSN: 10}
 	return &fakeServer{
-		service: time.Millisecond, lag: 2 * time.Millisecond, outcomes: map[string]string{}, reported: p,
+		service: time.Millisecond, lag: 2 * time.Millisecond, outcomes: map[string]string{}, reported: p, replicas: []string{"s2"},
 		status: backend.Status{ServerID: "s1", Term: 1, Primary: true, Received: p, Applied: p},
 	}
 }
@@ -163,7 +164,11 @@
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
 	c.server.polls++
-	return []backend.Replica{{ServerID: "s2", Received: c.server.reported}, {ServerID: "s3"}}, nil
+	var all []backend.Replica
+	for _, id := range c.server.replicas {
+		all = append(all, backend.Replica{ServerID: id, Received: c.server.reported})
+	}
+	return all, nil
 }
 
 func (c *fakeConn) Relay(ctx context.Context, cycle []byte, limit int) (backend.Answer, error) {
--- a/internal/owner/monitor.go
+++ b/internal/owner/monitor.go
@@ -35,6 +35,7 @@
 	finished    uint64          // number of the last status poll that succeeded
 	advanced    uint64          // number of the last status poll that started before applied was advanced
 	members     map[string]bool // besides the server itself
+	alone       bool            // the server is the only member
 	confirmed   logpos.Position // received by a majority
 	acked       logpos.Position // highest position of an acknowledged write
 	commits     int             // cycles that wait for a majority
@@ -207,7 +208,7 @@
 			best[r.ServerID] = best[r.ServerID].Max(r.Received)
 		}
 	}
-	need := len(m.members) / 2 // replicas besides the primary
+	need := (len(m.members) + 1) / 2 // replicas besides the primary
 	if need == 0 || len(best) < need {
 		return logpos.Position{}, false
 	}
@@ -253,11 +254,15 @@
 	return m.probeFailed && time.Since(m.heard) > m.limits.SuspectAfter
 }
 
-// setMembers sets the other members of the group. The server itself must not
-// be among them; need counts it.
+// setMembers sets the members of the group. Without the server itself among
+// them the group is not known, and no majority can be confirmed.
 func (m *monitor) setMembers(self string, members []string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.alone = len(members) == 1 && members[0] == self
+	if !slices.Contains(members, self) {
+		members = nil
+	}
 	m.members = make(map[string]bool, len(members))
 	for _, id := range members {
 		if id != self {
@@ -315,7 +320,7 @@
 
 // waitMajority waits until a majority has received p.
 func (m *monitor) waitMajority(ctx context.Context, p logpos.Position) error {
-	ok := m.wait(ctx, &m.commits, func() bool { return len(m.members) == 0 || m.confirmed.Covers(p) })
+	ok := m.wait(ctx, &m.commits, func() bool { return m.alone || m.confirmed.Covers(p) })
 	if !ok {
 		return errkind.New(errkind.OutcomeUnknown, "no majority confirmed position %v in time", p)
 	}
--- a/internal/owner/outcome_test.go
+++ b/internal/owner/outcome_test.go
@@ -75,6 +75,7 @@
 // TestCancelRaces guards against confirming the cancellation of a cycle that
 // runs or will run, at any moment of the cycle and with several copies of it.
 func TestCancelRaces(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		step := rapid.IntRange(0, 60)
 		cancelAt := rapid.SliceOfN(step, 1, 3).Draw(rt, "cancel")
--- a/internal/owner/scheduler_test.go
+++ b/internal/owner/scheduler_test.go
@@ -35,6 +35,7 @@
 // rank, a lower rank before a higher one, a start after the deadline, and
 // slots that are never given back.
 func TestSchedulerProperties(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		slots := rapid.IntRange(1, 4).Draw(rt, "slots")
 		jobs := rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) *job {
@@ -146,6 +147,7 @@
 // TestFloorsHoldInFlood guards against starving a lower rank while a higher
 // one floods the server. Without floors the check must fail.
 func TestFloorsHoldInFlood(t *testing.T) {
+	t.Parallel()
 	for _, tc := range []struct {
 		name   string
 		floors []float64
