--- a/internal/owner/dump.go
+++ b/internal/owner/dump.go
@@ -21,18 +21,6 @@
 	Transactions []TransactionState      `json:"transactions"`
 }
 
-// TransactionState is an open transaction in the dump.
-type TransactionState struct {
-	Server  string        `json:"server"`
-	Entry   string        `json:"entry"`
-	Session uint64        `json:"session"`
-	Rank    string        `json:"rank"`
-	Primary bool          `json:"primary"`
-	Term    uint64        `json:"term"`
-	Busy    bool          `json:"busy"`
-	Idle    time.Duration `json:"idle"`
-}
-
 // Dump returns the state of the owner for operators, as a State.
 func (o *Owner) Dump() any {
 	st := State{Host: o.opts.Host, Suspects: o.Suspects(), Servers: o.Statuses()}
--- a/internal/owner/exec.go
+++ b/internal/owner/exec.go
@@ -38,6 +38,8 @@
 	if reply.Load.Server == "" && srv != nil {
 		reply.Load = srv.load()
 	}
+	reply.Load.Server = args.Server
+	reply.Load.Draining = reply.Load.Draining || reply.Kind == errkind.Draining
 	reply.ID = args.ID
 	if first {
 		o.outcomes.finish(rec, reply)
--- a/internal/owner/execution.go
+++ b/internal/owner/execution.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/arbutusring/arbutusring/internal/backend"
 	"github.com/arbutusring/arbutusring/internal/controlrpc"
 	"github.com/arbutusring/arbutusring/internal/ownerrpc"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
@@ -30,14 +29,6 @@
 	lease    controlrpc.HeldLease // at the moment of sending
 }
 
-// result is what a server answered to a cycle.
-type result struct {
-	answer   backend.Answer
-	position logpos.Position // valid if commit and TxStatus is 'I'
-	commit   bool            // RelayCommit was used
-	err      error
-}
-
 func (x *execution) run(ctx context.Context) {
 	var err error
 	switch {
@@ -282,9 +273,6 @@
 
 func (x *execution) release(slot Slot) { x.server.sched.Release(slot) }
 
-// clean reports whether the connection may serve another cycle.
-func (r *result) clean() bool { return r.err == nil && r.answer.TxStatus == 'I' }
-
 // answer turns a result into the reply. It waits for the majority if the
 // cycle may have committed a write.
 func (x *execution) answer(ctx context.Context, res result) error {
--- a/internal/owner/outcomestore.go
+++ b/internal/owner/outcomestore.go
@@ -90,7 +90,7 @@
 	for len(s.repeatable) > s.limits.OutcomeRecords/repeatableShare ||
 		(s.bytes > s.limits.OutcomeBytes && len(s.repeatable) > 0) {
 		s.forget(s.repeatable[0])
-		s.repeatable[0] = nil // lets go of the answer before the array moves
+		s.repeatable[0] = nil // the array keeps what it points to in memory
 		s.repeatable = s.repeatable[1:]
 	}
 	for s.bytes > s.limits.OutcomeBytes && s.firmBodies < len(s.firm) {
@@ -185,7 +185,7 @@
 	n := 0
 	for n < len(records) && time.Since(records[n].at) > s.limits.OutcomeKeep {
 		s.forget(records[n])
-		records[n] = nil
+		records[n] = nil // the array keeps what it points to in memory
 		n++
 	}
 	return n
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -32,7 +32,7 @@
 	servers  map[string]*server
 	closed   bool
 	draining bool
-	expelled bool // open transactions are over
+	noTx     bool // the time for open transactions has passed
 	running  int  // cycles in Exec
 }
 
@@ -154,6 +154,7 @@
 	s.stop = cancel
 	o.loops.Go(func() { s.monitor.run(ctx) })
 	o.loops.Go(func() { s.loop(ctx) })
+	s.log.Info().Str("address", s.address).Int("slots", v.slots()).Int("connections", v.connections()).Msg("serving the server")
 	return s
 }
 
@@ -224,7 +225,7 @@
 	switch {
 	case o.draining && !args.InTx:
 		return errkind.New(errkind.Draining, "the host is being shut down")
-	case o.expelled:
+	case o.noTx:
 		return errkind.New(errkind.TransactionLost, "the host is being shut down; the transaction was rolled back")
 	}
 	o.running++
@@ -244,11 +245,11 @@
 	o.mu.Lock()
 	o.draining = true
 	o.mu.Unlock()
-	expel := time.Now().Add(o.opts.Limits.DrainTx)
+	end := time.Now().Add(o.opts.Limits.DrainTx)
 	ticker := time.NewTicker(drainPoll)
 	defer ticker.Stop()
 	for {
-		if o.drained(!time.Now().Before(expel)) {
+		if o.drained(!time.Now().Before(end)) {
 			return nil
 		}
 		select {
@@ -262,8 +263,8 @@
 // drained reports whether nothing runs. A cycle that runs may leave a
 // transaction open, and a transaction may admit another cycle, so it looks
 // at the cycles before and after it looks at the transactions.
-func (o *Owner) drained(expel bool) bool {
-	if o.busy(expel) {
+func (o *Owner) drained(endTx bool) bool {
+	if o.busy(endTx) {
 		return false
 	}
 	for _, s := range o.list() {
@@ -274,13 +275,13 @@
 	return !o.busy(false)
 }
 
-// busy reports whether a cycle runs. With expel it ends open transactions.
-func (o *Owner) busy(expel bool) bool {
+// busy reports whether a cycle runs. With endTx it ends open transactions.
+func (o *Owner) busy(endTx bool) bool {
 	o.mu.Lock()
-	o.expelled = o.expelled || expel
+	o.noTx = o.noTx || endTx
 	running := o.running
 	o.mu.Unlock()
-	if expel {
+	if endTx {
 		for _, s := range o.list() {
 			s.endTransactions("the host is being shut down", func(*transaction) bool { return true })
 		}
--- a/internal/owner/rankqueue.go
+++ b/internal/owner/rankqueue.go
@@ -8,13 +8,6 @@
 // windowBuckets is the resolution of the sliding window of the floors.
 const windowBuckets = 10
 
-// RankSpec is what a Scheduler needs to know of a traffic rank.
-type RankSpec struct {
-	Name       string
-	Floor      float64 // share of slot time that the rank gets at least, 0 to 1
-	QueueLimit int     // cycles that may wait
-}
-
 // rankQueue is the queue and the account of one rank. Scheduler.mu guards it.
 type rankQueue struct {
 	spec       RankSpec
--- /dev/null
+++ b/internal/owner/result.go
@@ -0,0 +1,17 @@
+package owner
+
+import (
+	"github.com/arbutusring/arbutusring/internal/backend"
+	"github.com/arbutusring/arbutusring/pkg/logpos"
+)
+
+// result is what a server answered to a cycle.
+type result struct {
+	answer   backend.Answer
+	position logpos.Position // valid if commit and TxStatus is 'I'
+	commit   bool            // RelayCommit was used
+	err      error
+}
+
+// clean reports whether the connection may serve another cycle.
+func (r *result) clean() bool { return r.err == nil && r.answer.TxStatus == 'I' }
--- a/internal/owner/scheduler.go
+++ b/internal/owner/scheduler.go
@@ -12,14 +12,6 @@
 // serviceWeight is the weight of one observation in the smoothed service time.
 const serviceWeight = 8
 
-// SchedulerOptions configure a Scheduler.
-type SchedulerOptions struct {
-	Slots  int
-	Ranks  []RankSpec    // the first is served first
-	Window time.Duration // over which the floors hold
-	Now    func() time.Time
-}
-
 // Scheduler hands out the slots of one server.
 //
 // A free slot never stays idle while a cycle waits. A rank that is below its
--- a/internal/owner/server.go
+++ b/internal/owner/server.go
@@ -9,7 +9,6 @@
 	"github.com/arbutusring/arbutusring/internal/controlrpc"
 	"github.com/arbutusring/arbutusring/internal/ownerrpc"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
-	"github.com/arbutusring/arbutusring/pkg/logpos"
 	"github.com/rs/zerolog"
 )
 
@@ -41,15 +40,6 @@
 	baseline baseline
 }
 
-// baseline is a position of the primary that was read under a lease. Every
-// write that was acknowledged before that lease lies at or before it.
-type baseline struct {
-	epoch    uint64
-	term     uint64
-	position logpos.Position
-	known    bool
-}
-
 func newServer(o *Owner, v *serverView) *server {
 	s := &server{
 		id: v.spec.ID, group: v.spec.Group, address: v.spec.Address,
