--- a/internal/owner/answers_test.go
+++ b/internal/owner/answers_test.go
@@ -61,5 +61,10 @@
 				t.Error("a session had no cycle answered")
 			}
 		}
+		r.server.set(func(f *fakeServer) {
+			if f.mostOpen > 8 { // 10 announced, 2 reserved for control
+				t.Errorf("%d connections were open at one time", f.mostOpen)
+			}
+		})
 	})
 }
--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -32,6 +32,7 @@
 	mixed     bool     // two sessions used one transaction
 	conns     int
 	open      int
+	mostOpen  int
 	polls     int
 	hideRows  int               // lookups of outcomes that find nothing
 	commits   int               // transactions that were committed
@@ -83,6 +84,7 @@
 	}
 	f.conns++
 	f.open++
+	f.mostOpen = max(f.mostOpen, f.open)
 	return &fakeConn{server: f, number: f.conns, status: 'I', ended: make(chan struct{})}, nil
 }
 
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -98,8 +98,9 @@
 	closeAll(ended)
 }
 
-// SetLeases takes over the reply to a heartbeat that was sent at sentAt. It
-// ignores replies that are older than the newest one, and errors.
+// SetLeases takes over the reply to a heartbeat that was sent at sentAt, which
+// must carry the monotonic clock reading of time.Now. It ignores replies that
+// are older than the newest one, and errors.
 func (o *Owner) SetLeases(sentAt time.Time, reply *controlrpc.HeartbeatReply) {
 	if reply.Kind != errkind.OK || !o.leases.set(sentAt, reply) {
 		return
--- a/internal/owner/position.go
+++ b/internal/owner/position.go
@@ -60,7 +60,7 @@
 	if err != nil {
 		return logpos.Position{}, errkind.Wrap(errkind.NoPrimary, err, "reading the position of server %s", s.id)
 	}
-	if !st.Primary || st.Term > l.Term {
+	if !st.Primary || st.Term != l.Term {
 		return logpos.Position{}, errkind.New(errkind.NoPrimary, "server %s does not serve term %d as primary", s.id, l.Term)
 	}
 	pos := st.Received.Max(st.Applied)
