--- a/internal/owner/conn.go
+++ b/internal/owner/conn.go
@@ -13,7 +13,8 @@
 // The kind of an error of Relay and RelayCommit tells what happened:
 // errkind.ConnectFailed if certainly nothing was sent, errkind.ServerLost if
 // the cycle may have run and the connection is unusable, and
-// errkind.AnswerTooLarge if it ran. A call returns soon after ctx ends.
+// errkind.AnswerTooLarge if it ran; the answer then has a TxStatus but no
+// Messages. A call returns soon after ctx ends.
 type Conn interface {
 	// Relay sends a cycle and reads its answer of at most limit bytes.
 	Relay(ctx context.Context, cycle []byte, limit int) (backend.Answer, error)
--- a/internal/owner/exec_test.go
+++ b/internal/owner/exec_test.go
@@ -1,6 +1,7 @@
 package owner_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -10,6 +11,31 @@
 	"github.com/matryer/is"
 )
 
+// TestLargeAnswer guards against losing the transaction, the majority or the
+// position of a cycle that ran but whose answer exceeds the limit.
+func TestLargeAnswer(t *testing.T) {
+	run(t, owner.Options{MaxAnswerBytes: 60}, func(t *testing.T, r *harness) {
+		is := is.New(t)
+		long := strings.Repeat("x", 60)
+		got := r.exec(r.read(1, "SELECT "+long))
+		is.Equal(got.Kind, errkind.AnswerTooLarge)
+		r.begin(t, 2)
+		got = r.inTx(2, "SELECT "+long)
+		is.Equal(got.Kind, errkind.AnswerTooLarge)
+		is.Equal(got.TxStatus, byte('T'))
+		is.Equal(r.inTx(2, "COMMIT").Position, logpos.Position{Term: 1, LSN: 11})
+		start := time.Now()
+		got = r.exec(r.args(1, "UPDATE "+long))
+		is.Equal(got.Kind, errkind.AnswerTooLarge)
+		is.Equal(got.TxStatus, byte('I'))
+		is.Equal(got.Position, logpos.Position{Term: 1, LSN: 11})
+		is.True(time.Since(start) < 10*time.Millisecond)
+		r.server.set(func(f *fakeServer) { f.stalled = true })
+		is.Equal(r.exec(r.args(1, "INSERT a")).Kind, errkind.OutcomeUnknown)
+		is.Equal(r.exec(r.args(1, "UPDATE "+long)).Kind, errkind.OutcomeUnknown)
+	})
+}
+
 // TestExecAnswersReadsWritesAndTransactions guards the plain path: complete
 // answers, positions of writes only, and a transaction on one connection.
 func TestExecAnswersReadsWritesAndTransactions(t *testing.T) {
--- a/internal/owner/execution.go
+++ b/internal/owner/execution.go
@@ -60,7 +60,7 @@
 		return err
 	}
 	x.server.pool.put(c, res.clean() || x.owner.opts.Disabled.CleanReturn)
-	if res.err == nil && res.answer.TxStatus != 'I' && !x.owner.opts.Disabled.CleanReturn {
+	if res.open() && !x.owner.opts.Disabled.CleanReturn {
 		return errkind.New(errkind.Internal, "the cycle opened a transaction without being marked so; it was rolled back")
 	}
 	return x.answer(ctx, res)
@@ -134,7 +134,7 @@
 
 // answerTransaction answers a cycle that a transaction ran.
 func (x *execution) answerTransaction(ctx context.Context, res result, tx *transaction) error {
-	open := res.err == nil && res.answer.TxStatus != 'I'
+	open := res.open()
 	if reason := x.server.settle(tx, open, res.clean()); reason != "" {
 		return x.lost(reason, res)
 	}
@@ -296,7 +296,7 @@
 		return x.unknown(err)
 	}
 	if res.err != nil {
-		return res.err
+		x.reply.Kind, x.reply.Detail = kind, detail(res.err)
 	}
 	x.reply.Messages = res.answer.Messages
 	x.reply.TxStatus = res.answer.TxStatus
--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -178,7 +178,7 @@
 	return a, err
 }
 
-func (c *fakeConn) RelayCommit(ctx context.Context, cycle []byte, _ int) (backend.Answer, logpos.Position, error) {
+func (c *fakeConn) RelayCommit(ctx context.Context, cycle []byte, limit int) (backend.Answer, logpos.Position, error) {
 	if c.Closed() {
 		return backend.Answer{}, logpos.Position{}, errkind.New(errkind.ConnectFailed, "closed")
 	}
@@ -199,6 +199,10 @@
 		c.Close()
 		return backend.Answer{}, logpos.Position{}, errkind.New(errkind.ServerLost, "connection reset")
 	}
+	if len(a.Messages) > limit {
+		a.Messages = nil
+		return a, pos, errkind.New(errkind.AnswerTooLarge, "the limit is %d", limit)
+	}
 	return a, pos, nil
 }
 
--- a/internal/owner/options.go
+++ b/internal/owner/options.go
@@ -12,7 +12,8 @@
 
 // Options configure an Owner.
 type Options struct {
-	Host string // host id, reported in status answers
+	Host        string // host id, reported in status answers
+	Incarnation string // of the process; new at every start
 
 	// Connect opens a connection to a backend server for a database, which
 	// has the name of the group.
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -26,6 +26,7 @@
 // Cancel cancels a cycle that has not started.
 func (s *Service) Cancel(args *ownerrpc.CancelArgs, reply *ownerrpc.CancelReply) error {
 	s.owner.entries.touch(args.ID.Entry)
+	reply.Incarnation = s.owner.opts.Incarnation
 	reply.Confirmed = s.owner.outcomes.cancel(recordKey{args.ID, args.Server})
 	return nil
 }
@@ -34,6 +35,7 @@
 func (s *Service) Outcome(args *ownerrpc.OutcomeArgs, reply *ownerrpc.OutcomeReply) error {
 	s.owner.entries.touch(args.ID.Entry)
 	*reply = s.owner.outcomes.outcome(recordKey{args.ID, args.Server})
+	reply.Incarnation = s.owner.opts.Incarnation
 	return nil
 }
 
--- a/internal/owner/service_test.go
+++ b/internal/owner/service_test.go
@@ -17,7 +17,7 @@
 // TestServiceIsCallable guards against a method that net/rpc does not offer,
 // and against status and dump that do not show the server.
 func TestServiceIsCallable(t *testing.T) {
-	run(t, owner.Options{Host: "h1"}, func(t *testing.T, r *harness) {
+	run(t, owner.Options{Host: "h1", Incarnation: "n1"}, func(t *testing.T, r *harness) {
 		is := is.New(t)
 		srv := rpc.NewServer()
 		is.NoErr(srv.RegisterName("Owner", r.service))
@@ -37,9 +37,11 @@
 		cancelled, err := c.Cancel(ctx, "", &ownerrpc.CancelArgs{ID: a.ID, Server: "s1"})
 		is.NoErr(err)
 		is.True(!cancelled.Confirmed)
+		is.Equal(cancelled.Incarnation, "n1")
 		outcome, err := c.Outcome(ctx, "", &ownerrpc.OutcomeArgs{ID: a.ID, Server: "s1"})
 		is.NoErr(err)
 		is.Equal(outcome.Reply.Position, got.Position)
+		is.Equal(outcome.Incarnation, "n1")
 		is.NoErr(c.Release(ctx, "", &ownerrpc.ReleaseArgs{Entry: "e1", Session: 1, Server: "s1"}))
 		pos, err := c.Position(ctx, "", &ownerrpc.PositionArgs{Group: "orders"})
 		is.NoErr(err)
--- a/internal/ownerrpc/messages.go
+++ b/internal/ownerrpc/messages.go
@@ -76,8 +76,13 @@
 
 // CancelReply tells whether the cycle will never run. Confirmed is true also
 // for a cycle that the owner has not seen yet: it refuses it when it arrives.
+//
+// Incarnation is that of the answering host process. A process that restarted
+// knows nothing of the cycles before, so the entry trusts Confirmed only from
+// the incarnation that it sent the cycle to.
 type CancelReply struct {
-	Confirmed bool `codec:"c"`
+	Confirmed   bool   `codec:"c"`
+	Incarnation string `codec:"n"`
 }
 
 // OutcomeArgs asks for the stored answer of a cycle.
@@ -88,9 +93,10 @@
 
 // OutcomeReply carries the stored answer, if the owner has it.
 type OutcomeReply struct {
-	Found   bool      `codec:"f"`
-	Running bool      `codec:"r"` // the cycle is queued or running
-	Reply   ExecReply `codec:"a"`
+	Found       bool      `codec:"f"`
+	Running     bool      `codec:"r"` // the cycle is queued or running
+	Reply       ExecReply `codec:"a"`
+	Incarnation string    `codec:"n"` // of the answering host process, see CancelReply
 }
 
 // ReleaseArgs ends a session: its open transaction is rolled back.
