--- a/internal/owner/answers_test.go
+++ b/internal/owner/answers_test.go
@@ -16,7 +16,8 @@
 // another request, while deadlines cut cycles off, connections go silent and
 // are replaced, and requests are sent twice.
 func TestAnswersBelongToTheirRequests(t *testing.T) {
-	run(t, owner.Options{}, func(t *testing.T, r *rig) {
+	t.Parallel()
+	run(t, owner.Options{}, func(t *testing.T, r *harness) {
 		random := rand.New(rand.NewPCG(3, 4))
 		done := make(chan bool)
 		const sessions, cycles = 20, 30
@@ -60,5 +61,10 @@
 				t.Error("a session had no cycle answered")
 			}
 		}
+		r.server.set(func(f *fakeServer) {
+			if f.mostOpen > 8 { // 10 announced, 2 reserved for control
+				t.Errorf("%d connections were open at one time", f.mostOpen)
+			}
+		})
 	})
 }
--- a/internal/owner/execution.go
+++ b/internal/owner/execution.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/arbutusring/arbutusring/internal/backend"
 	"github.com/arbutusring/arbutusring/internal/controlrpc"
 	"github.com/arbutusring/arbutusring/internal/ownerrpc"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
@@ -30,14 +29,6 @@
 	lease    controlrpc.HeldLease // at the moment of sending
 }
 
-// result is what a server answered to a cycle.
-type result struct {
-	answer   backend.Answer
-	position logpos.Position // valid if commit and TxStatus is 'I'
-	commit   bool            // RelayCommit was used
-	err      error
-}
-
 func (x *execution) run(ctx context.Context) {
 	var err error
 	switch {
@@ -69,7 +60,7 @@
 		return err
 	}
 	x.server.pool.put(c, res.clean() || x.owner.opts.Disabled.CleanReturn)
-	if res.err == nil && res.answer.TxStatus != 'I' && !x.owner.opts.Disabled.CleanReturn {
+	if res.open() && !x.owner.opts.Disabled.CleanReturn {
 		return errkind.New(errkind.Internal, "the cycle opened a transaction without being marked so; it was rolled back")
 	}
 	return x.answer(ctx, res)
@@ -143,7 +134,7 @@
 
 // answerTransaction answers a cycle that a transaction ran.
 func (x *execution) answerTransaction(ctx context.Context, res result, tx *transaction) error {
-	open := res.err == nil && res.answer.TxStatus != 'I'
+	open := res.open()
 	if reason := x.server.settle(tx, open, res.clean()); reason != "" {
 		return x.lost(reason, res)
 	}
@@ -165,13 +156,14 @@
 }
 
 // checkTransaction checks what must hold when a cycle of a transaction is
-// about to be sent, and marks the cycle as started. It returns whether the transaction may write.
+// about to be sent, and marks the cycle as started. It returns whether the
+// transaction may write.
 func (x *execution) checkTransaction(ctx context.Context, tx *transaction) (bool, error) {
-	l, ok := x.server.leases.valid(x.server.id)
-	x.lease = l
 	if x.server.pool.isRetired(tx.conn) && !x.answers(ctx, tx.conn) {
 		return false, errkind.New(errkind.TransactionLost, "the connection of the transaction is silent")
 	}
+	l, ok := x.server.leases.valid(x.server.id)
+	x.lease = l
 	x.server.mu.Lock()
 	defer x.server.mu.Unlock()
 	switch {
@@ -281,9 +273,6 @@
 
 func (x *execution) release(slot Slot) { x.server.sched.Release(slot) }
 
-// clean reports whether the connection may serve another cycle.
-func (r *result) clean() bool { return r.err == nil && r.answer.TxStatus == 'I' }
-
 // answer turns a result into the reply. It waits for the majority if the
 // cycle may have committed a write.
 func (x *execution) answer(ctx context.Context, res result) error {
@@ -307,7 +296,7 @@
 		return x.unknown(err)
 	}
 	if res.err != nil {
-		return res.err
+		x.reply.Kind, x.reply.Detail = kind, detail(res.err)
 	}
 	x.reply.Messages = res.answer.Messages
 	x.reply.TxStatus = res.answer.TxStatus
--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -26,11 +26,13 @@
 	silentOld int           // connections up to this number do not answer
 	cutCommit bool          // the connection is lost after a commit, before its answer
 	reported  logpos.Position
+	replicas  []string // that have what was reported
 	outcomes  map[string]string
 	ran       []string // statements in the order of execution
 	mixed     bool     // two sessions used one transaction
 	conns     int
 	open      int
+	mostOpen  int
 	polls     int
 	hideRows  int               // lookups of outcomes that find nothing
 	commits   int               // transactions that were committed
@@ -40,7 +42,7 @@
 func newFakeServer() *fakeServer {
 	p := logpos.Position{Term: 1, LSN: 10}
 	return &fakeServer{
-		service: time.Millisecond, lag: 2 * time.Millisecond, outcomes: map[string]string{}, reported: p,
+		service: time.Millisecond, lag: 2 * time.Millisecond, outcomes: map[string]string{}, reported: p, replicas: []string{"s2"},
 		status: backend.Status{ServerID: "s1", Term: 1, Primary: true, Received: p, Applied: p},
 	}
 }
@@ -82,6 +84,7 @@
 	}
 	f.conns++
 	f.open++
+	f.mostOpen = max(f.mostOpen, f.open)
 	return &fakeConn{server: f, number: f.conns, status: 'I', ended: make(chan struct{})}, nil
 }
 
@@ -163,7 +166,11 @@
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
 	c.server.polls++
-	return []backend.Replica{{ServerID: "s2", Received: c.server.reported}, {ServerID: "s3"}}, nil
+	var all []backend.Replica
+	for _, id := range c.server.replicas {
+		all = append(all, backend.Replica{ServerID: id, Received: c.server.reported})
+	}
+	return all, nil
 }
 
 func (c *fakeConn) Relay(ctx context.Context, cycle []byte, limit int) (backend.Answer, error) {
@@ -171,7 +178,7 @@
 	return a, err
 }
 
-func (c *fakeConn) RelayCommit(ctx context.Context, cycle []byte, _ int) (backend.Answer, logpos.Position, error) {
+func (c *fakeConn) RelayCommit(ctx context.Context, cycle []byte, limit int) (backend.Answer, logpos.Position, error) {
 	if c.Closed() {
 		return backend.Answer{}, logpos.Position{}, errkind.New(errkind.ConnectFailed, "closed")
 	}
@@ -192,6 +199,10 @@
 		c.Close()
 		return backend.Answer{}, logpos.Position{}, errkind.New(errkind.ServerLost, "connection reset")
 	}
+	if len(a.Messages) > limit {
+		a.Messages = nil
+		return a, pos, errkind.New(errkind.AnswerTooLarge, "the limit is %d", limit)
+	}
 	return a, pos, nil
 }
 
--- a/internal/owner/options.go
+++ b/internal/owner/options.go
@@ -12,7 +12,8 @@
 
 // Options configure an Owner.
 type Options struct {
-	Host string // host id, reported in status answers
+	Host        string // host id, reported in status answers
+	Incarnation string // of the process; new at every start
 
 	// Connect opens a connection to a backend server for a database, which
 	// has the name of the group.
@@ -25,16 +26,6 @@
 	Disabled       Disabled // for tests only
 }
 
-// Disabled switches off single mechanisms, so that tests can show that they
-// detect the absence of each. It must be zero outside of tests.
-type Disabled struct {
-	Majority      bool // commits are answered without a majority
-	LeaseAtAnswer bool // the lease is not checked after a cycle was sent
-	Outcomes      bool // repeated requests are executed again
-	CleanReturn   bool // connections return to the pool in any transaction status
-	Floors        bool // ranks have no guaranteed minimum
-}
-
 func (o Options) withDefaults() Options {
 	if o.Registry == nil {
 		o.Registry = metrics.NewRegistry()
--- a/internal/owner/outcome_test.go
+++ b/internal/owner/outcome_test.go
@@ -14,13 +14,13 @@
 	"pgregory.net/rapid"
 )
 
-func (r *rig) cancel(a *ownerrpc.ExecArgs) bool {
+func (r *harness) cancel(a *ownerrpc.ExecArgs) bool {
 	var reply ownerrpc.CancelReply
 	_ = r.service.Cancel(&ownerrpc.CancelArgs{ID: a.ID, Server: a.Server}, &reply) // never an error
 	return reply.Confirmed
 }
 
-func (r *rig) outcome(a *ownerrpc.ExecArgs) (reply ownerrpc.OutcomeReply) {
+func (r *harness) outcome(a *ownerrpc.ExecArgs) (reply ownerrpc.OutcomeReply) {
 	_ = r.service.Outcome(&ownerrpc.OutcomeArgs{ID: a.ID, Server: a.Server}, &reply) // never an error
 	return reply
 }
@@ -40,7 +40,7 @@
 		{"mechanism off", true, time.Second, 2},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			run(t, owner.Options{Disabled: owner.Disabled{Outcomes: tc.off}}, func(t *testing.T, r *rig) {
+			run(t, owner.Options{Disabled: owner.Disabled{Outcomes: tc.off}}, func(t *testing.T, r *harness) {
 				is := is.New(t)
 				a := r.args(1, "INSERT a")
 				first := r.start(a)
@@ -61,7 +61,7 @@
 // TestRefusalIsRepeated guards against running a late copy of a request whose
 // refusal was answered as not run.
 func TestRefusalIsRepeated(t *testing.T) {
-	run(t, owner.Options{}, func(t *testing.T, r *rig) {
+	run(t, owner.Options{}, func(t *testing.T, r *harness) {
 		is := is.New(t)
 		r.lease(time.Hour, false, 1)
 		a := r.args(1, "INSERT a")
@@ -75,13 +75,14 @@
 // TestCancelRaces guards against confirming the cancellation of a cycle that
 // runs or will run, at any moment of the cycle and with several copies of it.
 func TestCancelRaces(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		step := rapid.IntRange(0, 60)
 		cancelAt := rapid.SliceOfN(step, 1, 3).Draw(rt, "cancel")
 		sendAt := rapid.SliceOfN(step, 1, 3).Draw(rt, "send")
 		load := rapid.IntRange(0, 8).Draw(rt, "load")
 		var fault string
-		run(t, owner.Options{}, func(_ *testing.T, r *rig) {
+		run(t, owner.Options{}, func(_ *testing.T, r *harness) {
 			for i := range load {
 				r.start(r.read(uint64(10+i), "SELECT 1"))
 			}
@@ -120,7 +121,7 @@
 // TestOutcomeMemoryIsBounded guards against unbounded growth, and against
 // executing a request again whose stored answer was dropped.
 func TestOutcomeMemoryIsBounded(t *testing.T) {
-	run(t, owner.Options{Limits: owner.Limits{OutcomeBytes: 200}}, func(t *testing.T, r *rig) {
+	run(t, owner.Options{Limits: owner.Limits{OutcomeBytes: 200}}, func(t *testing.T, r *harness) {
 		is := is.New(t)
 		first := r.args(1, "INSERT a")
 		is.Equal(r.exec(first).Kind, errkind.OK)
@@ -133,3 +134,27 @@
 		is.Equal(r.server.times("INSERT a"), 1)
 	})
 }
+
+// TestRefusalsDoNotBlockWrites guards against a flood of refused writes that
+// fills the store, and against forgetting a write that ran within seconds.
+func TestRefusalsDoNotBlockWrites(t *testing.T) {
+	run(t, owner.Options{Limits: owner.Limits{OutcomeRecords: 8}}, func(t *testing.T, r *harness) {
+		is := is.New(t)
+		first := r.args(1, "INSERT a")
+		is.Equal(r.exec(first).Kind, errkind.OK)
+		for range 100 {
+			late := r.args(1, "INSERT b")
+			late.Budget = -1
+			is.Equal(r.exec(late).Kind, errkind.DeadlineExceeded)
+		}
+		for range 7 {
+			is.Equal(r.exec(r.args(1, "INSERT c")).Kind, errkind.OK)
+		}
+		is.Equal(r.exec(r.args(1, "INSERT d")).Kind, errkind.Overloaded)
+		is.Equal(r.exec(first).Kind, errkind.OK)
+		is.Equal(r.server.times("INSERT a"), 1)
+		time.Sleep(11 * time.Second)
+		is.Equal(r.exec(r.args(1, "INSERT d")).Kind, errkind.OK)
+		is.True(r.Dump().(owner.State).Outcomes <= 8+2)
+	})
+}
