--- a/cmd/arbutusring/run_operator.go
+++ b/cmd/arbutusring/run_operator.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/arbutusring/arbutusring/internal/controlrpc"
+	"github.com/arbutusring/arbutusring/internal/health"
 	"github.com/arbutusring/arbutusring/internal/operator"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
 	"github.com/arbutusring/arbutusring/pkg/policy"
@@ -232,9 +233,15 @@
 func (c *commandLine) runHealth(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	var answer any
-	if err := c.client().Health(ctx, c.kind, c.selector, &answer); err != nil {
+	var answers []health.Answer
+	if err := c.client().Health(ctx, c.kind, c.selector, &answers); err != nil {
 		return err
 	}
-	return c.printJSON(answer)
+	if c.output == outputJSON {
+		return c.printJSON(answers)
+	}
+	for _, a := range answers {
+		fmt.Fprintf(c.stdout, "%-8s  %s  %s  facts up to %d ms old  %s\n", a.Status, a.Kind, a.Name, a.AgeMS, a.Cause)
+	}
+	return nil
 }
--- /dev/null
+++ b/internal/health/collector.go
@@ -0,0 +1,122 @@
+package health
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/arbutusring/arbutusring/internal/controlrpc"
+	"github.com/arbutusring/arbutusring/internal/ownerrpc"
+	"github.com/arbutusring/arbutusring/pkg/errkind"
+	"github.com/arbutusring/arbutusring/pkg/policy"
+)
+
+const (
+	// sampleSpan is the time between the two samples that rates come from.
+	sampleSpan = 250 * time.Millisecond
+	// sourceTimeout bounds the wait for one source; a slower one is silent.
+	sourceTimeout = 400 * time.Millisecond
+	// maxAsking bounds the owners that are asked at the same time.
+	maxAsking = 64
+)
+
+// Collector gathers the facts for a question. Its fields are set before use.
+type Collector struct {
+	Get    func(ctx context.Context, args *controlrpc.GetArgs) (*controlrpc.GetReply, error)
+	Status func(ctx context.Context, address string, args *ownerrpc.StatusArgs) (*ownerrpc.StatusReply, error)
+	// Local returns the state in force at this host, used when control does
+	// not answer.
+	Local func() controlrpc.State
+}
+
+// Ask answers a question within about 1 s. An error means that the question
+// is malformed; missing facts make answers unknown.
+func (c *Collector) Ask(ctx context.Context, q Question) ([]Answer, error) {
+	if _, err := policy.ParseSelector(q.Selector); err != nil {
+		return nil, errkind.Wrap(errkind.BadRequest, err, "question")
+	}
+	switch q.Kind {
+	case "", KindGroup, KindPool, KindRank, KindHost:
+	default:
+		return nil, errkind.New(errkind.BadRequest, "kind %q is not known", q.Kind)
+	}
+	in := c.state(ctx)
+	cfg, err := policy.Parse("configuration", in.State.ConfigText)
+	if err != nil {
+		return nil, errkind.Wrap(errkind.Internal, err, "configuration in force")
+	}
+	in.Config = cfg
+	owners := c.owners(q, &in)
+	in.Before = c.sample(ctx, owners)
+	select {
+	case <-time.After(sampleSpan):
+	case <-ctx.Done():
+	}
+	in.After = c.sample(ctx, owners)
+	return Evaluate(q, in)
+}
+
+func (c *Collector) state(ctx context.Context) Inputs {
+	ctx, cancel := context.WithTimeout(ctx, sourceTimeout)
+	defer cancel()
+	reply, err := c.Get(ctx, new(controlrpc.GetArgs))
+	if err != nil || reply.Kind != errkind.OK {
+		return Inputs{State: c.Local()}
+	}
+	in := Inputs{State: reply.State, Seen: reply.Seen}
+	if in.Seen == nil {
+		in.Seen = make(map[string]controlrpc.HostReport)
+	}
+	return in
+}
+
+// owners returns the addresses of the hosts that own a server which the
+// question concerns, so that its cost grows with what it selects.
+func (c *Collector) owners(q Question, in *Inputs) []string {
+	sel, err := policy.ParseSelector(q.Selector)
+	if err != nil || q.Kind == KindPool || q.Kind == KindHost {
+		return nil
+	}
+	seen := make(map[string]bool)
+	var addresses []string
+	for id, lease := range in.State.Leases {
+		g, ok := in.Config.Group(in.State.Servers[id].Group)
+		if q.Kind == KindGroup && (!ok || !sel.Matches(g.Name, g.Labels)) {
+			continue
+		}
+		address := in.State.Hosts[lease.Host].Address
+		if address != "" && !seen[address] {
+			seen[address] = true
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
+// sample asks owners at the same time.
+func (c *Collector) sample(ctx context.Context, owners []string) Sample {
+	ctx, cancel := context.WithTimeout(ctx, sourceTimeout)
+	defer cancel()
+	s := Sample{Servers: make(map[string]Observation)}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	limit := make(chan struct{}, maxAsking)
+	for _, address := range owners {
+		wg.Go(func() {
+			limit <- struct{}{}
+			defer func() { <-limit }()
+			reply, err := c.Status(ctx, address, new(ownerrpc.StatusArgs))
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			for _, st := range reply.Servers {
+				s.Servers[st.Server] = Observation{Host: reply.Host, Status: st}
+			}
+		})
+	}
+	wg.Wait()
+	s.At = time.Now()
+	return s
+}
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -27,6 +27,7 @@
 	"github.com/arbutusring/arbutusring/internal/caller"
 	"github.com/arbutusring/arbutusring/internal/controlrpc"
 	"github.com/arbutusring/arbutusring/internal/entry"
+	"github.com/arbutusring/arbutusring/internal/health"
 	"github.com/arbutusring/arbutusring/internal/operator"
 	"github.com/arbutusring/arbutusring/internal/owner"
 	"github.com/arbutusring/arbutusring/internal/ownerrpc"
@@ -85,7 +86,7 @@
 	})
 	p.entry = entry.New(entry.Options{
 		Host:     p.host,
-		Owners:   ownerrpc.Client{Call: p.callOwner},
+		Owners:   ownerrpc.Client{Call: p.pool.Call},
 		Logger:   opts.Logger.With().Str("part", "entry").Logger(),
 		Registry: p.registry,
 	})
@@ -142,16 +143,21 @@
 		Get:      p.control.Get,
 		Drain:    p.control.Drain,
 		Failover: p.control.Failover,
+		Health:   p.health,
 		Dump:     func() any { return p.Dump() },
 		Ready:    p.entry.Ready,
 		Registry: p.registry,
 	}
 }
 
-// callOwner calls the owner side of a host. A call to this host takes no
-// network, so that it works also when the peer listener is the fault.
-func (p *Entry) callOwner(ctx context.Context, address, method string, args, reply any) error {
-	return p.pool.Call(ctx, address, method, args, reply)
+// health answers a question about health; see package health.
+func (p *Entry) health(ctx context.Context, kind, selector string) (any, error) {
+	c := health.Collector{
+		Get:    p.control.Get,
+		Status: ownerrpc.Client{Call: p.pool.Call}.Status,
+		Local:  func() controlrpc.State { return *p.follower.state.Load() },
+	}
+	return c.Ask(ctx, health.Question{Kind: health.Kind(kind), Selector: selector})
 }
 
 // CallerAddress returns the address that callers connect to.
--- a/pkg/errkind/errkind_test.go
+++ b/pkg/errkind/errkind_test.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"os"
+	"strings"
 	"testing"
 
 	"github.com/arbutusring/arbutusring/pkg/errkind"
@@ -37,3 +39,23 @@
 		t.Error("a kind outside the list must have an unknown outcome")
 	}
 }
+
+// TestErrorPageMatchesTable guards against a documented outcome that differs
+// from the one that callers get.
+func TestErrorPageMatchesTable(t *testing.T) {
+	page, err := os.ReadFile("../../docs/errors.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, k := range errkind.Kinds() {
+		info := k.Info()
+		retry := "no"
+		if info.Retry {
+			retry = "yes"
+		}
+		row := fmt.Sprintf("| `%s` | %s | %s | %s |", k, info.SQLState, info.Outcome, retry)
+		if !strings.Contains(string(page), row) {
+			t.Errorf("docs/errors.md has no row %q", row)
+		}
+	}
+}
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"os"
 
 	"github.com/rs/zerolog"
 	"github.com/zeebo/errs"
@@ -98,13 +97,6 @@
 		c.fail("listen.callers", "a control process serves no callers")
 	}
 	c.present("control.data_folder", s.Control.DataFolder)
-	if s.Control.DataFolder != "" {
-		if info, err := os.Stat(s.Control.DataFolder); err != nil {
-			c.fail("control.data_folder", "%v", err)
-		} else if !info.IsDir() {
-			c.fail("control.data_folder", "%s is no folder", s.Control.DataFolder)
-		}
-	}
 	for id, a := range s.Control.Members {
 		c.address("control.members."+id, a)
 	}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -75,16 +75,29 @@
 	Level string `toml:"level"` // debug, info, warn or error
 }
 
-// Load reads and checks the settings of a process.
+// Load reads and checks the settings of a process that is about to start on
+// this host.
 func Load(file string, role Role) (Settings, error) {
 	text, err := os.ReadFile(file)
 	if err != nil {
 		return Settings{}, Error.Wrap(err)
 	}
-	return Parse(file, string(text), role)
+	cfg, err := Parse(file, string(text), role)
+	if err != nil || role != RoleControl {
+		return cfg, err
+	}
+	info, err := os.Stat(cfg.Control.DataFolder)
+	if err != nil {
+		return Settings{}, Error.New("%s: control.data_folder: %v", file, err)
+	}
+	if !info.IsDir() {
+		return Settings{}, Error.New("%s: control.data_folder: %s is no folder", file, cfg.Control.DataFolder)
+	}
+	return cfg, nil
 }
 
-// Parse is Load for a text that has been read already.
+// Parse checks settings without looking at the host, so that settings for
+// other hosts can be checked as well.
 func Parse(file, text string, role Role) (Settings, error) {
 	cfg := defaults()
 	if err := tomlstrict.Decode(file, text, &cfg); err != nil {
