--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -13,10 +13,11 @@
 
 	"github.com/arbutusring/arbutusring/internal/consensus"
 	"github.com/rs/zerolog"
+	"github.com/ugorji/go/codec"
 )
 
-// cluster is a set of nodes in one process, connected by function calls with
-// a delay of 1 ms.
+// cluster is a set of nodes in one process. Messages pass the codec and arrive
+// after 1 ms.
 type cluster struct {
 	t      testing.TB
 	dir    string
@@ -26,6 +27,7 @@
 	states map[string]*register
 	cut    map[string]bool // hosts without network
 	boot   []consensus.Member
+	codec  codec.MsgpackHandle
 }
 
 // register is the replicated state of the tests: the list of commands.
@@ -72,14 +74,18 @@
 }
 
 func (c *cluster) send(from string, to consensus.Member, m consensus.Message) {
+	var b []byte
+	codec.NewEncoderBytes(&b, &c.codec).MustEncode(m)
 	go func() {
 		time.Sleep(time.Millisecond)
 		c.mu.Lock()
 		n := c.nodes[to.Address]
 		blocked := c.cut[from] || c.cut[to.Address]
 		c.mu.Unlock()
+		var received consensus.Message
+		codec.NewDecoderBytes(b, &c.codec).MustDecode(&received)
 		if n != nil && !blocked {
-			n.Step(m)
+			n.Step(received)
 		}
 	}()
 }
--- a/internal/consensus/consensus.go
+++ b/internal/consensus/consensus.go
@@ -22,7 +22,9 @@
 //     refuses votes, also for that time after its own start. The read lease
 //     depends on it: it lasts from the time at which the leader sent the
 //     messages that a quorum answered, for 90% of the minimum election timeout.
-//     Clocks may therefore differ in rate by 10%.
+//     Clocks may therefore differ in rate by 10%. The clock of a process must
+//     go on while the process is stopped; a virtual machine that is suspended
+//     and resumed with its old clock breaks this.
 //   - A leader that asks another host to take over gives up its lease for the
 //     rest of its term, because the request may arrive late.
 //
--- /dev/null
+++ b/internal/consensus/machine_test.go
@@ -0,0 +1,74 @@
+package consensus_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/arbutusring/arbutusring/internal/consensus"
+	"github.com/arbutusring/arbutusring/internal/wal"
+	"github.com/matryer/is"
+)
+
+// TestCommitOfOwnTerm guards against the commit of an entry of an earlier
+// term by counting: a host with a newer log may still replace it.
+func TestCommitOfOwnTerm(t *testing.T) {
+	for _, test := range []struct {
+		off    string
+		commit uint64 // once a majority holds the entry of the earlier term
+	}{
+		{off: "", commit: 0},
+		{off: "commit of the own term only", commit: 2},
+	} {
+		is := is.New(t)
+		s := newSim(1, "", 3, 0)
+		s.run(200 * time.Millisecond)
+		a, b := s.hosts["a"], s.hosts["b"]
+		a.entries = append(a.entries, wal.Entry{Index: 2, Term: 2, Data: []byte("earlier")})
+		a.hardState.Term = 3
+		s.off = test.off
+		s.startHost(a)
+		now := a.local(s.now).Add(2 * simElection)
+		m := a.machine
+		m.Tick(now)
+		reply := func(kind consensus.MessageKind, index uint64) {
+			from := consensus.Member{ID: b.id, Incarnation: b.incarnation, Address: b.id}
+			to := consensus.Member{ID: a.id, Incarnation: a.incarnation}
+			m.Step(now, consensus.Message{Kind: kind, From: from, To: to, Term: 4, Index: index})
+			m.Output(now)
+		}
+		reply(consensus.MessagePreVoteReply, 0)
+		reply(consensus.MessageVoteReply, 0)
+		is.Equal(m.Role(), consensus.Leader)
+		is.Equal(m.Last(), uint64(3))
+		reply(consensus.MessageAppendReply, 2)
+		is.Equal(m.Commit(), test.commit)
+		reply(consensus.MessageAppendReply, 3)
+		is.Equal(m.Commit(), uint64(3))
+	}
+}
+
+// TestOtherIncarnation guards against a host whose disk was lost counting as
+// the voter that the membership names.
+func TestOtherIncarnation(t *testing.T) {
+	is := is.New(t)
+	s := newSim(1, "", 3, 0)
+	s.run(200 * time.Millisecond)
+	m := s.hosts["a"].machine
+	now := s.hosts["a"].local(s.now).Add(2 * simElection)
+	m.Tick(now)
+	is.Equal(m.Role(), consensus.PreCandidate)
+	reply := consensus.Message{
+		Kind: consensus.MessagePreVoteReply, Term: m.Term() + 1,
+		From: consensus.Member{ID: "b", Incarnation: "b2", Address: "b"},
+		To:   consensus.Member{ID: "a", Incarnation: "a1"},
+	}
+	m.Step(now, reply)
+	is.Equal(m.Role(), consensus.PreCandidate)
+	reply.To.Incarnation = "a0" // addressed to an earlier life of this host
+	reply.From.Incarnation = "b1"
+	m.Step(now, reply)
+	is.Equal(m.Role(), consensus.PreCandidate)
+	reply.To.Incarnation = "a1"
+	m.Step(now, reply)
+	is.Equal(m.Role(), consensus.Candidate)
+}
--- a/internal/consensus/membership_change.go
+++ b/internal/consensus/membership_change.go
@@ -69,7 +69,7 @@
 	if pending := m.configs[len(m.configs)-1].index; pending > m.commit {
 		return 0, 0, errkind.New(errkind.Conflict, "the membership change of entry %d is in progress", pending)
 	}
-	next, err := m.changed(change)
+	next, err := m.changed(now, change)
 	if err != nil {
 		return 0, 0, err
 	}
@@ -81,7 +81,7 @@
 }
 
 // changed checks the change and returns the resulting membership.
-func (m *Machine) changed(change Change) (members, error) {
+func (m *Machine) changed(now time.Time, change Change) (members, error) {
 	ms, key := m.members(), change.Member.key()
 	member, known := ms.find(key)
 	switch change.Kind {
@@ -96,7 +96,7 @@
 		member.Learner = true
 		return ms.with(member), nil
 	case Promote:
-		return m.promoted(member, known, key)
+		return m.promoted(now, member, known, key)
 	case Remove:
 		if !known {
 			return nil, errkind.New(errkind.BadRequest, "%s is no member", key)
@@ -109,7 +109,7 @@
 	return nil, errkind.New(errkind.BadRequest, "unknown membership change %q", change.Kind)
 }
 
-func (m *Machine) promoted(member Member, known bool, key string) (members, error) {
+func (m *Machine) promoted(now time.Time, member Member, known bool, key string) (members, error) {
 	if !known || !member.Learner {
 		return nil, errkind.New(errkind.BadRequest, "%s is no learner", key)
 	}
@@ -119,7 +119,7 @@
 		}
 	}
 	p := m.progress[key]
-	if p == nil || p.match == 0 || p.match+maxPromoteLag < m.log.last() {
+	if p == nil || p.match == 0 || p.match+maxPromoteLag < m.log.last() || now.Sub(p.contact) > m.opts.Election {
 		return nil, errkind.New(errkind.Conflict, "%s has not caught up yet", key)
 	}
 	member.Learner = false
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -17,6 +17,9 @@
 	inboxSize = 4096
 	// batchSize bounds the events that one cycle, and so one fsync, covers.
 	batchSize = 256
+	// maxCommandBytes bounds a command: heartbeats wait behind it on the
+	// connection, and it must fit into a record of the log.
+	maxCommandBytes = 8 << 20
 )
 
 // Node runs one member of the replicated log. Its methods are safe for
@@ -45,6 +48,7 @@
 	leadTerm uint64
 	applied  uint64
 	writing  bool // a snapshot is being written
+	warned   bool // the operator was told that this host must be added
 	snapshot uint64
 }
 
@@ -132,6 +136,9 @@
 }
 
 func (n *Node) propose(ctx context.Context, p *proposal) ([]byte, error) {
+	if len(p.command) > maxCommandBytes {
+		return nil, errkind.New(errkind.BadRequest, "command of %d bytes exceeds %d bytes", len(p.command), maxCommandBytes)
+	}
 	if v := n.view.Load(); v.role != Leader {
 		return nil, n.notLeader()
 	}
--- a/internal/consensus/node_loop.go
+++ b/internal/consensus/node_loop.go
@@ -62,7 +62,8 @@
 // message was sent would shorten the time for which this host refuses votes,
 // on which the lease of the sender depends.
 func (n *Node) step(m Message) {
-	if m.Kind == MessageHelloReply && m.Reject && n.machine.Empty() {
+	if m.Kind == MessageHelloReply && m.Reject && n.machine.Empty() && !n.warned && !n.opts.Join {
+		n.warned = true
 		n.opts.Logger.Warn().Str("id", n.self.ID).Str("incarnation", n.self.Incarnation).Str("peer", m.From.ID).
 			Msg("the data folder is empty, but the other host is initialised or was asked by another incarnation; " +
 				"this host must be added as a learner")
--- a/internal/consensus/options.go
+++ b/internal/consensus/options.go
@@ -16,6 +16,11 @@
 	// Bootstrap are the initial voters by id and address, this host included.
 	// It is used only while the folder was never initialised. With Join it
 	// only names the hosts that are asked to add this one.
+	//
+	// With more than one member, a host that lost its disk is told by the others
+	// that the cluster exists. A list of only this host has nobody to ask: it
+	// starts a new cluster in every empty folder. Remove it from the settings
+	// once other members were added.
 	Bootstrap []Member
 	Join      bool // never bootstrap; wait to be added with ChangeMembers
 
