--- /dev/null
+++ b/internal/control/choose_test.go
@@ -0,0 +1,69 @@
+package control_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/arbutusring/arbutusring/internal/control"
+	"github.com/arbutusring/arbutusring/pkg/errkind"
+	"github.com/arbutusring/arbutusring/pkg/logpos"
+	"pgregory.net/rapid"
+)
+
+// TestChoose guards against a primary that lacks a position which a majority
+// of the members has confirmed, whichever members answer and are to be
+// avoided, and against avoiding nobody where that would lose nothing.
+func TestChoose(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 7).Draw(t, "members")
+		members := make([]int, n)
+		positions := make([]uint64, n)
+		for i := range members {
+			members[i] = i
+			positions[i] = rapid.Uint64Range(0, 4).Draw(t, "position")
+		}
+		// The greatest confirmed position is the one that a majority has.
+		confirmed := uint64(0)
+		for p := range uint64(5) {
+			count := 0
+			for _, have := range positions {
+				if have >= p {
+					count++
+				}
+			}
+			if count > n/2 {
+				confirmed = p
+			}
+		}
+		order := rapid.Permutation(members).Draw(t, "order")
+		answered := rapid.IntRange(0, n).Draw(t, "answered")
+		avoided := rapid.SliceOfN(rapid.Bool(), n, n).Draw(t, "avoid")
+		fenced := make(map[string]control.MemberStatus)
+		allowed, allowedMax, top := 0, uint64(0), uint64(0)
+		for _, i := range order[:answered] {
+			fenced[fmt.Sprint(i)] = control.MemberStatus{Received: logpos.Position{Term: 1, LSN: positions[i]}}
+			top = max(top, positions[i])
+			if !avoided[i] {
+				allowed, allowedMax = allowed+1, max(allowedMax, positions[i])
+			}
+		}
+		avoid := func(id string) bool {
+			var i int
+			_, _ = fmt.Sscan(id, &i)
+			return avoided[i]
+		}
+		id, err := control.Choose(fenced, n, avoid)
+		if answered <= n/2 {
+			if errkind.Of(err) != errkind.NoMember {
+				t.Fatalf("chose %q by %d of %d members: %v", id, answered, n, err)
+			}
+			return
+		}
+		if err != nil || fenced[id].Received.LSN < confirmed {
+			t.Fatalf("chose %q at %v without %d: %v", id, fenced[id].Received, confirmed, err)
+		}
+		if allowed > 0 && allowedMax == top && avoid(id) {
+			t.Fatalf("chose %q, which is to be avoided", id)
+		}
+	})
+}
--- a/internal/control/export_test.go
+++ b/internal/control/export_test.go
@@ -46,3 +46,20 @@
 	plan := makePlan(v, yes, yes, yes, false)
 	return len(plan.Revoke), len(plan.Target)
 }
+
+// Choose is choose.
+var Choose = choose
+
+// PlanMoves plans for the given hosts, of which all are well but the dead.
+func PlanMoves(v *View, dead map[string]bool) (revoke []string, target map[string]string) {
+	live := func(h holder) bool { return !dead[h.host] }
+	plan := makePlan(v, live, live, live, false)
+	for _, l := range plan.Revoke {
+		revoke = append(revoke, l.Server)
+	}
+	target = make(map[string]string)
+	for id, h := range plan.Target {
+		target[id] = h.host
+	}
+	return revoke, target
+}
--- a/internal/control/lease_test.go
+++ b/internal/control/lease_test.go
@@ -28,6 +28,7 @@
 		w := newWorld(t, 3, opts)
 		defer w.stop()
 		startGroup(w)
+		time.Sleep(10 * time.Second) // each server is owned in its data centre
 		tr := w.startTraffic()
 		for _, e := range events {
 			time.Sleep(e.delay)
@@ -66,6 +67,22 @@
 		old.until = time.Time{}
 		w.mu.Unlock()
 		w.addHost(e.host, "restarted at "+time.Now().String(), old.info.DataCentre, old.info.Region)
+	case "isolate":
+		// Right after a heartbeat the host may act for the longest time.
+		for range 400 {
+			w.mu.Lock()
+			h := w.hosts["at-"+e.host]
+			h.mute = time.Until(h.until) > 1190*time.Millisecond
+			done := h.mute
+			w.mu.Unlock()
+			if done {
+				break
+			}
+			time.Sleep(time.Millisecond)
+		}
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.hosts["at-"+e.host].silent, w.hosts["at-"+e.host].mute = true, true
 	default:
 		w.mu.Lock()
 		defer w.mu.Unlock()
@@ -77,8 +94,6 @@
 			h.paused = false
 		case "cut":
 			h.silent, h.deaf = true, true
-		case "isolate":
-			h.silent, h.mute = true, true
 		case "mend":
 			h.silent, h.deaf, h.mute = false, false, false
 		}
--- /dev/null
+++ b/internal/control/service_test.go
@@ -0,0 +1,164 @@
+package control_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/arbutusring/arbutusring/internal/control"
+	"github.com/arbutusring/arbutusring/internal/controlrpc"
+	"github.com/arbutusring/arbutusring/pkg/errkind"
+	"github.com/matryer/is"
+)
+
+// TestOnlyLeaderAnswers guards against answers of a host that is not the
+// leader, or that may have been replaced without knowing it.
+func TestOnlyLeaderAnswers(t *testing.T) {
+	host := controlrpc.Host{ID: "h", Incarnation: "a", Address: "x"}
+	for _, tc := range []struct {
+		name   string
+		args   any
+		answer func() (any, *controlrpc.Answer)
+	}{
+		{"Heartbeat", &controlrpc.HeartbeatArgs{Host: host}, func() (any, *controlrpc.Answer) {
+			r := new(controlrpc.HeartbeatReply)
+			return r, &r.Answer
+		}},
+		{"Watch", &controlrpc.WatchArgs{}, func() (any, *controlrpc.Answer) {
+			r := new(controlrpc.WatchReply)
+			return r, &r.Answer
+		}},
+		{"Announce", &controlrpc.AnnounceArgs{}, func() (any, *controlrpc.Answer) {
+			r := new(controlrpc.AnnounceReply)
+			return r, &r.Answer
+		}},
+		{"Apply", &controlrpc.ApplyArgs{ChangeID: "c", Operator: "o"}, func() (any, *controlrpc.Answer) {
+			r := new(controlrpc.ApplyReply)
+			return r, &r.Answer
+		}},
+		{"Get", &controlrpc.GetArgs{}, func() (any, *controlrpc.Answer) {
+			r := new(controlrpc.GetReply)
+			return r, &r.Answer
+		}},
+		{"Drain", &controlrpc.DrainArgs{ID: "h", ChangeID: "c"}, func() (any, *controlrpc.Answer) {
+			r := new(controlrpc.DrainReply)
+			return r, &r.Answer
+		}},
+		{"Failover", &controlrpc.FailoverArgs{Group: "orders"}, func() (any, *controlrpc.Answer) {
+			r := new(controlrpc.FailoverReply)
+			return r, &r.Answer
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(t, 2, control.Options{})
+				defer w.stop()
+				ask := func(i int) controlrpc.Answer {
+					reply, answer := tc.answer()
+					is.NoErr(w.rpc(t.Context(), fmt.Sprint("control", i), "Control."+tc.name, tc.args, reply))
+					return *answer
+				}
+				is.Equal(ask(0).Kind, errkind.NotLeader) // no leader yet
+				w.lead(0)
+				synctest.Wait()
+				is.True(ask(0).Kind != errkind.NotLeader)
+				is.Equal(ask(1).Kind, errkind.NotLeader)
+				is.Equal(ask(1).Leader, "control0")
+				w.mu.Lock()
+				w.noLease = true
+				w.mu.Unlock()
+				is.Equal(ask(0).Kind, errkind.NotLeader) // the read lease has run out
+			})
+		})
+	}
+}
+
+// TestApplyThroughLostAnswers guards against a change that is applied twice or
+// reported as a conflict with itself when its answer is lost.
+func TestApplyThroughLostAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 3, control.Options{})
+		defer w.stop()
+		w.lead(0)
+		for i := range uint64(20) {
+			loseAnswer("other")(w, nil)
+			if i%5 == 0 {
+				at("propose other", 1, replaceLeader)(w, nil)
+			}
+			reply, err := w.client().Apply(t.Context(), &controlrpc.ApplyArgs{
+				ChangeID: fmt.Sprint("c", i), Operator: "ann", BaseVersion: i, Text: config(int(i) + 1),
+			})
+			is.NoErr(err)
+			is.Equal(reply.Kind, errkind.OK)
+			is.Equal(reply.Version, i+1)
+			w.setBefore(nil)
+		}
+		reply, err := w.client().Apply(t.Context(), &controlrpc.ApplyArgs{
+			ChangeID: "other", Operator: "bob", BaseVersion: 19, Text: config(1),
+		})
+		is.NoErr(err)
+		is.Equal(reply.Kind, errkind.Conflict)
+		is.Equal(reply.WonBy, "ann")
+		is.Equal(reply.WonChange, "c19")
+		bad, err := w.client().Apply(t.Context(), &controlrpc.ApplyArgs{
+			ChangeID: "bad", Operator: "bob", BaseVersion: 20, Text: "[[database_group]]\nnam = 1",
+		})
+		is.NoErr(err)
+		is.Equal(bad.Kind, errkind.BadRequest)
+		is.True(strings.Contains(bad.Detail, "policy.toml:2")) // file and line
+	})
+}
+
+// TestWatch guards against a state that reaches entry hosts late, and against
+// a long poll that outlives the leadership.
+func TestWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 2, control.Options{})
+		defer w.stop()
+		w.lead(0)
+		synctest.Wait()
+		watch := func(since uint64) (*controlrpc.WatchReply, time.Duration) {
+			start, reply := time.Now(), new(controlrpc.WatchReply)
+			is.NoErr(w.rpc(t.Context(), "control0", "Control.Watch", &controlrpc.WatchArgs{Since: since, Wait: 10 * time.Second}, reply))
+			return reply, time.Since(start)
+		}
+		w.running.Go(func() {
+			time.Sleep(time.Second)
+			_, err := w.client().Apply(t.Context(), &controlrpc.ApplyArgs{ChangeID: "c", Operator: "o", Text: config(1)})
+			is.NoErr(err)
+			time.Sleep(time.Second)
+			w.lead(1)
+		})
+		reply, took := watch(0)
+		is.True(reply.Changed)
+		is.Equal(reply.State.ConfigText, config(1))
+		is.True(took < 1100*time.Millisecond)
+		reply, took = watch(reply.State.Version)
+		is.Equal(reply.Kind, errkind.NotLeader)
+		is.True(took < 1100*time.Millisecond)
+	})
+}
+
+// TestDump guards against a dump that cannot be encoded, or whose keys are not
+// in snake_case.
+func TestDump(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 3, control.Options{})
+		defer w.stop()
+		startGroup(w)
+		data, err := json.Marshal(w.controls[0].Dump())
+		is.NoErr(err)
+		text := string(data)
+		for _, key := range []string{`"leading":true`, `"config_version":1`, `"phase":"steady"`, `"won_by":"op"`, `"incarnation":"a"`} {
+			is.True(strings.Contains(text, key))
+		}
+		is.Equal(text, strings.ToLower(text)) // every key and id
+	})
+}
--- a/internal/control/world_test.go
+++ b/internal/control/world_test.go
@@ -28,6 +28,7 @@
 	mu       sync.Mutex
 	controls []*control.Control
 	leader   int
+	noLease  bool // the leader has lost its quorum and does not know yet
 	term     uint64
 	entries  [][]byte
 	servers  map[string]*server // by address
@@ -149,8 +150,12 @@
 			}
 			return out, nil
 		},
-		IsLeader:    leads,
-		LeaseValid:  leads,
+		IsLeader: leads,
+		LeaseValid: func() bool {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			return w.leader == i && !w.noLease
+		},
 		ReadBarrier: func(ctx context.Context) error { return ctx.Err() },
 		Leader: func() (string, bool) {
 			w.mu.Lock()
--- /dev/null
+++ b/internal/controlrpc/client_test.go
@@ -0,0 +1,105 @@
+package controlrpc_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/arbutusring/arbutusring/internal/controlrpc"
+	"github.com/arbutusring/arbutusring/pkg/errkind"
+	"github.com/matryer/is"
+)
+
+// script says how control hosts answer. Its methods are not concurrent.
+type script struct {
+	leader string            // answers; the others refer to it
+	hints  map[string]string // what the others say instead
+	broken map[string]error  // transport errors
+	silent map[string]bool   // never answer
+	unsure int               // first answers of the leader that are outcome_unknown
+	calls  []string
+}
+
+func (s *script) call(ctx context.Context, address, _ string, _, reply any) error {
+	s.calls = append(s.calls, address)
+	if s.silent[address] {
+		<-ctx.Done()
+		return errkind.Wrap(errkind.ServerLost, ctx.Err(), "%s", address)
+	}
+	if err := s.broken[address]; err != nil {
+		return err
+	}
+	r := reply.(*controlrpc.ApplyReply)
+	if address != s.leader {
+		r.Kind, r.Leader, r.Detail = errkind.NotLeader, s.leader, "stale"
+		if hint, ok := s.hints[address]; ok {
+			r.Leader = hint
+		}
+		return nil
+	}
+	if s.unsure > 0 {
+		s.unsure--
+		r.Kind, r.WonBy = errkind.OutcomeUnknown, "stale"
+		return nil
+	}
+	r.Version = 7
+	return nil
+}
+
+// TestClient guards against a client that gives up while a leader exists,
+// that stays with a host which is not the leader, or that states a wrong
+// outcome.
+func TestClient(t *testing.T) {
+	refused := errkind.New(errkind.ConnectFailed, "refused")
+	lost := errkind.New(errkind.ServerLost, "lost")
+	for _, tc := range []struct {
+		name   string
+		script script
+		limit  time.Duration // of the call; 0 is 10 s
+		want   errkind.Kind  // of the error
+		within time.Duration
+	}{
+		{"leader hint", script{leader: "c"}, 0, errkind.OK, 50 * time.Millisecond},
+		{"leader outside the list", script{leader: "x"}, 0, errkind.OK, 100 * time.Millisecond},
+		{"no hints", script{leader: "c", hints: map[string]string{"a": "", "b": ""}}, 0, errkind.OK, 100 * time.Millisecond},
+		{"hints in a circle", script{leader: "c", hints: map[string]string{"a": "b", "b": "a"}}, 0, errkind.OK, time.Second},
+		{"hint to itself", script{leader: "c", hints: map[string]string{"a": "a", "b": "b"}}, 0, errkind.OK, time.Second},
+		{"others unreachable", script{leader: "c", broken: map[string]error{"a": refused, "b": lost}}, 0, errkind.OK, 100 * time.Millisecond},
+		{"others silent", script{leader: "c", silent: map[string]bool{"a": true, "b": true}}, 0, errkind.OK, 7 * time.Second},
+		{"answer lost at first", script{leader: "c", unsure: 2}, 0, errkind.OK, time.Second},
+		{"no leader", script{}, time.Second, errkind.NotLeader, 2 * time.Second},
+		{"all unreachable", script{broken: map[string]error{"a": refused, "b": refused, "c": refused}}, time.Second, errkind.NotLeader, 2 * time.Second},
+		{"answer lost for ever", script{leader: "c", unsure: 1 << 30}, time.Second, errkind.OutcomeUnknown, 2 * time.Second},
+		{"lost after sending", script{broken: map[string]error{"a": lost, "b": refused, "c": refused}}, time.Second, errkind.OutcomeUnknown, 2 * time.Second},
+		{"unknown transport error", script{broken: map[string]error{"a": errors.New("?"), "b": refused, "c": refused}}, time.Second, errkind.OutcomeUnknown, 2 * time.Second},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := tc.script
+				c := &controlrpc.Client{Addresses: []string{"a", "b", "c"}, Call: s.call}
+				limit := tc.limit
+				if limit == 0 {
+					limit = 10 * time.Second
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), limit)
+				defer cancel()
+				start := time.Now()
+				reply, err := c.Apply(ctx, &controlrpc.ApplyArgs{ChangeID: "c1"})
+				is.Equal(errkind.Of(err), tc.want)
+				is.True(time.Since(start) <= tc.within)
+				if err != nil {
+					return
+				}
+				is.Equal(fmt.Sprint(*reply), fmt.Sprint(controlrpc.ApplyReply{Version: 7})) // nothing of earlier answers
+				s.calls = nil
+				_, err = c.Apply(ctx, &controlrpc.ApplyArgs{ChangeID: "c2"})
+				is.NoErr(err)
+				is.Equal(s.calls, []string{s.leader}) // the leader is remembered
+			})
+		})
+	}
+}
