--- a/internal/control/lease_test.go
+++ b/internal/control/lease_test.go
@@ -16,8 +16,8 @@
 // event is one fault of a schedule, after a delay.
 type event struct {
 	delay time.Duration
-	kind  string // pause, resume, cut, isolate, mend, restart, lead, drain, undrain
-	host  string
+	kind  string // pause, resume, cut, isolate, mend, restart, lead, drain, undrain, kill, revive, lag, request
+	host  string // h1 to h3; kill, revive and lag mean the server of that number
 }
 
 // play sets up three hosts with three servers, plays the events and returns
@@ -32,20 +32,17 @@
 		tr := w.startTraffic()
 		for _, e := range events {
 			time.Sleep(e.delay)
-			w.play(e)
+			w.play(e, tr)
 		}
 		time.Sleep(2 * time.Second)
-		w.mu.Lock()
-		for _, h := range w.hosts {
-			h.paused, h.silent, h.deaf, h.mute = false, false, false, false
-		}
-		w.mu.Unlock()
+		revive(w, tr)
 		for _, h := range []string{"h1", "h2", "h3"} {
 			setDraining(w, h, true)
 		}
-		w.eventually(10*time.Second, "each server has an owner", func() bool {
-			return len(w.owners("s1")) == 1 && len(w.owners("s2")) == 1 && len(w.owners("s3")) == 1
+		w.eventually(15*time.Second, "each server has an owner and follows", func() bool {
+			return len(w.owners("s1")) == 1 && len(w.owners("s2")) == 1 && len(w.owners("s3")) == 1 && w.allFollow("orders")
 		})
+		tr.progress(time.Second)
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		out = tr.violations
@@ -53,10 +50,14 @@
 	return out
 }
 
-func (w *world) play(e event) {
+func (w *world) play(e event, tr *traffic) {
 	switch e.kind {
 	case "lead":
 		_ = replaceLeader(w)
+	case "request":
+		if w.view().Groups["orders"].Phase != controlrpc.PhaseWaiting {
+			request(w, tr)
+		}
 	case "drain", "undrain":
 		setDraining(w, e.host, e.kind == "undrain")
 	case "restart":
@@ -86,8 +87,14 @@
 	default:
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		h := w.hosts["at-"+e.host]
+		h, s := w.hosts["at-"+e.host], w.servers["at-s"+e.host[1:]]
 		switch e.kind {
+		case "kill":
+			s.down, s.lost = true, time.Now()
+		case "revive":
+			s.down = false
+		case "lag":
+			tr.lag = map[string]bool{s.id: true}
 		case "pause":
 			h.paused = true
 		case "resume":
@@ -100,14 +107,17 @@
 	}
 }
 
-// TestOneOwner guards against two hosts that act on one lease at the same
-// time, whatever is paused, cut off, restarted, drained or replaced.
+// TestOneOwner guards against two hosts that act on one lease or as owners of
+// a primary at the same time, against a primary without acknowledged writes,
+// and against a group that does not recover, whatever is paused, cut off,
+// restarted, drained, killed or replaced.
 func TestOneOwner(t *testing.T) {
 	draw := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) event {
 		return event{
 			delay: time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond,
 			kind: rapid.SampledFrom([]string{
 				"pause", "pause", "resume", "cut", "isolate", "mend", "restart", "lead", "drain", "undrain",
+				"kill", "kill", "revive", "lag", "request",
 			}).Draw(t, "kind"),
 			host: rapid.SampledFrom([]string{"h1", "h2", "h3"}).Draw(t, "host"),
 		}
@@ -178,7 +188,7 @@
 		defer w.stop()
 		startGroup(w)
 		time.Sleep(10 * time.Second)
-		w.play(event{kind: "drain", host: "h1"})
+		setDraining(w, "h1", false)
 		w.eventually(400*time.Millisecond, "the lease has moved", func() bool {
 			o := w.owners("s1")
 			return len(o) == 1 && o[0] != "h1/a"
@@ -187,7 +197,7 @@
 		if l := w.view().Leases["s1"]; l.Host == "h1" {
 			t.Errorf("a draining host owns s1: %v", l)
 		}
-		w.play(event{kind: "undrain", host: "h1"})
+		setDraining(w, "h1", true)
 		w.eventually(8*time.Second, "the lease is back in the server's data centre", func() bool {
 			o := w.owners("s1")
 			return len(o) == 1 && o[0] == "h1/a"
