--- a/internal/backend/relay_test.go
+++ b/internal/backend/relay_test.go
@@ -337,9 +337,12 @@
 	is.Equal(answer.SQLState, "25006")
 	is.Equal(pos, logpos.Position{})
 	// Whatever was completed here may have been committed before the fence.
-	_, _, err = c.RelayCommit(t.Context(), query("SELECT 1"), limit)
-	is.Equal(errkind.Of(err), errkind.OutcomeUnknown)
-	is.True(c.Closed())
+	for _, sql := range []string{"SELECT 1", "SELECT 1; INSERT INTO kv (k, v) VALUES ('z', 'x')"} {
+		c = connect(t, srv.Address())
+		_, _, err = c.RelayCommit(t.Context(), query(sql), limit)
+		is.Equal(errkind.Of(err), errkind.OutcomeUnknown)
+		is.True(c.Closed())
+	}
 }
 
 // TestConnectFails guards against errors of other kinds and against endless
--- a/internal/standin/failover_test.go
+++ b/internal/standin/failover_test.go
@@ -104,6 +104,31 @@
 	is.Equal(contents(t, old), contents(t, next))
 }
 
+// TestRewindAcrossTerms guards against a fork point that is taken from the
+// lengths of two logs whose last records belong to different terms.
+func TestRewindAcrossTerms(t *testing.T) {
+	is := is.New(t)
+	servers := group(t, 3, nil)
+	_, end, err := insert(t, connect(t, servers[0]), "kept", "1")
+	is.NoErr(err)
+	for _, srv := range servers {
+		eventually(t, "record is everywhere", func() bool { return applied(srv) == end })
+	}
+	is.NoErr(servers[0].Promote(2)) // nobody follows it at this term
+	for i := range 5 {
+		_, _, err = insert(t, connect(t, servers[0]), fmt.Sprint("lost", i), "1")
+		is.NoErr(err)
+	}
+	failover(t, 3, servers[1], servers[2])
+	for i := range 9 {
+		_, end, err = insert(t, connect(t, servers[1]), fmt.Sprint("new", i), "1")
+		is.NoErr(err)
+	}
+	is.NoErr(servers[0].Follow(servers[1], 3))
+	eventually(t, "log is rewound", func() bool { return applied(servers[0]) == end })
+	is.Equal(contents(t, servers[0]), contents(t, servers[1]))
+}
+
 // TestFenceStopsCommits guards against a commit that slips in after the fence
 // has been confirmed, and against a transaction that survives a fence.
 func TestFenceStopsCommits(t *testing.T) {
--- a/internal/standin/sender.go
+++ b/internal/standin/sender.go
@@ -156,3 +156,17 @@
 	}
 	return list, nil
 }
+
+// replicasCurrent reports whether every connected replica has received the
+// end of the log. It is true on a replica.
+func (n *node) replicasCurrent() bool {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	end := n.positionAt(len(n.log))
+	for _, p := range n.replicas {
+		if p.received != end {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -6,7 +6,6 @@
 	"encoding/hex"
 	"net"
 	"os"
-	"strconv"
 	"sync"
 	"time"
 
@@ -230,8 +229,9 @@
 
 // Stop shuts the server down: it announces its departure, accepts no new
 // connections, closes connections as soon as they have no open transaction,
-// and returns when all are closed. When ctx ends first, it closes the rest and
-// returns the error of ctx.
+// and returns when all are closed and connected replicas have received the end
+// of the log. When ctx ends first, it closes the rest and returns the error of
+// ctx. A replica that does not proceed delays the end by replicationTimeout.
 func (s *Server) Stop(ctx context.Context) error {
 	s.mu.Lock()
 	s.stopping = true
@@ -248,34 +248,43 @@
 	for _, c := range conns {
 		c.interruptIdle()
 	}
-	err := s.awaitConns(ctx)
-	s.Abort()
-	return err
+	defer s.Abort()
+	if err := poll(ctx, func() bool { return s.clients() == 0 }); err != nil {
+		return Error.New("%d connections left: %w", s.clients(), err)
+	}
+	replicasCtx, cancel := context.WithTimeout(ctx, replicationTimeout)
+	defer cancel()
+	if err := poll(replicasCtx, s.node.replicasCurrent); err != nil {
+		s.opts.Log.Warn().Msg("stopped before every replica had received the end of the log")
+	}
+	return nil
 }
 
-// awaitConns waits until no client connection is left. Replication
-// connections stay until the end, so that replicas receive every record.
-func (s *Server) awaitConns(ctx context.Context) error {
+// clients returns the number of client connections.
+func (s *Server) clients() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for c := range s.conns {
+		if c.admitted {
+			n++
+		}
+	}
+	return n
+}
+
+// poll waits until f is true or ctx ends.
+func poll(ctx context.Context, f func() bool) error {
 	tick := time.NewTicker(5 * time.Millisecond)
 	defer tick.Stop()
-	for {
-		s.mu.Lock()
-		left := 0
-		for c := range s.conns {
-			if c.admitted {
-				left++
-			}
-		}
-		s.mu.Unlock()
-		if left == 0 {
-			return nil
-		}
+	for !f() {
 		select {
 		case <-ctx.Done():
-			return Error.New("%s: %w", strconv.Itoa(left)+" connections left", ctx.Err())
+			return ctx.Err()
 		case <-tick.C:
 		}
 	}
+	return nil
 }
 
 // Abort ends the server at once, as a kill of the process does. The data
