--- a/internal/owner/dump.go
+++ b/internal/owner/dump.go
@@ -13,7 +13,6 @@
 	Host         string                  `json:"host"`
 	Draining     bool                    `json:"draining"`
 	Running      int                     `json:"running"`
-	LeasesUntil  time.Time               `json:"leases_until"`
 	Outcomes     int                     `json:"outcomes"`
 	OutcomeBytes int                     `json:"outcome_bytes"`
 	Suspects     []string                `json:"suspects"`
@@ -27,7 +26,6 @@
 	o.mu.Lock()
 	st.Draining, st.Running = o.draining, o.running
 	o.mu.Unlock()
-	_, st.LeasesUntil = o.leases.listed()
 	st.Outcomes, st.OutcomeBytes = o.outcomes.size()
 	for _, s := range o.list() {
 		st.Transactions = append(st.Transactions, s.dump()...)
@@ -50,10 +48,10 @@
 
 // Statuses returns the status of every owned server, ordered by id.
 func (o *Owner) Statuses() []ownerrpc.ServerStatus {
-	held, until := o.leases.listed()
+	held := o.leases.listed()
 	var all []ownerrpc.ServerStatus
 	for _, s := range o.list() {
-		all = append(all, s.status(held[s.id], until))
+		all = append(all, s.status(held[s.id]))
 	}
 	slices.SortFunc(all, func(a, b ownerrpc.ServerStatus) int { return strings.Compare(a.Server, b.Server) })
 	return all
--- a/internal/owner/exec.go
+++ b/internal/owner/exec.go
@@ -58,6 +58,12 @@
 		return
 	}
 	defer o.leave()
+	x.server.running.Add(1)
+	defer x.server.running.Add(-1)
+	if x.args.Write {
+		x.server.writing.Add(1)
+		defer x.server.writing.Add(-1)
+	}
 	x.run(ctx)
 }
 
--- a/internal/owner/execution.go
+++ b/internal/owner/execution.go
@@ -162,14 +162,17 @@
 	if x.server.pool.isRetired(tx.conn) && !x.answers(ctx, tx.conn) {
 		return false, errkind.New(errkind.TransactionLost, "the connection of the transaction is silent")
 	}
-	l, ok := x.server.leases.valid(x.server.id)
-	x.lease = l
+	l, valid := x.server.leases.valid(x.server.id)
 	x.server.mu.Lock()
 	defer x.server.mu.Unlock()
+	x.lease = l
+	if tx.primary {
+		x.lease.Primary, x.lease.Term = true, tx.term
+	}
 	switch {
-	case !ok || !tx.mayGoOn(l) || (tx.primary && x.server.monitor.fencedAbove(l.Term)):
+	case !x.server.mayGoOn(tx) || (tx.primary && x.server.monitor.fencedAbove(tx.term)):
 		return false, errkind.New(errkind.TransactionLost, "the lease or the primary role of server %s has ended", x.server.id)
-	case x.args.Write && !tx.primary && l.Primary:
+	case x.args.Write && !tx.primary && valid && l.Primary:
 		// The cycle turns a read-only transaction into one that writes.
 		tx.primary, tx.term = true, l.Term
 	case x.args.Write && !tx.primary:
--- a/internal/owner/leasetable.go
+++ b/internal/owner/leasetable.go
@@ -8,18 +8,24 @@
 )
 
 // leaseTable holds the leases of the newest heartbeat reply and what was
-// revoked since. A lease is valid only while the newest reply lists it, its
-// time has not passed, and it was not revoked.
+// revoked since.
+//
+// New work needs a lease that the newest reply lists, whose time has not
+// passed and that was not revoked. When a reply no longer lists a lease, or
+// no longer as the primary, work in progress may still finish within the time
+// that the last listing granted, unless a revocation ends it. Control gives a
+// lease or a role to another holder only after that time or after the
+// revocation was confirmed, so a planned move cuts off no request.
 type leaseTable struct {
 	mu      sync.Mutex
-	sentAt  time.Time // of the newest reply
-	until   time.Time
-	held    map[string]controlrpc.HeldLease // by server id
-	revoked map[string]revocation           // by server id
+	sentAt  time.Time             // of the newest reply
+	held    map[string]grant      // by server id; listed by the newest reply
+	lapsing map[string]grant      // by server id; no longer listed as it was
+	revoked map[string]revocation // by server id
 }
 
 func newLeaseTable() *leaseTable {
-	return &leaseTable{held: map[string]controlrpc.HeldLease{}, revoked: map[string]revocation{}}
+	return &leaseTable{held: map[string]grant{}, lapsing: map[string]grant{}, revoked: map[string]revocation{}}
 }
 
 // set replaces the leases by those of a reply to a heartbeat sent at sentAt.
@@ -31,56 +37,108 @@
 		return false
 	}
 	t.sentAt = sentAt
-	t.until = sentAt.Add(reply.TTL)
-	t.held = make(map[string]controlrpc.HeldLease, len(reply.Leases))
+	old := t.held
+	t.held = make(map[string]grant, len(reply.Leases))
 	for _, l := range reply.Leases {
-		t.hold(l)
+		if g, ok := t.allowed(grant{l, sentAt.Add(reply.TTL)}); ok {
+			t.held[l.Server] = g
+		}
+	}
+	for _, g := range old {
+		t.lapse(g)
+	}
+	for id, g := range t.lapsing {
+		if !g.inTime() {
+			delete(t.lapsing, id)
+		}
 	}
 	return true
 }
 
-func (t *leaseTable) hold(l controlrpc.HeldLease) {
-	r := t.revoked[l.Server]
-	if l.Epoch <= r.epoch {
-		delete(t.held, l.Server)
+// allowed returns what revocations leave of a grant.
+func (t *leaseTable) allowed(g grant) (grant, bool) {
+	r := t.revoked[g.Server]
+	if g.Term <= r.term {
+		g.Primary = false
+	}
+	return g, g.Epoch > r.epoch
+}
+
+// lapse keeps an earlier grant for work in progress, if what is held now
+// differs. A grant as primary is kept before others.
+func (t *leaseTable) lapse(g grant) {
+	if now, ok := t.held[g.Server]; ok && now.HeldLease == g.HeldLease {
 		return
 	}
-	if l.Term <= r.term {
-		l.Primary = false
+	if l, ok := t.lapsing[g.Server]; g.inTime() && (!ok || !l.inTime() || g.Primary || !l.Primary) {
+		t.lapsing[g.Server] = g
 	}
-	t.held[l.Server] = l
 }
 
-// revoke ends leases of a server up to epoch and its primary role up to term.
-// When it returns, valid no longer reports either.
-func (t *leaseTable) revoke(server string, epoch, term uint64) {
+// demote ends, for new work, the leases of a server up to epoch and its
+// primary role up to term.
+func (t *leaseTable) demote(server string, epoch, term uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.revoked[server]
-	r.epoch = max(r.epoch, epoch)
-	r.term = max(r.term, term)
-	t.revoked[server] = r
-	if l, ok := t.held[server]; ok {
-		t.hold(l)
+	t.revoked[server] = revocation{epoch: max(r.epoch, epoch), term: max(r.term, term)}
+	g, ok := t.held[server]
+	if !ok {
+		return
+	}
+	if left, ok := t.allowed(g); ok {
+		t.held[server] = left
+	} else {
+		delete(t.held, server)
+	}
+	t.lapse(g)
+}
+
+// revoke is demote also for work in progress. When it returns, nothing is
+// answered any more under the leases and roles that it ends.
+func (t *leaseTable) revoke(server string, epoch, term uint64) {
+	t.demote(server, epoch, term)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if g, ok := t.lapsing[server]; ok {
+		if g, ok = t.allowed(g); ok {
+			t.lapsing[server] = g
+		} else {
+			delete(t.lapsing, server)
+		}
 	}
 }
 
-// valid returns the lease of a server if it is valid now.
+// valid returns the lease of a server if new work may start under it.
 func (t *leaseTable) valid(server string) (controlrpc.HeldLease, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	l, ok := t.held[server]
-	return l, ok && time.Now().Before(t.until)
+	g, ok := t.held[server]
+	return g.HeldLease, ok && g.inTime()
+}
+
+// finishing reports whether work in progress may go on under any lease.
+func (t *leaseTable) finishing(server string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.held[server].inTime() || t.lapsing[server].inTime()
+}
+
+// finishingAsPrimary reports whether work in progress may be answered by the
+// server as the primary of term.
+func (t *leaseTable) finishingAsPrimary(server string, term uint64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.held[server].isPrimary(term) || t.lapsing[server].isPrimary(term)
 }
 
-// listed returns the leases of the newest reply, also after their time, and
-// the time until which they hold.
-func (t *leaseTable) listed() (map[string]controlrpc.HeldLease, time.Time) {
+// listed returns the leases of the newest reply, also after their time.
+func (t *leaseTable) listed() map[string]grant {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	held := make(map[string]controlrpc.HeldLease, len(t.held))
-	for id, l := range t.held {
-		held[id] = l
+	held := make(map[string]grant, len(t.held))
+	for id, g := range t.held {
+		held[id] = g
 	}
-	return held, t.until
+	return held
 }
--- a/internal/owner/limits.go
+++ b/internal/owner/limits.go
@@ -15,6 +15,7 @@
 	TxIdle         time.Duration // 30 s: transactions without a cycle for longer are rolled back
 	DrainTx        time.Duration // 5 s: transactions still open this long after Drain are rolled back
 	DrainPrimary   time.Duration // 3 s: a draining primary takes work for this long, until its role has moved
+	RevokeGrace    time.Duration // 300 ms: time that a revocation leaves to work in progress
 	SilentGrace    time.Duration // 500 ms: time left to cycles on connections that were retired as silent
 	OutcomeKeep    time.Duration // 60 s: how long answers are kept
 	Sweep          time.Duration // 50 ms: interval of the checks of transactions and leases
@@ -41,6 +42,7 @@
 		{&l.TxIdle, 30 * time.Second},
 		{&l.DrainTx, 5 * time.Second},
 		{&l.DrainPrimary, 3 * time.Second},
+		{&l.RevokeGrace, 300 * time.Millisecond},
 		{&l.SilentGrace, 500 * time.Millisecond},
 		{&l.OutcomeKeep, time.Minute},
 		{&l.Sweep, 50 * time.Millisecond},
--- a/internal/owner/monitor.go
+++ b/internal/owner/monitor.go
@@ -246,6 +246,13 @@
 	m.mu.Unlock()
 }
 
+// responsive reports whether the server has answered lately.
+func (m *monitor) responsive() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return time.Since(m.heard) <= m.limits.StatusInterval+m.limits.StatusTimeout
+}
+
 // suspect reports whether the server is unreachable: it was silent on every
 // connection for the suspicion time, and a new connection failed.
 func (m *monitor) suspect() bool {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -71,6 +71,10 @@
 func (o *Owner) sweep() {
 	o.outcomes.sweep()
 	o.entries.sweep()
+	o.mu.Lock()
+	ended := o.reconcile(false)
+	o.mu.Unlock()
+	closeAll(ended)
 	for _, s := range o.list() {
 		s.sweep()
 	}
@@ -121,9 +125,11 @@
 		return nil
 	}
 	var ended []*server
-	held, _ := o.leases.listed()
+	held := o.leases.listed()
 	for id, s := range o.servers {
-		if _, ok := held[id]; !ok || o.state.Servers[id].Address != s.address {
+		_, ok := held[id]
+		ok = ok || (s.leased() && s.inProgress(false))
+		if !ok || o.state.Servers[id].Address != s.address {
 			delete(o.servers, id)
 			ended = append(ended, s)
 		}
@@ -194,20 +200,23 @@
 
 // Leases returns the leases that are valid now.
 func (o *Owner) Leases() []controlrpc.HeldLease {
-	held, until := o.leases.listed()
-	if !time.Now().Before(until) {
-		return nil
-	}
-	leases := make([]controlrpc.HeldLease, 0, len(held))
-	for _, l := range held {
-		leases = append(leases, l)
+	var leases []controlrpc.HeldLease
+	for _, g := range o.leases.listed() {
+		if g.inTime() {
+			leases = append(leases, g.HeldLease)
+		}
 	}
 	return leases
 }
 
-// revoke ends a lease or a primary role. When it returns, nothing more is
+// revoke ends a lease or a primary role: at once for new work, and after a
+// short time for work in progress. When it returns, nothing more is
 // acknowledged under it.
 func (o *Owner) revoke(args *ownerrpc.RevokeArgs) {
+	o.leases.demote(args.Server, args.Epoch, args.Term)
+	if s := o.server(args.Server); s != nil {
+		s.finish(args.Epoch == 0, args.Term)
+	}
 	o.leases.revoke(args.Server, args.Epoch, args.Term)
 	o.mu.Lock()
 	ended := o.reconcile(false)
--- a/internal/owner/server.go
+++ b/internal/owner/server.go
@@ -13,7 +13,8 @@
 )
 
 // server is a backend server that the host owns. It lives from the first
-// heartbeat reply that lists it to the first one that does not.
+// heartbeat reply that lists it to the first one that does not, and then for
+// as long as work in progress may finish.
 type server struct {
 	id      string
 	group   string
@@ -30,6 +31,8 @@
 	stop    context.CancelFunc // ends the loops
 	idle    bool               // without a valid lease; used by sweep only, under mu
 
+	running   atomic.Int64 // cycles
+	writing   atomic.Int64 // cycles that need the primary role
 	successes atomic.Uint64
 	failures  atomic.Uint64
 	refused   atomic.Uint64
@@ -98,10 +101,33 @@
 	s.log.Info().Str("reason", reason).Msg("stopped serving the server")
 }
 
-// leased reports whether the host holds a valid lease for the server.
-func (s *server) leased() bool {
-	_, ok := s.leases.valid(s.id)
-	return ok
+// leased reports whether the host may act on the server at all.
+func (s *server) leased() bool { return s.leases.finishing(s.id) }
+
+// inProgress reports whether cycles run or transactions are open. With
+// writes it looks only at what needs the primary role.
+func (s *server) inProgress(writes bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, tx := range s.txs {
+		if tx.primary || !writes {
+			return true
+		}
+	}
+	return s.writing.Load() > 0 || (!writes && s.running.Load() > 0)
+}
+
+// finish waits until nothing is in progress, for at most limits.RevokeGrace.
+// It does not wait for a server that no longer answers or that is fenced,
+// because its writes cannot be confirmed.
+func (s *server) finish(writes bool, term uint64) {
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for end := time.Now().Add(s.limits.RevokeGrace); time.Now().Before(end); <-ticker.C {
+		if !s.inProgress(writes) || !s.monitor.responsive() || (writes && s.monitor.fencedAbove(term)) {
+			return
+		}
+	}
 }
 
 // admit checks what must hold when a cycle is about to be sent.
@@ -136,8 +162,7 @@
 // mayAnswer reports whether the server may still answer as the primary of
 // the term of l.
 func (s *server) mayAnswer(l controlrpc.HeldLease) bool {
-	now, ok := s.leases.valid(s.id)
-	return ok && now.Primary && now.Term == l.Term && !s.monitor.fencedAbove(l.Term)
+	return s.leases.finishingAsPrimary(s.id, l.Term) && !s.monitor.fencedAbove(l.Term)
 }
 
 // load returns what answers report about the server.
@@ -153,14 +178,14 @@
 	}
 }
 
-func (s *server) status(l controlrpc.HeldLease, until time.Time) ownerrpc.ServerStatus {
+func (s *server) status(g grant) ownerrpc.ServerStatus {
 	s.monitor.mu.Lock()
 	heard := time.Since(s.monitor.heard)
 	s.monitor.mu.Unlock()
 	load := s.load()
 	return ownerrpc.ServerStatus{
-		Server: s.id, Group: s.group, Epoch: l.Epoch, Term: l.Term, Primary: l.Primary,
-		LeaseLeft: max(0, time.Until(until)), Reachable: heard <= s.limits.SuspectAfter, HeardAge: heard,
+		Server: s.id, Group: s.group, Epoch: g.Epoch, Term: g.Term, Primary: g.Primary,
+		LeaseLeft: max(0, time.Until(g.until)), Reachable: heard <= s.limits.SuspectAfter, HeardAge: heard,
 		Applied: load.Applied, Load: load, Connections: s.pool.size(), OpenTx: s.permits.open(),
 		Successes: s.successes.Load(), Failures: s.failures.Load(), Refused: s.refused.Load(),
 	}
--- a/internal/owner/servertx.go
+++ b/internal/owner/servertx.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/arbutusring/arbutusring/internal/controlrpc"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
 )
 
@@ -88,11 +87,8 @@
 
 // sweep rolls back transactions that may not go on.
 func (s *server) sweep() {
-	l, valid := s.leases.valid(s.id)
-	s.followLease(valid)
-	s.endTransactions("the lease or the primary role has ended", func(tx *transaction) bool {
-		return !valid || !tx.mayGoOn(l)
-	})
+	s.followLease(s.leased())
+	s.endTransactions("the lease or the primary role has ended", func(tx *transaction) bool { return !s.mayGoOn(tx) })
 	s.endTransactions("the entry was silent", func(tx *transaction) bool {
 		return s.entries.silent(tx.key.entry, s.limits.EntrySilence)
 	})
@@ -123,7 +119,10 @@
 	return len(s.txs)
 }
 
-// mayGoOn reports whether the transaction may go on under lease l.
-func (tx *transaction) mayGoOn(l controlrpc.HeldLease) bool {
-	return !tx.primary || (l.Primary && l.Term == tx.term)
+// mayGoOn reports whether the leases allow the transaction to go on.
+func (s *server) mayGoOn(tx *transaction) bool {
+	if tx.primary {
+		return s.leases.finishingAsPrimary(s.id, tx.term)
+	}
+	return s.leased()
 }
