--- /dev/null
+++ b/internal/faulttest/faults.go
@@ -0,0 +1,146 @@
+package faulttest
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/arbutusring/arbutusring/internal/controlrpc"
+	"github.com/arbutusring/arbutusring/internal/operator"
+	"github.com/arbutusring/arbutusring/internal/standin"
+)
+
+// Injector provokes faults in an order that its random source decides.
+type Injector struct {
+	in      *Installation
+	rng     *rand.Rand
+	version uint64
+	Log     []string // what was provoked, in order
+}
+
+// fault is one kind of fault. It returns the repair, which may be nil.
+type fault struct {
+	name   string
+	inject func(x *Injector, ctx context.Context) (repair func())
+}
+
+var faults = []fault{
+	{"kill entry", func(x *Injector, _ context.Context) func() {
+		i := x.rng.IntN(len(x.in.entries))
+		x.in.KillEntry(i)
+		return func() { _ = x.in.StartEntry(i) }
+	}},
+	{"stop entry as planned", func(x *Injector, ctx context.Context) func() {
+		i := x.rng.IntN(len(x.in.entries))
+		stopCtx, cancel := context.WithTimeout(ctx, 5*time.Second)
+		defer cancel()
+		_ = x.in.StopEntry(stopCtx, i)
+		return func() { _ = x.in.StartEntry(i) }
+	}},
+	{"kill primary", func(x *Injector, ctx context.Context) func() {
+		i, ok := x.in.Primary(ctx)
+		if !ok {
+			return nil
+		}
+		x.in.KillServer(i)
+		return func() { _ = x.in.StartServer(i) }
+	}},
+	{"kill replica", func(x *Injector, ctx context.Context) func() {
+		i, ok := x.in.Primary(ctx)
+		if !ok {
+			return nil
+		}
+		i = (i + 1 + x.rng.IntN(2)) % 3
+		x.in.KillServer(i)
+		return func() { _ = x.in.StartServer(i) }
+	}},
+	{"freeze primary", serverFault(standin.FaultFreeze, "on", "off")},
+	{"silence open connections of the primary", serverFault(standin.FaultSilent, "on", "off")},
+	{"isolate primary", serverFault(standin.FaultStopReplication, "on", "off")},
+	{"lose answers of commits", serverFault(standin.FaultDropAnswer, "3", "0")},
+	{"cut an entry off control, one way", func(x *Injector, _ context.Context) func() {
+		e := entryID(x.rng.IntN(len(x.in.entries)))
+		for i := range x.in.controls {
+			x.in.Network.Cut(controlID(i), e)
+		}
+		return x.in.Network.Heal
+	}},
+	{"cut two entries off each other", func(x *Injector, _ context.Context) func() {
+		i := x.rng.IntN(len(x.in.entries))
+		j := (i + 1) % len(x.in.entries)
+		x.in.Network.Cut(entryID(i), entryID(j))
+		x.in.Network.Cut(entryID(j), entryID(i))
+		return x.in.Network.Heal
+	}},
+	{"cut a control host off, both ways", func(x *Injector, _ context.Context) func() {
+		i := x.rng.IntN(len(x.in.controls))
+		for j := range x.in.controls {
+			x.in.Network.Cut(controlID(i), controlID(j))
+			x.in.Network.Cut(controlID(j), controlID(i))
+		}
+		return x.in.Network.Heal
+	}},
+	{"kill control", func(x *Injector, _ context.Context) func() {
+		i := x.rng.IntN(len(x.in.controls))
+		_ = x.in.KillControl(i, false)
+		return func() { _ = x.in.StartControl(i) }
+	}},
+	{"lose the disk of a control host", func(x *Injector, _ context.Context) func() {
+		i := x.rng.IntN(len(x.in.controls))
+		_ = x.in.KillControl(i, true)
+		return func() {
+			_ = x.in.StartControl(i)
+			time.Sleep(2 * time.Second) // its return takes several membership changes
+		}
+	}},
+	{"failover asked for by an operator", func(x *Injector, ctx context.Context) func() {
+		_, _ = operator.Client{Address: x.in.controlOps[0]}.Failover(ctx, &controlrpc.FailoverArgs{Group: Group})
+		return nil
+	}},
+}
+
+func serverFault(name standin.Fault, on, off string) func(x *Injector, ctx context.Context) func() {
+	return func(x *Injector, ctx context.Context) func() {
+		i, ok := x.in.Primary(ctx)
+		if !ok {
+			return nil
+		}
+		s := x.in.Server(i)
+		if s == nil {
+			return nil
+		}
+		_ = s.SetFault(name, on)
+		return func() { _ = s.SetFault(name, off) }
+	}
+}
+
+// run provokes faults, alone or in pairs, until ctx ends, and repairs the
+// last one.
+func (x *Injector) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, time.Duration(200+x.rng.IntN(600))*time.Millisecond)
+		if ctx.Err() != nil {
+			return
+		}
+		repairs := []func(){x.inject(ctx)}
+		if x.rng.IntN(3) == 0 {
+			pause(ctx, time.Duration(x.rng.IntN(300))*time.Millisecond)
+			repairs = append(repairs, x.inject(ctx))
+		}
+		pause(ctx, time.Duration(300+x.rng.IntN(1500))*time.Millisecond)
+		for _, repair := range repairs {
+			if repair != nil {
+				repair()
+			}
+		}
+	}
+}
+
+func (x *Injector) inject(ctx context.Context) func() {
+	callCtx, cancel := context.WithTimeout(ctx, 6*time.Second)
+	defer cancel()
+	f := faults[x.rng.IntN(len(faults))]
+	x.Log = append(x.Log, fmt.Sprintf("%s %s", time.Now().Format("05.000"), f.name))
+	return f.inject(x, callCtx)
+}
--- /dev/null
+++ b/internal/faulttest/installation.go
@@ -0,0 +1,451 @@
+package faulttest
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/arbutusring/arbutusring/internal/controlrpc"
+	"github.com/arbutusring/arbutusring/internal/operator"
+	"github.com/arbutusring/arbutusring/internal/process"
+	"github.com/arbutusring/arbutusring/internal/standin"
+	"github.com/arbutusring/arbutusring/pkg/errkind"
+	"github.com/arbutusring/arbutusring/pkg/settings"
+	"github.com/rs/zerolog"
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("faulttest")
+
+// Group is the database group of an installation.
+const Group = "orders"
+
+// DefaultPolicy is the configuration of an installation.
+const DefaultPolicy = `
+[[database_group]]
+name = "orders"
+members = 3
+
+[[traffic_rank]]
+name = "urgent"
+order = 0
+floor = 0.2
+
+[[traffic_rank]]
+name = "normal"
+order = 1
+floor = 0.1
+default = true
+
+[[traffic_rank]]
+name = "bulk"
+order = 2
+floor = 0.05
+
+[[policy]]
+name = "all"
+deadline = "3s"
+`
+
+// Options configure an installation.
+type Options struct {
+	Folder   string // for control and stand-ins
+	Controls int    // default 3
+	Entries  int    // default 3
+	Policy   string // default DefaultPolicy
+	Standin  standin.Options
+	Logger   zerolog.Logger
+}
+
+// Installation is a whole system of goroutines over loopback TCP. Its methods
+// are safe for concurrent use.
+type Installation struct {
+	Network *Network
+	opts    Options
+
+	controlPeers []string
+	controlOps   []string
+	entryPeers   []string
+	entryOps     []string
+	entryCallers []string
+	serverAddrs  []string
+
+	mu       sync.Mutex // guards the processes; nil means stopped
+	controls []*process.Control
+	entries  []*process.Entry
+	servers  []*standin.Server
+}
+
+// Start starts everything and waits until the group has a primary that every
+// entry knows.
+func Start(ctx context.Context, opts Options) (*Installation, error) {
+	if opts.Controls == 0 {
+		opts.Controls = 3
+	}
+	if opts.Entries == 0 {
+		opts.Entries = 3
+	}
+	if opts.Policy == "" {
+		opts.Policy = DefaultPolicy
+	}
+	in := &Installation{
+		Network: NewNetwork(), opts: opts,
+		controls: make([]*process.Control, opts.Controls),
+		entries:  make([]*process.Entry, opts.Entries),
+		servers:  make([]*standin.Server, 3),
+	}
+	if err := in.reserve(); err != nil {
+		return nil, err
+	}
+	if err := in.startAll(ctx); err != nil {
+		in.Close()
+		return nil, err
+	}
+	return in, nil
+}
+
+func (in *Installation) startAll(ctx context.Context) error {
+	for i := range in.controls {
+		if err := in.StartControl(i); err != nil {
+			return err
+		}
+	}
+	for i := range in.entries {
+		if err := in.StartEntry(i); err != nil {
+			return err
+		}
+	}
+	for i := range in.servers {
+		if err := in.StartServer(i); err != nil {
+			return err
+		}
+	}
+	if err := in.Apply(ctx, "first", in.opts.Policy); err != nil {
+		return err
+	}
+	return in.WaitServing(ctx)
+}
+
+// reserve chooses all addresses, so that a restarted process keeps its own.
+func (in *Installation) reserve() error {
+	for i := range in.controls {
+		if err := reserve(&in.controlPeers, &in.controlOps); err != nil {
+			return err
+		}
+		in.Network.Register(in.controlPeers[i], controlID(i))
+	}
+	for i := range in.entries {
+		if err := reserve(&in.entryPeers, &in.entryOps, &in.entryCallers); err != nil {
+			return err
+		}
+		in.Network.Register(in.entryPeers[i], entryID(i))
+	}
+	for range in.servers {
+		if err := reserve(&in.serverAddrs); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// reserve appends a free loopback address to each list.
+func reserve(lists ...*[]string) error {
+	for _, list := range lists {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return Error.Wrap(err)
+		}
+		*list = append(*list, ln.Addr().String())
+		defer func() { _ = ln.Close() }()
+	}
+	return nil
+}
+
+func controlID(i int) string { return fmt.Sprintf("control-%d", i) }
+func entryID(i int) string   { return fmt.Sprintf("entry-%d", i) }
+func serverID(i int) string  { return fmt.Sprintf("server-%d", i) }
+
+// StartControl starts a control process on its data folder.
+func (in *Installation) StartControl(i int) error {
+	folder := in.controlFolder(i)
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return Error.Wrap(err)
+	}
+	members := make(map[string]string)
+	for j, a := range in.controlPeers {
+		members[controlID(j)] = a
+	}
+	cfg := settings.Settings{
+		Host:   settings.Host{ID: controlID(i), DataCentre: fmt.Sprintf("dc-%d", i%3), Region: "r"},
+		Listen: settings.Listen{Peers: in.controlPeers[i], Operators: in.controlOps[i]},
+		Control: settings.Control{
+			Addresses: in.controlPeers, DataFolder: folder, Bootstrap: true, Members: members,
+		},
+	}
+	p, err := retryStart(func() (*process.Control, error) {
+		return process.StartControl(process.ControlOptions{
+			Settings: cfg, Logger: in.opts.Logger, Dial: in.Network.Dialer(controlID(i)),
+		})
+	})
+	if err != nil {
+		return err
+	}
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.controls[i] = p
+	return nil
+}
+
+func (in *Installation) controlFolder(i int) string {
+	return filepath.Join(in.opts.Folder, controlID(i))
+}
+
+// StartEntry starts an entry process.
+func (in *Installation) StartEntry(i int) error {
+	cfg, err := settings.Parse("faulttest", fmt.Sprintf(`
+host = { id = %q, data_centre = "dc-%d", region = "r" }
+listen = { callers = %q, peers = %q, operators = %q }
+control = { addresses = ["%s"] }
+`, entryID(i), i%3, in.entryCallers[i], in.entryPeers[i], in.entryOps[i],
+		strings.Join(in.controlPeers, `", "`)), settings.RoleEntry)
+	if err != nil {
+		return err
+	}
+	p, err := retryStart(func() (*process.Entry, error) {
+		return process.StartEntry(process.EntryOptions{
+			Settings: cfg, Logger: in.opts.Logger, Dial: in.Network.Dialer(entryID(i)),
+		})
+	})
+	if err != nil {
+		return err
+	}
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.entries[i] = p
+	return nil
+}
+
+// StartServer starts a stand-in database server on its data folder.
+func (in *Installation) StartServer(i int) error {
+	opts := in.opts.Standin
+	opts.ID, opts.Group, opts.DataCentre = serverID(i), Group, fmt.Sprintf("dc-%d", i%3)
+	opts.Listen, opts.DataFolder = in.serverAddrs[i], filepath.Join(in.opts.Folder, serverID(i))
+	opts.AnnounceTo = in.entryOps
+	srv, err := retryStart(func() (*standin.Server, error) {
+		s, err := standin.New(opts)
+		if err != nil {
+			return nil, err
+		}
+		return s, s.Start()
+	})
+	if err != nil {
+		return err
+	}
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.servers[i] = srv
+	return nil
+}
+
+// retryStart repeats a start whose address is still taken by a socket of the
+// process before.
+func retryStart[P any](start func() (P, error)) (P, error) {
+	var p P
+	var err error
+	for range 50 {
+		if p, err = start(); err == nil {
+			return p, nil
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return p, err
+}
+
+// KillControl ends a control process as a crash does. With disk, its data
+// folder is lost as well.
+func (in *Installation) KillControl(i int, disk bool) error {
+	in.mu.Lock()
+	p := in.controls[i]
+	in.controls[i] = nil
+	in.mu.Unlock()
+	if p != nil {
+		p.Abort()
+	}
+	if disk {
+		return Error.Wrap(os.RemoveAll(in.controlFolder(i)))
+	}
+	return nil
+}
+
+// KillEntry ends an entry process as a crash does.
+func (in *Installation) KillEntry(i int) {
+	if p := in.takeEntry(i); p != nil {
+		p.Abort()
+	}
+}
+
+// StopEntry stops an entry process as planned.
+func (in *Installation) StopEntry(ctx context.Context, i int) error {
+	if p := in.takeEntry(i); p != nil {
+		return p.Stop(ctx)
+	}
+	return nil
+}
+
+func (in *Installation) takeEntry(i int) *process.Entry {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	p := in.entries[i]
+	in.entries[i] = nil
+	return p
+}
+
+// KillServer ends a backend server as a crash does.
+func (in *Installation) KillServer(i int) {
+	in.mu.Lock()
+	s := in.servers[i]
+	in.servers[i] = nil
+	in.mu.Unlock()
+	if s != nil {
+		s.Abort()
+	}
+}
+
+// Server returns a running backend server, or nil.
+func (in *Installation) Server(i int) *standin.Server {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.servers[i]
+}
+
+// Running reports whether an entry, control or backend server runs.
+func (in *Installation) Running(kind string, i int) bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	switch kind {
+	case "entry":
+		return in.entries[i] != nil
+	case "control":
+		return in.controls[i] != nil
+	default:
+		return in.servers[i] != nil
+	}
+}
+
+// Repair heals the network, clears all faults and starts what is stopped.
+func (in *Installation) Repair() error {
+	in.Network.Heal()
+	var group errs.Group
+	for i := range in.controls {
+		if !in.Running("control", i) {
+			group.Add(in.StartControl(i))
+		}
+	}
+	for i := range in.entries {
+		if !in.Running("entry", i) {
+			group.Add(in.StartEntry(i))
+		}
+	}
+	for i := range in.servers {
+		if !in.Running("server", i) {
+			group.Add(in.StartServer(i))
+		}
+	}
+	return group.Err()
+}
+
+// State asks any running entry for the state.
+func (in *Installation) State(ctx context.Context) (*controlrpc.GetReply, error) {
+	var err error
+	for _, address := range in.entryOps {
+		var reply *controlrpc.GetReply
+		reply, err = operator.Client{Address: address}.State(ctx)
+		if err == nil && reply.Kind == errkind.OK {
+			return reply, nil
+		}
+	}
+	return nil, err
+}
+
+// Primary returns the number of the primary, or false if there is none.
+func (in *Installation) Primary(ctx context.Context) (int, bool) {
+	reply, err := in.State(ctx)
+	if err != nil {
+		return 0, false
+	}
+	for i := range in.servers {
+		if reply.State.Groups[Group].Primary == serverID(i) {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+// Apply puts a configuration into force, repeating the change until it is
+// answered.
+func (in *Installation) Apply(ctx context.Context, changeID, text string) error {
+	for {
+		reply, err := operator.Client{Address: in.controlOps[0]}.Apply(ctx, &controlrpc.ApplyArgs{
+			ChangeID: changeID, Operator: "faulttest", Text: text,
+		})
+		if err == nil && reply.Kind == errkind.OK {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return Error.New("configuration was not accepted: %v", err)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// WaitServing waits until the group has a primary, every server an owner, and
+// every entry the state.
+func (in *Installation) WaitServing(ctx context.Context) error {
+	for {
+		reply, err := in.State(ctx)
+		if err == nil && in.serving(reply) {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return Error.New("the installation does not serve: %v, %+v", err, reply)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func (in *Installation) serving(reply *controlrpc.GetReply) bool {
+	if reply.State.Groups[Group].Phase != controlrpc.PhaseSteady || len(reply.State.Leases) < len(in.servers) {
+		return false
+	}
+	live := 0
+	for _, seen := range reply.Seen {
+		if seen.Live && seen.StateVersion >= reply.State.Version {
+			live++
+		}
+	}
+	return live >= len(in.entries)
+}
+
+// CallerDSN returns the DSN of an entry.
+func (in *Installation) CallerDSN(i int) string {
+	return "postgres://caller@" + in.entryCallers[i] + "/" + Group + "?sslmode=disable"
+}
+
+// Close ends everything at once.
+func (in *Installation) Close() {
+	for i := range in.entries {
+		in.KillEntry(i)
+	}
+	for i := range in.servers {
+		in.KillServer(i)
+	}
+	for i := range in.controls {
+		_ = in.KillControl(i, false)
+	}
+}
--- /dev/null
+++ b/internal/faulttest/run.go
@@ -0,0 +1,131 @@
+package faulttest
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+)
+
+// RunOptions describe one run.
+type RunOptions struct {
+	Installation Options
+	Seed         uint64
+	Sessions     int
+	Ops          int // of all sessions together
+	Keys         int
+	NoFaults     bool
+}
+
+// Result is what one run found.
+type Result struct {
+	Ops      []Op
+	Faults   []string
+	Findings []Finding
+	Counts   map[Outcome]int
+}
+
+// repairTime bounds the time until everything works again after the last
+// fault: the stated 8 s for a change of the primary, and the start of
+// processes.
+const repairTime = 20 * time.Second
+
+// Run starts an installation, lets sessions work under faults, repairs
+// everything and checks the history.
+func Run(ctx context.Context, opts RunOptions) (*Result, error) {
+	in, err := Start(ctx, opts.Installation)
+	if err != nil {
+		return nil, err
+	}
+	defer in.Close()
+	if err := in.createKeys(ctx, opts.Keys); err != nil {
+		return nil, err
+	}
+	history := new(History)
+	injector := &Injector{in: in, rng: rand.New(rand.NewPCG(opts.Seed, 0))}
+	work(ctx, in, opts, history, injector)
+	if err := in.Repair(); err != nil {
+		return nil, err
+	}
+	repairCtx, cancel := context.WithTimeout(ctx, repairTime)
+	defer cancel()
+	final, err := in.readAll(repairCtx, opts.Keys)
+	if err != nil {
+		return nil, Error.New("after the repair: %v; faults %v", err, injector.Log)
+	}
+	res := &Result{Ops: history.Ops(), Faults: injector.Log, Counts: make(map[Outcome]int)}
+	for _, op := range res.Ops {
+		res.Counts[op.Outcome]++
+	}
+	res.Findings = Check(res.Ops, final)
+	return res, nil
+}
+
+// work runs the sessions, with faults until the last session has finished.
+func work(ctx context.Context, in *Installation, opts RunOptions, history *History, injector *Injector) {
+	faultCtx, stop := context.WithCancel(ctx)
+	var faultsDone sync.WaitGroup
+	if !opts.NoFaults {
+		faultsDone.Go(func() { injector.run(faultCtx) })
+	}
+	began := time.Now()
+	var sessions sync.WaitGroup
+	for i := range opts.Sessions {
+		w := &worker{
+			id: i, in: in, history: history, began: began, keys: opts.Keys,
+			rng: rand.New(rand.NewPCG(opts.Seed, uint64(i)+1)),
+		}
+		sessions.Go(func() { w.run(ctx, opts.Ops/opts.Sessions) })
+	}
+	sessions.Wait()
+	stop()
+	faultsDone.Wait()
+}
+
+func (in *Installation) createKeys(ctx context.Context, keys int) error {
+	conn, err := pgx.Connect(ctx, in.CallerDSN(0))
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	defer func() { _ = conn.Close(ctx) }()
+	for i := range keys {
+		if _, err := conn.Exec(ctx, "INSERT INTO kv (k, v) VALUES ($1, $2)", fmt.Sprintf("key-%d", i), ""); err != nil {
+			return Error.Wrap(err)
+		}
+	}
+	return nil
+}
+
+// readAll reads all keys at the primary, by locking reads.
+func (in *Installation) readAll(ctx context.Context, keys int) (map[string]string, error) {
+	var err error
+	for ctx.Err() == nil {
+		var final map[string]string
+		if final, err = in.tryReadAll(ctx, keys); err == nil {
+			return final, nil
+		}
+		pause(ctx, 100*time.Millisecond)
+	}
+	return nil, err
+}
+
+func (in *Installation) tryReadAll(ctx context.Context, keys int) (map[string]string, error) {
+	conn, err := pgx.Connect(ctx, in.CallerDSN(0))
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = conn.Close(ctx) }()
+	final := make(map[string]string)
+	for i := range keys {
+		key := fmt.Sprintf("key-%d", i)
+		var v string
+		if err := conn.QueryRow(ctx, "SELECT v FROM kv WHERE k = $1 FOR UPDATE", key).Scan(&v); err != nil {
+			return nil, err
+		}
+		final[key] = v
+	}
+	return final, nil
+}
--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -22,6 +22,7 @@
 type ControlOptions struct {
 	Settings settings.Settings
 	Logger   zerolog.Logger
+	Dial     DialFunc // to other hosts; nil for TCP
 }
 
 // Control is a running control process.
@@ -44,7 +45,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Control{opts: opts, lns: lns, registry: metrics.NewRegistry(), pool: peer.NewPool(peer.PoolOptions{})}
+	p := &Control{opts: opts, lns: lns, registry: metrics.NewRegistry(), pool: peer.NewPool(peer.PoolOptions{Dial: opts.Dial})}
 	if err := p.start(); err != nil {
 		p.abort()
 		return nil, err
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -48,8 +48,12 @@
 type EntryOptions struct {
 	Settings settings.Settings
 	Logger   zerolog.Logger
+	Dial     DialFunc // to other hosts; nil for TCP
 }
 
+// DialFunc opens a connection to another host of the installation.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
 // Entry is a running entry process: its caller side and its owner side.
 type Entry struct {
 	opts     EntryOptions
@@ -74,7 +78,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Entry{opts: opts, lns: lns, registry: metrics.NewRegistry(), pool: peer.NewPool(peer.PoolOptions{})}
+	p := &Entry{opts: opts, lns: lns, registry: metrics.NewRegistry(), pool: peer.NewPool(peer.PoolOptions{Dial: opts.Dial})}
 	p.host = newHost(opts.Settings.Host, lns)
 	p.control = &controlrpc.Client{Addresses: opts.Settings.Control.Addresses, Call: p.pool.Call}
 	p.owner = owner.New(owner.Options{
