--- a/internal/consensus/node_test.go
+++ b/internal/consensus/node_test.go
@@ -178,3 +178,24 @@
 		is.Equal(n.Status().Role, consensus.Follower)
 	})
 }
+
+// TestFailedFiles guards against a node that goes on after its files failed:
+// what it would acknowledge may not be durable.
+func TestFailedFiles(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, "a")
+		c.every = 5
+		c.startAll()
+		_, n := c.leader("")
+		is.NoErr(os.RemoveAll(filepath.Join(c.dir, "a"))) // the next snapshot can't be written
+		for i := range 10 {
+			_, _ = n.Propose(context.Background(), []byte(strconv.Itoa(i)))
+		}
+		<-n.Done()
+		is.True(n.Err() != nil)
+		is.True(!n.IsLeader() && !n.LeaseValid())
+		is.True(n.Status().Failed != "")
+		is.True(n.Stop(context.Background()) != nil)
+	})
+}
--- a/internal/consensus/options.go
+++ b/internal/consensus/options.go
@@ -24,9 +24,11 @@
 	Bootstrap []Member
 	Join      bool // never bootstrap; wait to be added with ChangeMembers
 
-	// Send passes a message to the Step of another node. It may drop it.
+	// Send passes a message to the Step of another node. It may drop it. It
+	// must not change what the message refers to, which is part of the log.
 	Send func(to Member, m Message)
-	// Apply applies a committed command and returns its result.
+	// Apply applies a committed command and returns its result. It must not
+	// change or keep the command.
 	Apply func(index uint64, command []byte) []byte
 	// Snapshot returns the applied state.
 	Snapshot func() []byte
--- a/internal/consensus/proposal.go
+++ b/internal/consensus/proposal.go
@@ -1,6 +1,9 @@
 package consensus
 
-import "sync/atomic"
+import (
+	"bytes"
+	"sync/atomic"
+)
 
 // The states of a proposal. The loop takes a waiting proposal, or its caller
 // withdraws it: exactly one of both happens, so the caller knows whether the
@@ -28,7 +31,7 @@
 }
 
 func newProposal(command []byte, change *Change) *proposal {
-	return &proposal{command: command, change: change, done: make(chan outcome, 1)}
+	return &proposal{command: bytes.Clone(command), change: change, done: make(chan outcome, 1)}
 }
 
 func (p *proposal) take() bool {
--- a/internal/wal/files.go
+++ b/internal/wal/files.go
@@ -55,10 +55,24 @@
 	return nil
 }
 
-// makeDir creates the data folder and makes its name durable.
+// makeDir creates the data folder and the folders above it, and makes the
+// names of those that were missing durable.
 func makeDir(dir string) error {
+	dir = filepath.Clean(dir)
+	var parents []string
+	for d := dir; ; d = filepath.Dir(d) {
+		if _, err := os.Stat(d); err == nil || filepath.Dir(d) == d {
+			break
+		}
+		parents = append(parents, filepath.Dir(d))
+	}
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return Error.Wrap(err)
 	}
-	return syncDir(filepath.Dir(filepath.Clean(dir)))
+	for _, parent := range parents {
+		if err := syncDir(parent); err != nil {
+			return err
+		}
+	}
+	return nil
 }
--- a/internal/wal/identity.go
+++ b/internal/wal/identity.go
@@ -17,6 +17,10 @@
 type Identity struct {
 	Host        string `json:"host"`
 	Incarnation string `json:"incarnation"` // 32 hexadecimal digits, random
+
+	// Ready is set once the first segment of the log exists. A folder that
+	// holds no segment later has lost what this incarnation promised.
+	Ready bool `json:"ready"`
 }
 
 // loadIdentity reads the identity of the folder. It creates one if the folder
@@ -56,9 +60,13 @@
 	random := make([]byte, 16)
 	_, _ = rand.Read(random) // never fails: it aborts the program instead
 	id := Identity{Host: host, Incarnation: hex.EncodeToString(random)}
+	return id, id.save(dir)
+}
+
+func (id *Identity) save(dir string) error {
 	b, err := json.Marshal(id)
 	if err != nil {
-		return Identity{}, Error.Wrap(err)
+		return Error.Wrap(err)
 	}
-	return id, writeFileAtomic(path, append(b, '\n'))
+	return writeFileAtomic(filepath.Join(dir, identityFile), append(b, '\n'))
 }
--- a/internal/wal/log.go
+++ b/internal/wal/log.go
@@ -64,6 +64,9 @@
 	if l.segments, err = listSegments(dir); err != nil {
 		return nil, err
 	}
+	if c.Identity.Ready && len(l.segments) == 0 {
+		return nil, Error.New("%s: the segments of the log are missing", dir)
+	}
 	r := new(replay)
 	for i := range l.segments {
 		last := i == len(l.segments)-1
@@ -78,7 +81,11 @@
 	}
 	c.HardState, c.Entries = r.hardState, r.entries
 	l.hardState = r.hardState
-	return c, l.openLast(r)
+	if err := l.openLast(r); err != nil || c.Identity.Ready {
+		return c, err
+	}
+	c.Identity.Ready = true
+	return c, c.Identity.save(dir)
 }
 
 // openLast opens the last segment for appending. Replay starts with an empty
--- a/internal/wal/log_test.go
+++ b/internal/wal/log_test.go
@@ -126,6 +126,14 @@
 		{name: "intact", first: 1, count: 40},
 		{name: "truncated suffix", steps: save, first: 1, count: 4},
 		{name: "missing identity", after: remove("identity.json"), err: "identity.json: missing"},
+		{name: "missing log", err: "segments of the log are missing",
+			after: func(t *testing.T, dir string, _ *wal.Log) {
+				names, err := filepath.Glob(filepath.Join(dir, "*.wal"))
+				is.New(t).NoErr(err)
+				for _, name := range names {
+					is.New(t).NoErr(os.Remove(name))
+				}
+			}},
 		{name: "missing first segment", after: remove("0000000000000001.wal"), err: "there is no snapshot"},
 		{name: "missing middle segment", after: remove("0000000000000002.wal"), err: "segment before it is missing"},
 		{name: "torn end of a segment that is not the last", err: "0000000000000001.wal: offset",
