--- a/internal/consensus/bootstrap.go
+++ b/internal/consensus/bootstrap.go
@@ -79,7 +79,10 @@
 			}
 		}
 	}
-	if _, known := m.members().find(msg.From.key()); m.role == Leader && !known {
+	if _, known := m.members().find(msg.From.key()); known {
+		return // the leader sends it the log
+	}
+	if m.role == Leader {
 		m.joining[msg.From.key()] = joining{member: msg.From, heard: now}
 	}
 	m.send(Message{Kind: MessageHelloReply, To: msg.From, Reject: true})
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -1,6 +1,9 @@
 package consensus
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // sticky reports whether a live leader may depend on this host not to vote.
 func (m *Machine) sticky(now time.Time) bool {
@@ -13,6 +16,22 @@
 // mute reports whether the host may not vote at all, because its log is empty.
 func (m *Machine) mute() bool { return m.Empty() && !m.opts.faults.emptyVotes }
 
+// electable reports whether the host may lead: it is a voter, or its removal
+// is in the log but not known to be committed. In the latter case it may be
+// the only host with a log that is new enough to win; it then leads without
+// counting itself, and leaves when the removal is committed.
+func (m *Machine) electable() bool {
+	for _, c := range slices.Backward(m.configs) {
+		if c.members.voter(m.self.key()) {
+			return true
+		}
+		if c.index <= m.commit {
+			return false
+		}
+	}
+	return false
+}
+
 // preCampaign asks the voters whether they would vote for this host. It
 // changes no term, so a host that can't win disturbs nobody.
 func (m *Machine) preCampaign(now time.Time) {
@@ -152,7 +171,7 @@
 
 // handleTimeoutNow starts an election at the request of the leader.
 func (m *Machine) handleTimeoutNow(now time.Time, msg Message) {
-	if m.role == Leader || !m.members().voter(m.self.key()) {
+	if m.role == Leader || !m.electable() {
 		return
 	}
 	m.campaign(now, true)
--- a/internal/consensus/machine.go
+++ b/internal/consensus/machine.go
@@ -195,7 +195,7 @@
 		m.tickLeader(now)
 	case !now.Before(m.electionAt):
 		m.resetElection(now)
-		if m.members().voter(m.self.key()) {
+		if m.electable() {
 			m.preCampaign(now)
 		}
 	}
@@ -230,7 +230,10 @@
 }
 
 // Output takes the work for the driver. A leader first sends the new entries.
+// It counts them as its own at once, because the driver makes them durable
+// before it applies or sends anything.
 func (m *Machine) Output(now time.Time) Output {
+	m.advanceCommit()
 	if m.role == Leader {
 		m.replicate(now)
 	}
--- a/internal/consensus/machine_test.go
+++ b/internal/consensus/machine_test.go
@@ -1,6 +1,7 @@
 package consensus_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -72,3 +73,23 @@
 	m.Step(now, reply)
 	is.Equal(m.Role(), consensus.Candidate)
 }
+
+// TestUncommittedRemoval guards against a cluster that stays without a leader
+// because the only host with the newest log waits to be removed.
+func TestUncommittedRemoval(t *testing.T) {
+	is := is.New(t)
+	s := newSim(1, "", 4, 0)
+	s.run(2 * time.Second)
+	l := s.leader()
+	lost := s.hosts[s.ids[(slices.Index(s.ids, l.id)+1)%4]]
+	for _, id := range s.ids {
+		s.cut[[2]string{l.id, id}] = true
+	}
+	self := consensus.Member{ID: l.id, Incarnation: l.incarnation, Address: l.id}
+	_, _, err := l.machine.ProposeChange(l.local(s.now), consensus.Change{Kind: consensus.Remove, Member: self})
+	is.NoErr(err)
+	s.output(l)
+	s.loseDisk(lost)
+	s.settle()
+	is.Equal(len(s.leader().members), 3)
+}
--- a/internal/consensus/node_test.go
+++ b/internal/consensus/node_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -158,12 +161,83 @@
 		c.startAll()
 		defer c.stopAll()
 		_, n := c.leader("")
+		start := time.Now()
 		is.Equal(c.propose(n, "one"), "1")
+		is.True(time.Since(start) < time.Millisecond) // no other host to wait for
 		is.True(n.LeaseValid())
 		is.Equal(errkind.Of(n.TransferLeadership(context.Background())), errkind.Conflict)
 	})
 }
 
+// TestOutcomes guards against wrong outcomes while hosts are cut off and
+// restarted: a command that was answered must be applied exactly once, one
+// that was refused never.
+func TestOutcomes(t *testing.T) {
+	seed := rand.Uint64()
+	t.Logf("seed %d", seed)
+	synctest.Test(t, func(t *testing.T) {
+		r := rand.New(rand.NewPCG(seed, 0))
+		c := newCluster(t, "a", "b", "c")
+		c.every = 40
+		c.startAll()
+		outcome := make(map[string]errkind.Kind)
+		var mu sync.Mutex
+		var wg sync.WaitGroup
+		for range 30 {
+			for _, id := range c.ids() {
+				n := c.nodes[id]
+				for range 5 {
+					command := strconv.FormatUint(r.Uint64(), 36)
+					wg.Go(func() {
+						ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+						defer cancel()
+						_, err := n.Propose(ctx, []byte(command))
+						mu.Lock()
+						defer mu.Unlock()
+						outcome[command] = errkind.Of(err)
+					})
+				}
+			}
+			id := c.boot[r.IntN(3)].ID
+			switch r.IntN(4) {
+			case 0:
+				c.setCut(id, true)
+			case 1, 2:
+				c.stop(id)
+				c.start(id, false)
+				fallthrough
+			default:
+				for _, id := range c.ids() {
+					c.setCut(id, false)
+				}
+			}
+			time.Sleep(time.Duration(r.IntN(900)) * time.Millisecond)
+		}
+		for _, id := range c.ids() {
+			c.setCut(id, false)
+		}
+		wg.Wait()
+		_, n := c.leader("")
+		c.propose(n, "last")
+		c.until("all hosts apply the same", func() bool {
+			return slices.Equal(c.states["a"].list(), c.states["b"].list()) && slices.Equal(c.states["a"].list(), c.states["c"].list())
+		})
+		count, kinds := make(map[string]int), make(map[errkind.Kind]int)
+		for _, command := range c.states["a"].list() {
+			count[command]++
+		}
+		for command, kind := range outcome {
+			kinds[kind]++
+			applied := count[command]
+			if applied > 1 || kind == errkind.OK && applied == 0 || kind.Info().Outcome == errkind.NotRun && applied > 0 {
+				t.Errorf("outcome %q: applied %d times", kind, applied)
+			}
+		}
+		t.Logf("outcomes: %v", kinds)
+		c.stopAll()
+	})
+}
+
 // TestStoppedNode guards against calls that hang after Stop.
 func TestStoppedNode(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
