--- a/internal/consensus/machine_test.go
+++ b/internal/consensus/machine_test.go
@@ -90,6 +90,7 @@
 	is.NoErr(err)
 	s.output(l)
 	s.loseDisk(lost)
+	s.run(2 * time.Second) // it steps down
 	s.settle()
 	is.Equal(len(s.leader().members), 3)
 }
