--- a/internal/backend/answer.go
+++ b/internal/backend/answer.go
@@ -5,4 +5,10 @@
 	Messages []byte // raw backend messages up to and including ReadyForQuery; owned by the receiver
 	TxStatus byte   // transaction status of ReadyForQuery: 'I', 'T' or 'E'
 	SQLState string // code of the first ErrorResponse, or empty
+
+	// Completed tells whether a statement was completed before the first
+	// ErrorResponse. If it is false and SQLState is set, the cycle itself has
+	// committed nothing. Otherwise it may have, for example in
+	// "INSERT ...; COMMIT; INSERT ...".
+	Completed bool
 }
--- a/internal/backend/relay.go
+++ b/internal/backend/relay.go
@@ -28,7 +28,7 @@
 	}
 	stop := c.guard(ctx)
 	ex := c.send(cycle)
-	answer, _, err := c.readAnswer(limit)
+	answer, err := c.readAnswer(limit)
 	err = c.finish(ctx, stop, ex, err)
 	if err == nil || errkind.Of(err) == errkind.AnswerTooLarge {
 		return answer, err
@@ -48,7 +48,7 @@
 	stop := c.guard(ctx)
 	c.request = appendQuery(append(c.request[:0], cycle...), positionQuery)
 	ex := c.send(c.request)
-	answer, completed, answerErr := c.readAnswer(limit)
+	answer, answerErr := c.readAnswer(limit)
 	var rows rowSet
 	err := answerErr
 	if err == nil || errkind.Of(err) == errkind.AnswerTooLarge {
@@ -65,7 +65,7 @@
 	}
 	pos, err := rows.position()
 	if err != nil {
-		if answer.SQLState != "" && !completed {
+		if answer.SQLState != "" && !answer.Completed {
 			// No statement was completed before the error, so there is
 			// nothing whose position would matter.
 			return answer, logpos.Position{}, answerErr
@@ -163,35 +163,33 @@
 	}
 }
 
-// readAnswer reads up to ReadyForQuery. completed tells whether a statement
-// was completed before the first ErrorResponse. Its only errors are
-// AnswerTooLarge, after a whole answer, and errors after which the stream is
-// unusable.
-func (c *Conn) readAnswer(limit int) (answer Answer, completed bool, err error) {
+// readAnswer reads up to ReadyForQuery. Its only errors are AnswerTooLarge,
+// after a whole answer, and errors after which the stream is unusable.
+func (c *Conn) readAnswer(limit int) (answer Answer, err error) {
 	buf := c.answer[:0]
 	size := 0 // length of the answer, also of what was dropped
 	for {
 		typ, n, err := c.readHeader()
 		if err != nil {
-			return Answer{}, false, err
+			return Answer{}, err
 		}
 		if !expected(typ) || (typ == 'Z' && n != 1) {
-			return Answer{}, false, errkind.New(errkind.ServerLost, "unexpected message of type %q with %d bytes", typ, n)
+			return Answer{}, errkind.New(errkind.ServerLost, "unexpected message of type %q with %d bytes", typ, n)
 		}
 		size += headerLen + n
 		keep := size <= limit
 		// ErrorResponse and ReadyForQuery are needed also when dropped.
 		if !keep && typ != 'Z' && typ != 'E' {
 			if _, err := c.r.Discard(n); err != nil {
-				return Answer{}, false, err
+				return Answer{}, err
 			}
-			completed = completed || typ == 'C' && answer.SQLState == ""
+			answer.Completed = answer.Completed || typ == 'C' && answer.SQLState == ""
 			continue
 		}
 		start := len(buf)
 		buf = append(buf, c.header[:]...)
 		if buf, err = c.readBody(buf, n); err != nil {
-			return Answer{}, false, err
+			return Answer{}, err
 		}
 		body := buf[start+headerLen:]
 		switch typ {
@@ -200,23 +198,23 @@
 			if answer.SQLState == "" {
 				answer.SQLState = code
 			}
-			if code == codeShutdown && !completed && errorField(body, 'V') == "FATAL" {
-				return Answer{}, false, errkind.New(errkind.Draining, "server is shutting down: %s", errorField(body, 'M'))
+			if code == codeShutdown && !answer.Completed && errorField(body, 'V') == "FATAL" {
+				return Answer{}, errkind.New(errkind.Draining, "server is shutting down: %s", errorField(body, 'M'))
 			}
 		case 'C':
-			completed = completed || answer.SQLState == ""
+			answer.Completed = answer.Completed || answer.SQLState == ""
 		case 'Z':
 			answer.TxStatus = body[0]
 			if body[0] != 'I' && body[0] != 'T' && body[0] != 'E' {
-				return Answer{}, false, errkind.New(errkind.ServerLost, "transaction status is %q", body[0])
+				return Answer{}, errkind.New(errkind.ServerLost, "transaction status is %q", body[0])
 			}
 			if size > limit {
 				c.keep(nil)
-				return answer, completed, errkind.New(errkind.AnswerTooLarge, "answer has %d bytes, the limit is %d", size, limit)
+				return answer, errkind.New(errkind.AnswerTooLarge, "answer has %d bytes, the limit is %d", size, limit)
 			}
 			answer.Messages = append(make([]byte, 0, len(buf)), buf...)
 			c.keep(buf)
-			return answer, completed, nil
+			return answer, nil
 		}
 		if !keep {
 			buf = buf[:start]
--- a/internal/backend/relay_test.go
+++ b/internal/backend/relay_test.go
@@ -103,6 +103,10 @@
 		if err != nil {
 			t.Fatalf("%s: %v", tc.name, err)
 		}
+		before, _, _ := strings.Cut(tc.types, "E")
+		if answer.Completed != strings.Contains(before, "C") {
+			t.Errorf("%s: completed is %v", tc.name, answer.Completed)
+		}
 		if got := types(answer.Messages); got != tc.types || answer.TxStatus != tc.tx || answer.SQLState != tc.state {
 			t.Errorf("%s: answer %s %c %q, want %s %c %q", tc.name, got, answer.TxStatus, answer.SQLState, tc.types, tc.tx, tc.state)
 		}
