--- a/internal/owner/answers_test.go
+++ b/internal/owner/answers_test.go
@@ -62,6 +62,9 @@
 			}
 		}
 		r.server.set(func(f *fakeServer) {
+			if f.mostRun != 3 {
+				t.Errorf("%d statements ran at one time, the server has 3 slots", f.mostRun)
+			}
 			if f.mostOpen > 8 { // 10 announced, 2 reserved for control
 				t.Errorf("%d connections were open at one time", f.mostOpen)
 			}
--- a/internal/owner/doc.go
+++ b/internal/owner/doc.go
@@ -18,6 +18,15 @@
 // received the position. Lease and term are checked once more, under the lock
 // that a revocation takes, at the moment of the answer.
 //
+// # Leases
+//
+// New work needs a lease that the newest heartbeat reply lists and whose time
+// has not passed. Work in progress may still finish when a lease or the
+// primary role moves as planned, within the time of the last listing; a
+// revocation waits for it for a short time and then ends it. Control hands a
+// lease or role on only after either. A commit whose time passes while it
+// waits is answered as unknown, however late the waiting goroutine runs.
+//
 // # Answers
 //
 // Every answer has exactly one kind. A kind whose outcome is not_run is given
--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -31,6 +31,8 @@
 	ran       []string // statements in the order of execution
 	mixed     bool     // two sessions used one transaction
 	conns     int
+	running   int // statements
+	mostRun   int
 	open      int
 	mostOpen  int
 	polls     int
@@ -185,8 +187,12 @@
 	f := c.server
 	f.mu.Lock()
 	service := f.service
+	f.running++
+	f.mostRun = max(f.mostRun, f.running)
 	f.mu.Unlock()
-	if err := c.pause(ctx, service); err != nil {
+	err := c.pause(ctx, service)
+	f.set(func(f *fakeServer) { f.running-- })
+	if err != nil {
 		return backend.Answer{}, logpos.Position{}, err
 	}
 	f.mu.Lock()
--- a/internal/owner/limits.go
+++ b/internal/owner/limits.go
@@ -25,6 +25,11 @@
 	OutcomeRecords int // 262144: outcomes of cycles that are not repeatable; 26,000 writes/s for 10 s
 	TokenBytes     int // 8 KiB: answer that is stored whole with a request token
 	Opening        int // 4: connections of one server that are opened at one time
+
+	// Ahead is the number of cycles sent to a server beyond its slots, 0 by
+	// default. They wait at the server, which then has work while an answer
+	// is on its way, but their order can no longer be changed.
+	Ahead int
 }
 
 func (l Limits) withDefaults() Limits {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -143,7 +143,7 @@
 		if s != nil {
 			old = s.view.Load()
 		}
-		v, ok := buildView(o.state, o.cfg, id, old, o.opts.Disabled)
+		v, ok := buildView(o.state, o.cfg, id, old, &o.opts)
 		switch {
 		case !ok:
 		case s == nil:
--- a/internal/owner/server.go
+++ b/internal/owner/server.go
@@ -174,7 +174,7 @@
 	s.monitor.mu.Unlock()
 	return ownerrpc.Load{
 		Server: s.id, Applied: applied, Queued: queued, Full: full, Service: service,
-		Slots: v.slots(), Draining: !v.drainingSince.IsZero(),
+		Slots: v.spec.Slots, Draining: !v.drainingSince.IsZero(),
 	}
 }
 
--- a/internal/owner/serverview.go
+++ b/internal/owner/serverview.go
@@ -21,6 +21,7 @@
 	higher        map[string]int
 	effective     map[string]policy.Effective // by rank
 	defaultRank   string
+	ahead         int       // cycles sent beyond the slots
 	drainingSince time.Time // zero if the server stays in service
 }
 
@@ -33,8 +34,9 @@
 // hold.
 func (v *serverView) transactions() int { return v.connections() - v.slots() }
 
-// slots returns the number of slots, of which each needs a connection.
-func (v *serverView) slots() int { return max(1, min(v.spec.Slots, v.connections())) }
+// slots returns how many cycles are sent at one time. Each needs a
+// connection.
+func (v *serverView) slots() int { return max(1, min(v.spec.Slots+v.ahead, v.connections())) }
 
 // rank returns the rank that a cycle is served in.
 func (v *serverView) rank(name string) string {
--- a/internal/owner/viewbuilder.go
+++ b/internal/owner/viewbuilder.go
@@ -10,13 +10,14 @@
 
 // buildView resolves the state and the configuration for one server. The
 // second result is false if the state does not know the server.
-func buildView(state *controlrpc.State, cfg *policy.Config, id string, old *serverView, disabled Disabled) (*serverView, bool) {
+func buildView(state *controlrpc.State, cfg *policy.Config, id string, old *serverView, opts *Options) (*serverView, bool) {
 	spec, ok := state.Servers[id]
 	if !ok {
 		return nil, false
 	}
 	v := &serverView{
 		spec:      spec,
+		ahead:     opts.Limits.Ahead,
 		members:   state.Groups[spec.Group].Members,
 		higher:    map[string]int{},
 		effective: map[string]policy.Effective{},
@@ -37,7 +38,7 @@
 			eff = policy.Effective{Rank: r, Deadline: 5 * time.Second, QueueLimit: 64, PositionWait: 20 * time.Millisecond}
 		}
 		floor := r.Floor
-		if disabled.Floors {
+		if opts.Disabled.Floors {
 			floor = 0
 		}
 		v.ranks = append(v.ranks, RankSpec{Name: r.Name, Floor: floor, QueueLimit: eff.QueueLimit})
