Planned stop ends idle sessions first; a cut-off cycle has an unknown outcome

Cause: the entry waited for its sessions before the caller side ended the idle ones, so the planned stop ran into its limit and cut off running cycles, with an answer that stated not_run.

--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -248,6 +248,11 @@
 	return &SQLState{Code: "57P01", Detail: "terminating connection: the proxy is shutting down"}
 }
 
+// errCutOff is for a connection whose cycle is still running.
+func errCutOff() error {
+	return errkind.New(errkind.OutcomeUnknown, "terminating connection: the proxy stopped before the statement had ended")
+}
+
 // mustPark reports whether an earlier answer has to be sent first. onWritten
 // submits a parked connection again. Caller holds c.mu.
 func (c *conn) mustPark() bool {
@@ -434,7 +439,11 @@
 func (c *conn) endNow() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase < phaseLinger && c.phase != phaseStartup {
+	switch {
+	case c.phase >= phaseLinger || c.phase == phaseStartup:
+	case c.running && c.phase == phaseReady:
+		c.end(errCutOff())
+	default:
 		c.end(errShutdown())
 	}
 	_ = c.nc.Close()
--- a/internal/faulttest/installation.go
+++ b/internal/faulttest/installation.go
@@ -61,6 +61,10 @@
 	Policy   string // default DefaultPolicy
 	Standin  standin.Options
 	Logger   zerolog.Logger
+
+	// RegionLatency is the one-way latency between regions; each data centre
+	// is in a region of its own.
+	RegionLatency time.Duration
 }
 
 // Installation is a whole system of goroutines over loopback TCP. Its methods
@@ -100,6 +104,9 @@
 		entries:  make([]*process.Entry, opts.Entries),
 		servers:  make([]*standin.Server, 3),
 	}
+	if opts.RegionLatency > 0 {
+		in.Network.Latency = in.latency
+	}
 	if err := in.reserve(); err != nil {
 		return nil, err
 	}
@@ -167,6 +174,15 @@
 	return nil
 }
 
+// latency returns the one-way latency between two hosts by their numbers,
+// which tell their regions.
+func (in *Installation) latency(from, to string) time.Duration {
+	if from == "" || to == "" || from[len(from)-1]%3 == to[len(to)-1]%3 {
+		return 0
+	}
+	return in.opts.RegionLatency
+}
+
 func controlID(i int) string { return fmt.Sprintf("control-%d", i) }
 func entryID(i int) string   { return fmt.Sprintf("entry-%d", i) }
 func serverID(i int) string  { return fmt.Sprintf("server-%d", i) }
@@ -182,7 +198,7 @@
 		members[controlID(j)] = a
 	}
 	cfg := settings.Settings{
-		Host:   settings.Host{ID: controlID(i), DataCentre: fmt.Sprintf("dc-%d", i%3), Region: "r"},
+		Host:   settings.Host{ID: controlID(i), DataCentre: fmt.Sprintf("dc-%d", i%3), Region: fmt.Sprintf("region-%d", i%3)},
 		Listen: settings.Listen{Peers: in.controlPeers[i], Operators: in.controlOps[i]},
 		Control: settings.Control{
 			Addresses: in.controlPeers, DataFolder: folder, Bootstrap: true, Members: members,
@@ -209,10 +225,10 @@
 // StartEntry starts an entry process.
 func (in *Installation) StartEntry(i int) error {
 	cfg, err := settings.Parse("faulttest", fmt.Sprintf(`
-host = { id = %q, data_centre = "dc-%d", region = "r" }
+host = { id = %q, data_centre = "dc-%d", region = "region-%d" }
 listen = { callers = %q, peers = %q, operators = %q }
 control = { addresses = ["%s"] }
-`, entryID(i), i%3, in.entryCallers[i], in.entryPeers[i], in.entryOps[i],
+`, entryID(i), i%3, i%3, in.entryCallers[i], in.entryPeers[i], in.entryOps[i],
 		strings.Join(in.controlPeers, `", "`)), settings.RoleEntry)
 	if err != nil {
 		return err
@@ -432,6 +448,9 @@
 	return live >= len(in.entries)
 }
 
+// EntryOperator returns the operator address of an entry.
+func (in *Installation) EntryOperator(i int) string { return in.entryOps[i] }
+
 // CallerDSN returns the DSN of an entry.
 func (in *Installation) CallerDSN(i int) string {
 	return "postgres://caller@" + in.entryCallers[i] + "/" + Group + "?sslmode=disable"
--- a/internal/faulttest/network.go
+++ b/internal/faulttest/network.go
@@ -36,6 +36,10 @@
 // data from one host to another is lost. A connection that has lost data stays
 // silent for ever, as TCP does when a middlebox has lost its state.
 type Network struct {
+	// Latency is the one-way latency between two hosts; nil for none. It is
+	// set before the first connection.
+	Latency func(from, to string) time.Duration
+
 	mu    sync.Mutex
 	hosts map[string]string // address to host
 	cuts  map[[2]string]bool
@@ -92,6 +96,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if n.Latency != nil {
+			conn = newDelayConn(conn, 2*n.Latency(from, to))
+		}
 		return &cutConn{Conn: conn, network: n, from: from, to: to}, nil
 	}
 }
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -4,10 +4,9 @@
 //
 // # Planned stop
 //
-// An entry process first reports not ready and asks control for no new
-// leases, so that the balancer and the other hosts turn away from it. Its
-// owner side finishes what it has taken; control then moves its leases; its
-// sessions end when they are idle. Only then are the listeners closed. A
+// An entry process first reports not ready and ends its sessions as they
+// become idle. Its owner side then finishes what it has taken, and control
+// moves its leases. Only then are the other listeners closed. A
 // control process hands over leadership before it stops.
 //
 // # Usage
@@ -196,13 +195,16 @@
 }
 
 // Stop is the planned stop. Its error tells that ctx ended before everything
-// in progress was finished.
+// in progress was finished. The entry refuses new sessions while the caller
+// side ends the idle ones; the owner side goes on meanwhile, because they use
+// it.
 func (p *Entry) Stop(ctx context.Context) error {
 	var group errs.Group
-	group.Add(p.entry.Drain(ctx))
+	drained := make(chan error, 1)
+	go p.runDrain(ctx, drained)
+	group.Add(p.callers.Shutdown(ctx), <-drained)
 	group.Add(p.owner.Drain(ctx))
 	p.follower.drain(ctx)
-	group.Add(p.callers.Shutdown(ctx))
 	group.Add(p.http.Shutdown(ctx))
 	group.Add(p.peers.Shutdown(ctx))
 	p.abort()
@@ -210,6 +212,8 @@
 	return Error.Wrap(group.Err())
 }
 
+func (p *Entry) runDrain(ctx context.Context, drained chan<- error) { drained <- p.entry.Drain(ctx) }
+
 // Abort ends the process at once, as a crash does.
 func (p *Entry) Abort() {
 	_ = p.callers.Close()
