control: replace, add and drop members

A server joins only in a planned change of the primary, once it has received what the chosen member had when it was fenced, so that every majority of the new members has every acknowledged write.

--- a/internal/control/attempt.go
+++ b/internal/control/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -22,12 +23,15 @@
 	machine  *Machine
 	sessions *Sessions
 	logger   zerolog.Logger
+	calls    *sync.WaitGroup // calls that may outlast the attempt, until their context ends
 
 	group string
 	cause Cause
 
 	was     controlrpc.Group             // the group before the attempt
 	members map[string]controlrpc.Server // of the group
+	next    []string                     // members after the attempt, nil for no change
+	joining map[string]controlrpc.Server // server of next that is no member yet
 	need    int                          // members that must be fenced
 	term    uint64                       // of this attempt
 	began   time.Time                    // when the leader saw that the state grants no role
@@ -54,17 +58,23 @@
 	if a.opts.disabled.majority {
 		members = 1
 	}
-	a.chosen, err = choose(fenced, members, a.avoid)
+	byMembers := maps.Clone(fenced)
+	maps.DeleteFunc(byMembers, func(id string, _ MemberStatus) bool { _, ok := a.joining[id]; return ok })
+	a.chosen, err = choose(byMembers, members, a.avoid)
 	if err != nil {
 		return err
 	}
 	if err := a.promote(ctx, a.chosen); err != nil {
 		return err
 	}
-	if err := a.name(ctx, a.chosen); err != nil {
+	next := a.allowedMembers(fenced)
+	if err := a.name(ctx, a.chosen, next); err != nil {
 		return err
 	}
-	if a.cause.planned() && a.avoid(a.chosen) {
+	switch {
+	case a.cause == CauseMembers && next == nil:
+		return errkind.New(errkind.NoMember, "too few of %v have every acknowledged write to become the members", a.next)
+	case a.cause.planned() && a.avoid(a.chosen):
 		return errkind.New(errkind.NoMember, "only %q has every acknowledged write and is primary again", a.chosen)
 	}
 	return nil
@@ -89,15 +99,16 @@
 		// Nothing is known yet about who has which records.
 		a.need = len(g.Members)
 	}
-	a.before = a.askAll(ctx, a.opts.ProbeTimeout, func(ctx context.Context, s controlrpc.Server) (MemberStatus, error) {
-		return a.opts.Members.Status(ctx, s.Address)
-	})
+	a.before = a.askAll(ctx, a.opts.ProbeTimeout, a.status)
 	if st, ok := a.before[g.Primary]; ok && a.cause == CauseSuspect && st.Primary && st.Term == g.Term {
 		return errNotNeeded
 	}
 	if len(a.before) < a.need {
 		return errkind.New(errkind.NoMember, "%d of %d members answer, %d are needed", len(a.before), len(g.Members), a.need)
 	}
+	if a.cause == CauseMembers {
+		return a.prepareMembers(ctx, v)
+	}
 	if a.cause.planned() {
 		other := func(id string) bool { _, ok := a.before[id]; return ok && !a.avoid(id) }
 		if !slices.ContainsFunc(g.Members, other) {
@@ -170,15 +181,16 @@
 	ctx, cancel := context.WithTimeout(ctx, a.opts.CatchUp)
 	defer cancel()
 	for {
-		all := a.askAll(ctx, a.opts.ProbeTimeout, func(ctx context.Context, s controlrpc.Server) (MemberStatus, error) {
-			return a.opts.Members.Status(ctx, s.Address)
-		})
+		all := a.askAll(ctx, a.opts.ProbeTimeout, a.status)
 		primary, ok := all[a.was.Primary]
 		if !ok {
 			return
 		}
+		if a.next != nil && covered(all, a.next, a.was.Primary) >= majority(len(a.next)) {
+			return
+		}
 		for id, st := range all {
-			if !a.avoid(id) && st.Received.Covers(primary.Received) {
+			if a.next == nil && !a.avoid(id) && st.Received.Covers(primary.Received) {
 				return
 			}
 		}
@@ -195,16 +207,22 @@
 	if a.opts.disabled.majority {
 		need = 1
 	}
-	fenced := a.ask(ctx, a.opts.StepTimeout, need, len(a.before), func(ctx context.Context, s controlrpc.Server) (MemberStatus, error) {
+	fence := func(ctx context.Context, s controlrpc.Server) (MemberStatus, error) {
 		st, err := a.opts.Members.Fence(ctx, s.Address, a.term)
 		if err == nil && st.Term != a.term {
 			err = errkind.New(errkind.StaleTerm, "server %q is fenced at term %d", s.ID, st.Term)
 		}
 		return st, err
-	})
+	}
+	joined := make(chan map[string]MemberStatus, 1)
+	go func() {
+		joined <- a.askServers(ctx, a.joining, a.opts.ProbeTimeout, len(a.joining), len(a.joining), fence)
+	}()
+	fenced := a.askServers(ctx, a.members, a.opts.StepTimeout, need, len(a.before), fence)
 	if len(fenced) < need {
 		return nil, errkind.New(errkind.NoMember, "%d of %d members are fenced, %d are needed", len(fenced), len(a.members), need)
 	}
+	maps.Copy(fenced, <-joined)
 	if a.opts.disabled.fenced {
 		return a.before, nil
 	}
@@ -232,8 +250,8 @@
 
 // name logs the primary. The answer of the log may be lost; the state then
 // tells whether another attempt is needed.
-func (a *attempt) name(ctx context.Context, id string) error {
-	commands := []Command{{Name: &NamePrimary{Group: a.group, Term: a.term, Server: id}}}
+func (a *attempt) name(ctx context.Context, id string, members []string) error {
+	commands := []Command{{Name: &NamePrimary{Group: a.group, Term: a.term, Server: id, Members: members}}}
 	if a.opts.disabled.preparation {
 		commands = slices.Insert(commands, 0, Command{Begin: &BeginTerm{
 			Group: a.group, ExpectTerm: a.was.Term, ExpectPhase: a.was.Phase, Term: a.term,
@@ -248,61 +266,6 @@
 
 // avoid reports whether another member should become primary if possible.
 func (a *attempt) avoid(id string) bool {
-	return a.machine.View().OutOfService(id) || (id == a.was.Primary && a.cause != CauseResume)
-}
-
-// askAll calls every member and returns the answers that came in time.
-func (a *attempt) askAll(ctx context.Context, limit time.Duration, call memberCall) map[string]MemberStatus {
-	return a.ask(ctx, limit, len(a.members), len(a.members), call)
-}
-
-// memberCall is one call of Members.
-type memberCall func(ctx context.Context, s controlrpc.Server) (MemberStatus, error)
-
-// ask calls every member at the same time. Once enough have answered it waits
-// for the others only a little longer, and not at all once as many as expected
-// have answered.
-func (a *attempt) ask(ctx context.Context, limit time.Duration, enough, expected int, call memberCall) map[string]MemberStatus {
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	type answer struct {
-		id string
-		st MemberStatus
-		ok bool
-	}
-	answers := make(chan answer, len(a.members))
-	for id, s := range a.members {
-		go func() {
-			st, err := call(ctx, s)
-			if err == nil && st.ServerID != id {
-				// Another server has taken over the address.
-				err = errkind.New(errkind.NoMember, "server %q answers at the address of %q", st.ServerID, id)
-			}
-			if err != nil {
-				a.logger.Debug().Err(err).Str("server", id).Msg("member did not answer")
-			}
-			answers <- answer{id, st, err == nil}
-		}()
-	}
-	out := make(map[string]MemberStatus, len(a.members))
-	var grace <-chan time.Time
-	for range a.members {
-		select {
-		case r := <-answers:
-			if r.ok {
-				out[r.id] = r.st
-			}
-		case <-grace:
-			return out
-		case <-ctx.Done():
-			return out
-		}
-		if len(out) >= max(enough, expected) {
-			return out
-		}
-		if len(out) >= enough && grace == nil {
-			grace = time.After(a.opts.FenceGrace)
-		}
-	}
-	return out
+	return a.machine.View().OutOfService(id) || (id == a.was.Primary && a.cause.replaces()) ||
+		(a.next != nil && !slices.Contains(a.next, id))
 }
--- a/internal/control/export_test.go
+++ b/internal/control/export_test.go
@@ -32,6 +32,8 @@
 		o.disabled.majority = true
 	case "fenced positions":
 		o.disabled.fenced = true
+	case "caught up":
+		o.disabled.caughtUp = true
 	case "preparation":
 		o.disabled.preparation = true
 	default:
--- a/internal/control/failover.go
+++ b/internal/control/failover.go
@@ -134,7 +134,7 @@
 			return // finish wakes the next scan
 		}
 		w.running, w.requested = true, ""
-		group.Go(func() { f.attempt(ctx, name, cause) })
+		group.Go(func() { f.attempt(ctx, group, name, cause) })
 	}
 }
 
@@ -154,17 +154,22 @@
 	case controlrpc.PhaseFencing:
 		return CauseResume
 	}
-	if requested == "" && v.OutOfService(g.Primary) {
+	switch {
+	case requested != "":
+		return requested
+	case v.OutOfService(g.Primary):
 		return CauseLeaving
+	case nextMembers(v, g, func(string) bool { return true }) != nil:
+		return CauseMembers
 	}
-	return requested
+	return ""
 }
 
 // attempt runs one attempt and records its end.
-func (f *Failover) attempt(ctx context.Context, group string, cause Cause) {
+func (f *Failover) attempt(ctx context.Context, calls *sync.WaitGroup, group string, cause Cause) {
 	logger := f.logger.With().Str("group", group).Str("cause", string(cause)).Logger()
 	a := &attempt{
-		opts: f.opts, log: f.log, machine: f.machine, sessions: f.sessions, logger: logger,
+		opts: f.opts, log: f.log, machine: f.machine, sessions: f.sessions, logger: logger, calls: calls,
 		group: group, cause: cause,
 	}
 	start := time.Now()
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -38,8 +38,9 @@
 	// loss of a data centre hits about 1,100 of 10,000 primaries. An attempt
 	// takes at most about 2 s, so the default of 512 needs three rounds.
 	Parallel int
-	// FollowEvery is how often each member is told again whom to follow, which
-	// reaches members that were restarted or unreachable. Default 5 s.
+	// FollowEvery is how often each server is told again whom to follow, which
+	// reaches servers that were restarted without a gap in their announcements.
+	// With 30,000 servers the default of 15 s makes 2,000 calls a second.
 	FollowEvery time.Duration
 
 	disabled disabled
@@ -53,6 +54,7 @@
 	majority    bool // fence one member only
 	fenced      bool // choose by the positions of before the fencing
 	preparation bool // don't log an intent before it is carried out
+	caughtUp    bool // let servers become members that lack records
 }
 
 func (o Options) withDefaults() Options {
@@ -65,7 +67,7 @@
 	setDefault(&o.CatchUp, time.Second)
 	setDefault(&o.RetryDelay, 500*time.Millisecond)
 	setDefault(&o.Parallel, 512)
-	setDefault(&o.FollowEvery, 5*time.Second)
+	setDefault(&o.FollowEvery, 15*time.Second)
 	return o
 }
 
