control: don't delay a failover by the back-off of a planned change

A change of members that waits for a lagging server backed off for up to 30 s, and a primary that was lost meanwhile was replaced only after that.

--- a/internal/control/failover.go
+++ b/internal/control/failover.go
@@ -45,6 +45,7 @@
 	requested Cause     // by an event, empty for none
 	failures  int       // attempts that failed since the last success
 	notBefore time.Time // next attempt
+	leisurely bool      // notBefore is the long delay of a planned change
 	lastError string
 }
 
@@ -63,8 +64,12 @@
 func (f *Failover) Request(group string, cause Cause) {
 	f.mu.Lock()
 	w := f.work(group)
-	if !w.running && w.requested == "" {
+	if !w.running && (w.requested == "" || cause == CauseSuspect) {
 		w.requested = cause
+		if w.leisurely {
+			// The delay is meant for a group that works.
+			w.notBefore = time.Time{}
+		}
 	}
 	f.mu.Unlock()
 	select {
@@ -194,7 +199,8 @@
 	} else {
 		w.lastError = err.Error()
 		delay := min(firstRetry<<min(w.failures, 10), f.opts.RetryDelay)
-		if cause.planned() {
+		w.leisurely = cause.planned() && f.machine.View().Groups[group].Phase == controlrpc.PhaseSteady
+		if w.leisurely {
 			delay = min(minPlannedRetry<<min(w.failures, 10), maxPlannedRetry)
 		}
 		w.failures++
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"sync"
 
 	"github.com/arbutusring/arbutusring/internal/controlrpc"
@@ -116,6 +117,11 @@
 func (m *Machine) View() *View {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.current()
+}
+
+// current returns the view of the current state. The caller holds mu.
+func (m *Machine) current() *View {
 	if m.stale {
 		m.view, m.dirty, m.stale = newView(m, m.view, m.dirty), dirty{}, false
 	}
@@ -130,13 +136,16 @@
 	return m.changed
 }
 
-// Snapshot returns the whole state. Equal states have equal snapshots.
+// Snapshot returns the whole state. Equal states have equal snapshots. It
+// encodes without the lock, because that takes several 100 ms at fleet size.
 func (m *Machine) Snapshot() []byte {
 	m.mu.Lock()
-	defer m.mu.Unlock()
+	v := m.current()
+	changes := slices.Clone(m.changes.order)
+	m.mu.Unlock()
 	return encode(image{
-		State: m.state, WonBy: m.wonBy, WonChange: m.wonChange,
-		Old: m.old, Named: m.named, Servers: m.servers, Hosts: m.hosts, Changes: m.changes.order,
+		State: v.State, WonBy: v.wonBy, WonChange: v.wonChange,
+		Old: v.old, Named: v.named, Servers: v.servers, Hosts: v.hosts, Changes: changes,
 	})
 }
 
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -15,7 +15,8 @@
 // stays. ready reports whether a server that is no member may become one.
 func nextMembers(v *View, g controlrpc.Group, ready func(id string) bool) []string {
 	declared := v.Declared(g.Name)
-	if declared == 0 {
+	spares := len(v.GroupServers(g.Name)) > len(g.Members)
+	if declared == 0 || (!spares && len(g.Members) <= declared) {
 		return nil
 	}
 	drop := slices.IndexFunc(g.Members, func(id string) bool { return id != g.Primary && v.OutOfService(id) })
@@ -25,7 +26,7 @@
 		}
 		return slices.Delete(slices.Clone(g.Members), drop, drop+1)
 	}
-	if len(g.Members) == declared && drop < 0 || len(v.GroupServers(g.Name)) == len(g.Members) {
+	if len(g.Members) == declared && drop < 0 {
 		return nil
 	}
 	for _, id := range v.GroupServers(g.Name) {
--- a/internal/control/membership_test.go
+++ b/internal/control/membership_test.go
@@ -64,6 +64,9 @@
 		{"primary departs, spare", []func(*world, *traffic){depart("s2"), join("s4")}, []string{"s1", "s3", "s4"}},
 		{"member departs, spare", []func(*world, *traffic){join("s4"), wait, depart("s1")}, []string{"s2", "s3", "s4"}},
 		{"member departs, spare lags", []func(*world, *traffic){lagging("s4", true), join("s4"), depart("s1")}, []string{"s1", "s2", "s3"}},
+		{"member departs, spare lags, primary lost", []func(*world, *traffic){
+			lagging("s4", true), join("s4"), depart("s1"), wait, wait, killPrimary,
+		}, []string{"s1", "s2", "s3"}},
 		{"spare without need", []func(*world, *traffic){join("s4")}, []string{"s1", "s2", "s3"}},
 		{"more declared", []func(*world, *traffic){join("s4"), join("s5"), declare(5)}, []string{"s1", "s2", "s3", "s4", "s5"}},
 		{"fewer declared", []func(*world, *traffic){depart("s3"), declare(2)}, []string{"s1", "s2"}},
