--- a/internal/control/failover.go
+++ b/internal/control/failover.go
@@ -45,6 +45,7 @@
 	requested Cause     // by an event, empty for none
 	failures  int       // attempts that failed since the last success
 	notBefore time.Time // next attempt
+	leisurely bool      // notBefore is the long delay of a planned change
 	lastError string
 }
 
@@ -63,8 +64,12 @@
 func (f *Failover) Request(group string, cause Cause) {
 	f.mu.Lock()
 	w := f.work(group)
-	if !w.running && w.requested == "" {
+	if !w.running && (w.requested == "" || cause == CauseSuspect) {
 		w.requested = cause
+		if w.leisurely {
+			// The delay is meant for a group that works.
+			w.notBefore = time.Time{}
+		}
 	}
 	f.mu.Unlock()
 	select {
@@ -134,7 +139,7 @@
 			return // finish wakes the next scan
 		}
 		w.running, w.requested = true, ""
-		group.Go(func() { f.attempt(ctx, name, cause) })
+		group.Go(func() { f.attempt(ctx, group, name, cause) })
 	}
 }
 
@@ -154,17 +159,22 @@
 	case controlrpc.PhaseFencing:
 		return CauseResume
 	}
-	if requested == "" && v.OutOfService(g.Primary) {
+	switch {
+	case requested != "":
+		return requested
+	case v.OutOfService(g.Primary):
 		return CauseLeaving
+	case nextMembers(v, g, func(string) bool { return true }) != nil:
+		return CauseMembers
 	}
-	return requested
+	return ""
 }
 
 // attempt runs one attempt and records its end.
-func (f *Failover) attempt(ctx context.Context, group string, cause Cause) {
+func (f *Failover) attempt(ctx context.Context, calls *sync.WaitGroup, group string, cause Cause) {
 	logger := f.logger.With().Str("group", group).Str("cause", string(cause)).Logger()
 	a := &attempt{
-		opts: f.opts, log: f.log, machine: f.machine, sessions: f.sessions, logger: logger,
+		opts: f.opts, log: f.log, machine: f.machine, sessions: f.sessions, logger: logger, calls: calls,
 		group: group, cause: cause,
 	}
 	start := time.Now()
@@ -189,7 +199,8 @@
 	} else {
 		w.lastError = err.Error()
 		delay := min(firstRetry<<min(w.failures, 10), f.opts.RetryDelay)
-		if cause.planned() {
+		w.leisurely = cause.planned() && f.machine.View().Groups[group].Phase == controlrpc.PhaseSteady
+		if w.leisurely {
 			delay = min(minPlannedRetry<<min(w.failures, 10), maxPlannedRetry)
 		}
 		w.failures++
