--- a/internal/owner/bench_test.go
+++ b/internal/owner/bench_test.go
@@ -36,7 +36,7 @@
 
 func benchmarkExec(b *testing.B, write bool) {
 	r := newHarness(b, owner.Options{Limits: owner.Limits{OutcomeRecords: 1 << 24}})
-	fake := &fakeConn{server: r.server, status: 'I', ended: make(chan struct{})}
+	fake := &fakeConn{server: r.server, number: 1, status: 'I', ended: make(chan struct{})}
 	conn := &instantConn{fake, fake.answer("SELECT 1", "1", "")}
 	r.server.connected = func() owner.Conn { return conn }
 	ctx, cancel := context.WithCancel(context.Background())
