--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -55,6 +55,7 @@
 	servers map[string]*fakeServer
 	history []execution
 	calls   map[string]int // by method
+	entries int            // entries that use the fake
 
 	// exec decides on each Owner.Exec; nil means no fault. It runs without the lock.
 	exec func(ctx context.Context, args *ownerrpc.ExecArgs) (fault, *ownerrpc.ExecReply)
--- a/internal/entry/faults_test.go
+++ b/internal/entry/faults_test.go
@@ -211,6 +211,7 @@
 		faults := rapid.SliceOfN(rapid.IntRange(0, int(faultLate)), 1, 60).Draw(rt, "faults")
 		forget := rapid.IntRange(0, 80).Draw(rt, "forget_at")
 		steps := rapid.SliceOfN(rapid.SampledFrom([]string{"write", "tx", "read", "repeatable"}), 1, 8).Draw(rt, "steps")
+		wrong := ""
 		synctest.Test(t, func(t *testing.T) {
 			f := newFake()
 			ent := newEntry(f, "")
@@ -269,9 +270,12 @@
 				}
 				switch {
 				case runs > limit, a.code == "" && runs == 0, a.outcome == "not_run" && runs > 0, a.outcome == "ran" && runs == 0:
-					rt.Fatalf("step %d (%s) ran %d times; the caller was told %q %s %s", i, step, runs, a.outcome, a.code, a.message)
+					wrong = fmt.Sprintf("step %d (%s) ran %d times; the caller was told %q %s %s", i, step, runs, a.outcome, a.code, a.message)
 				}
 			}
 		})
+		if wrong != "" {
+			rt.Fatal(wrong)
+		}
 	})
 }
--- a/internal/entry/pgx_test.go
+++ b/internal/entry/pgx_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -14,9 +15,10 @@
 
 // newEntry returns an entry that uses the fake with the given policy text.
 func newEntry(f *fake, policyText string) *entry.Entry {
+	f.entries++
 	ent := entry.New(entry.Options{
 		StaleAfter: time.Hour,
-		Host:       controlrpc.Host{ID: "e", Incarnation: "1", DataCentre: "d1", Region: "r"},
+		Host:       controlrpc.Host{ID: fmt.Sprintf("e%d", f.entries), Incarnation: "1", DataCentre: "d1", Region: "r"},
 		Owners:     f.client(),
 	})
 	ent.SetState(f.state(1), mustPolicy(policyText))
