--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -55,6 +55,7 @@
 	servers map[string]*fakeServer
 	history []execution
 	calls   map[string]int // by method
+	entries int            // entries that use the fake
 
 	// exec decides on each Owner.Exec; nil means no fault. It runs without the lock.
 	exec func(ctx context.Context, args *ownerrpc.ExecArgs) (fault, *ownerrpc.ExecReply)
@@ -104,6 +105,13 @@
 	return cfg
 }
 
+// change changes the fake while requests are on their way.
+func (f *fake) change(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
 func (f *fake) client() ownerrpc.Client { return ownerrpc.Client{Call: f.call} }
 
 func (f *fake) call(ctx context.Context, address, method string, args, reply any) error {
