Shorten the write gap at a failover; prefer near replicas

Change: waits end with the term; a suspect is reported at once; asking ends when the lease has moved; the replica with the least expected time is chosen, with 10 ms for a position that may have been reached. Also passes the incarnation of the process to its owner side: without it no cancel is trusted.

--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -9,9 +9,10 @@
 )
 
 // choose picks the member for a read that requires pos. Replicas come before
-// the primary, those that have applied pos before those that may reach it
-// while the owner waits. Among equals it takes the better of two random ones,
-// which spreads load without all entries choosing the same member at a time.
+// the primary. Among the replicas that have applied pos, and those that may
+// reach it while the owner waits, it takes the one with the least expected
+// time, wait included: a near replica whose last report is old has usually
+// applied more than the report says.
 // Replicas that lag behind are left out in favour of the primary; members that
 // failed lately are tried when nothing else is left.
 //
@@ -37,17 +38,18 @@
 		}
 		best[class] = append(best[class], s)
 	}
-	for _, class := range []standing{standingCovers, standingMay} {
-		if len(best[class]) > 0 {
-			return pickOfTwo(best[class]), nil
-		}
+	for i := range best[standingMay] {
+		best[standingMay][i].cost += expectedWait
+	}
+	if able := append(best[standingCovers], best[standingMay]...); len(able) > 0 {
+		return pick(able), nil
 	}
 	if primary.target != nil && primary.class != standingSuspect {
 		return primary.target, nil
 	}
 	for _, class := range []standing{standingBehind, standingSuspect} {
 		if len(best[class]) > 0 {
-			return pickOfTwo(best[class]), nil
+			return pick(best[class]), nil
 		}
 	}
 	if primary.target != nil {
@@ -59,6 +61,13 @@
 	return nil, errkind.New(errkind.NoMember, "no member of group %q can serve the read", gv.name)
 }
 
+const (
+	// expectedWait is half the default limit of the wait at a replica.
+	expectedWait = 10 * time.Millisecond
+	// maxCompared covers the members of a usual group.
+	maxCompared = 4
+)
+
 // scored is a target with its standing.
 type scored struct {
 	target *target
@@ -66,11 +75,21 @@
 	cost   time.Duration
 }
 
-func pickOfTwo(list []scored) *target {
-	a := list[rand.IntN(len(list))]
-	b := list[rand.IntN(len(list))]
-	if b.cost < a.cost {
-		a = b
+// pick takes the candidate with the least cost. A random tenth keeps equal
+// candidates from being chosen by all entries at the same time. Among many
+// candidates it looks at a random few only, for the same reason.
+func pick(list []scored) *target {
+	if len(list) > maxCompared {
+		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+		list = list[:maxCompared]
+	}
+	var best *target
+	var least time.Duration
+	for _, s := range list {
+		cost := s.cost + time.Duration(rand.Float64()*float64(s.cost)/10)
+		if best == nil || cost < least {
+			best, least = s.target, cost
+		}
 	}
-	return a.target
+	return best
 }
--- a/internal/entry/outcome.go
+++ b/internal/entry/outcome.go
@@ -34,16 +34,23 @@
 	s.entry.metrics.asked.Inc(1)
 	var pause backoff
 	for {
-		reply, v, final := s.askOnce(ctx, t, id)
+		reply, verdict, final := s.askOnce(ctx, t, id)
 		if final {
-			return reply, v
+			return reply, verdict
 		}
-		if !pause.wait(ctx, nil) {
+		v := s.entry.view.Load()
+		if v.moved(t) || !pause.wait(ctx, v) {
 			return nil, verdictUnknown
 		}
 	}
 }
 
+// moved reports whether the server has another owner than t by now. Control
+// gives a lease to the next owner only after the former one has given it up
+// or can't act on it any more, so the answer of an unreachable former owner is
+// not worth waiting for.
+func (v *view) moved(t *target) bool { return v.state.Leases[t.server].Epoch > t.epoch }
+
 // askOnce asks once. The last result is false if asking again may help.
 func (s *session) askOnce(ctx context.Context, t *target, id ownerrpc.RequestID) (*ownerrpc.ExecReply, verdict, bool) {
 	ctx, cancel := context.WithTimeout(ctx, askCallTime)
--- a/internal/faulttest/installation.go
+++ b/internal/faulttest/installation.go
@@ -12,6 +12,8 @@
 
 	"github.com/arbutusring/arbutusring/internal/controlrpc"
 	"github.com/arbutusring/arbutusring/internal/operator"
+	"github.com/arbutusring/arbutusring/internal/ownerrpc"
+	"github.com/arbutusring/arbutusring/internal/peer"
 	"github.com/arbutusring/arbutusring/internal/process"
 	"github.com/arbutusring/arbutusring/internal/standin"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
@@ -448,6 +450,34 @@
 	return live >= len(in.entries)
 }
 
+// Owner returns the number of the entry that owns a server, or false.
+func (in *Installation) Owner(ctx context.Context, server int) (int, bool) {
+	reply, err := in.State(ctx)
+	if err != nil {
+		return 0, false
+	}
+	for i := range in.entries {
+		if reply.State.Leases[serverID(server)].Host == entryID(i) {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+// Statuses returns what the owners report about their servers.
+func (in *Installation) Statuses(ctx context.Context) []ownerrpc.ServerStatus {
+	pool := peer.NewPool(peer.PoolOptions{})
+	defer pool.Close()
+	owners := ownerrpc.Client{Call: pool.Call}
+	var all []ownerrpc.ServerStatus
+	for _, address := range in.entryPeers {
+		if reply, err := owners.Status(ctx, address, new(ownerrpc.StatusArgs)); err == nil {
+			all = append(all, reply.Servers...)
+		}
+	}
+	return all
+}
+
 // EntryOperator returns the operator address of an entry.
 func (in *Installation) EntryOperator(i int) string { return in.entryOps[i] }
 
--- a/internal/owner/monitor.go
+++ b/internal/owner/monitor.go
@@ -42,6 +42,7 @@
 	reads       int             // cycles that wait for a status
 	changed     chan struct{}   // closed at every change that a waiter looks at
 	closed      bool
+	ended       uint64 // commits of terms up to this one are not confirmed any more
 }
 
 func newMonitor(limits Limits, connect func(ctx context.Context) (Conn, error), leased func() bool, silent func(), log zerolog.Logger) *monitor {
@@ -325,15 +326,33 @@
 	return false
 }
 
-// waitMajority waits until a majority has received p.
+// waitMajority waits until a majority has received p, or until the term of p
+// ends: its commits can't be confirmed any more, and their callers learn that
+// now rather than at their deadlines.
 func (m *monitor) waitMajority(ctx context.Context, p logpos.Position) error {
-	ok := m.wait(ctx, &m.commits, func() bool { return m.alone || m.confirmed.Covers(p) })
-	if !ok {
+	confirmed := func() bool { return m.alone || m.confirmed.Covers(p) }
+	done := false
+	ok := m.wait(ctx, &m.commits, func() bool {
+		done = confirmed()
+		return done || m.ended >= p.Term
+	})
+	switch {
+	case !ok:
 		return errkind.New(errkind.OutcomeUnknown, "no majority confirmed position %v in time", p)
+	case !done:
+		return errkind.New(errkind.OutcomeUnknown, "the primary was superseded before a majority confirmed position %v", p)
 	}
 	return nil
 }
 
+// endTerm ends the waits for majorities of the terms up to term.
+func (m *monitor) endTerm(term uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.ended = max(m.ended, term)
+	m.signal()
+}
+
 // waitApplied waits until the server has applied p.
 func (m *monitor) waitApplied(ctx context.Context, p logpos.Position) error {
 	if !m.wait(ctx, &m.reads, func() bool { return m.applied.Covers(p) }) {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -224,6 +224,9 @@
 	o.mu.Unlock()
 	closeAll(ended)
 	if s != nil {
+		if !o.opts.Disabled.LeaseAtAnswer {
+			s.endRole(args.Term)
+		}
 		s.sweep()
 	}
 }
--- a/internal/owner/server.go
+++ b/internal/owner/server.go
@@ -130,6 +130,16 @@
 	}
 }
 
+// endRole ends what is in progress under the primary role up to term. Cycles
+// on a server that no longer answers would otherwise keep their callers
+// waiting until their deadlines.
+func (s *server) endRole(term uint64) {
+	s.monitor.endTerm(term)
+	if !s.monitor.responsive() {
+		s.pool.cutOff(0)
+	}
+}
+
 // admit checks what must hold when a cycle is about to be sent.
 func (s *server) admit(args *ownerrpc.ExecArgs) (controlrpc.HeldLease, error) {
 	l, ok := s.leases.valid(s.id)
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -82,6 +82,7 @@
 	p.control = &controlrpc.Client{Addresses: opts.Settings.Control.Addresses, Call: p.pool.Call}
 	p.owner = owner.New(owner.Options{
 		Host:           p.host.ID,
+		Incarnation:    p.host.Incarnation,
 		Connect:        connectBackend,
 		Logger:         opts.Logger.With().Str("part", "owner").Logger(),
 		Registry:       p.registry,
@@ -120,6 +121,7 @@
 	p.tasks.start(p.owner.Run)
 	p.tasks.start(p.follower.loopHeartbeat)
 	p.tasks.start(p.follower.loopWatch)
+	p.tasks.start(p.follower.loopSuspects)
 	p.tasks.start(p.runPeers)
 	p.tasks.start(p.runOperators)
 	p.opts.Logger.Info().Str("host", p.host.ID).Stringer("callers", p.callers.Addr()).
--- a/internal/process/follower.go
+++ b/internal/process/follower.go
@@ -26,6 +26,8 @@
 	// handoverLimit bounds the wait of a planned stop for control to move the
 	// leases; nothing runs under them any more, so they may also run out.
 	handoverLimit = 2 * time.Second
+	// suspectPoll is how often the unreachable servers are looked at.
+	suspectPoll = 25 * time.Millisecond
 	// drainPoll is how often a stopping process looks at its leases.
 	drainPoll = 20 * time.Millisecond
 )
@@ -85,6 +87,20 @@
 	}
 }
 
+// loopSuspects sends a heartbeat at once when a server becomes unreachable,
+// which saves half a heartbeat interval of the time to a new primary.
+func (f *follower) loopSuspects(ctx context.Context) {
+	known := 0
+	for ctx.Err() == nil {
+		n := len(f.p.owner.Suspects())
+		if n > known {
+			f.poke()
+		}
+		known = n
+		pause(ctx, suspectPoll)
+	}
+}
+
 // loopWatch takes over each new state until ctx ends.
 func (f *follower) loopWatch(ctx context.Context) {
 	for ctx.Err() == nil {
