--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -26,6 +26,7 @@
 	nodes  map[string]*consensus.Node
 	states map[string]*register
 	cut    map[string]bool // hosts without network
+	leads  map[string]bool // as OnLeader reported
 	boot   []consensus.Member
 	codec  codec.MsgpackHandle
 }
@@ -65,7 +66,7 @@
 func newCluster(t testing.TB, ids ...string) *cluster {
 	c := &cluster{
 		t: t, dir: t.TempDir(), nodes: make(map[string]*consensus.Node),
-		states: make(map[string]*register), cut: make(map[string]bool),
+		states: make(map[string]*register), cut: make(map[string]bool), leads: make(map[string]bool),
 	}
 	for _, id := range ids {
 		c.boot = append(c.boot, consensus.Member{ID: id, Address: id})
@@ -98,6 +99,11 @@
 		Send:  func(to consensus.Member, m consensus.Message) { c.send(id, to, m) },
 		Apply: r.apply, Snapshot: r.snapshot, Restore: r.restore,
 		SnapshotEvery: c.every, Logger: zerolog.Nop(),
+		OnLeader: func(leading bool, _ uint64) {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.leads[id] = leading
+		},
 	})
 	if err != nil {
 		c.t.Fatalf("start %s: %v", id, err)
@@ -148,6 +154,12 @@
 	c.cut[id] = cut
 }
 
+func (c *cluster) leading(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leads[id]
+}
+
 // leader waits for a node that passes the read barrier, except the given one.
 func (c *cluster) leader(except string) (string, *consensus.Node) {
 	c.t.Helper()
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -160,7 +160,8 @@
 		return
 	}
 	m.heartbeatAt = now.Add(m.opts.Heartbeat)
-	for _, to := range m.members() {
+	m.tickDepartures(now)
+	for _, to := range m.targets() {
 		if p := m.progress[to.key()]; p != nil {
 			p.paused = false
 			m.sendAppend(now, to, p, true)
--- a/internal/consensus/machine.go
+++ b/internal/consensus/machine.go
@@ -47,6 +47,7 @@
 	firstIndex  uint64               // no-op of the term
 	heartbeatAt time.Time
 	handover    *handover
+	departures  []departure
 	abdicated   bool // the lease is given up for the rest of the term
 	joining     map[string]joining
 
@@ -278,6 +279,6 @@
 		m.resetElection(now)
 	}
 	m.role, m.leader = Follower, Member{}
-	m.votes, m.progress, m.handover, m.joining = nil, nil, nil, nil
+	m.votes, m.progress, m.handover, m.joining, m.departures = nil, nil, nil, nil, nil
 	m.abdicated = false
 }
--- a/internal/consensus/machine_test.go
+++ b/internal/consensus/machine_test.go
@@ -94,3 +94,20 @@
 	s.settle()
 	is.Equal(len(s.leader().members), 3)
 }
+
+// TestLostTransfer guards against a leader that stays, without its lease and
+// refusing commands, after its request to take over was lost.
+func TestLostTransfer(t *testing.T) {
+	is := is.New(t)
+	s := newSim(1, "", 3, 0)
+	s.run(2 * time.Second)
+	l := s.leader()
+	s.loss = 1
+	is.NoErr(l.machine.StartTransfer(l.local(s.now)))
+	s.output(l)
+	is.True(l.leaseUntil.IsZero())
+	s.loss = 0
+	s.run(4 * simElection)
+	is.True(s.leader() != nil && s.leader().machine.Term() > 2)
+	s.settle()
+}
--- a/internal/consensus/membership_change.go
+++ b/internal/consensus/membership_change.go
@@ -51,7 +51,7 @@
 		}
 	}
 	for key := range m.progress {
-		if _, ok := m.members().find(key); !ok {
+		if _, ok := m.targets().find(key); !ok {
 			delete(m.progress, key)
 		}
 	}
@@ -74,6 +74,10 @@
 		return 0, 0, err
 	}
 	index = m.appendOwn(entryMembers, next.encode())
+	m.arrive(change.Member.key())
+	if removed, ok := m.members().find(change.Member.key()); ok && change.Kind == Remove {
+		m.depart(removed, index)
+	}
 	m.configs = append(m.configs, membership{index: index, members: next})
 	m.syncProgress(now)
 	delete(m.joining, change.Member.key())
--- a/internal/consensus/node_test.go
+++ b/internal/consensus/node_test.go
@@ -45,6 +45,7 @@
 		defer c.stopAll()
 		old, n := c.leader("")
 		c.propose(n, "one")
+		is.True(c.leading(old))
 		start := time.Now()
 		c.setCut(old, true)
 		lost := make(chan error, 1)
@@ -52,8 +53,10 @@
 			_, err := n.Propose(context.Background(), []byte("lost"))
 			lost <- err
 		}()
-		_, next := c.leader(old)
+		id, next := c.leader(old)
 		is.True(!n.LeaseValid())
+		is.True(c.leading(id))
+		c.until("the old leader steps down", func() bool { return !c.leading(old) })
 		is.True(time.Since(start) < 2*time.Second)
 		c.propose(next, "two")
 		is.Equal(errkind.Of(<-lost), errkind.OutcomeUnknown)
@@ -124,13 +127,15 @@
 		is.NoErr(n.ChangeMembers(ctx, consensus.Change{Kind: consensus.Remove, Member: old}))
 		is.NoErr(n.ChangeMembers(ctx, promote))
 		is.Equal(len(n.Members()), 3)
-
-		for _, id := range []string{"b", "c"} { // a second host is lost right after the repair
-			if c.nodes[id] != n {
-				c.setCut(id, true)
-			}
+		other := "b"
+		if c.nodes[other] == n {
+			other = "c"
 		}
+		c.setCut(other, true) // a second host is lost right after the repair
 		c.propose(n, "after")
+		c.setCut(other, false)
+		is.NoErr(n.ChangeMembers(ctx, consensus.Change{Kind: consensus.Remove, Member: c.nodes[other].Self()}))
+		c.until("the removed host knows", func() bool { return len(c.nodes[other].Members()) == 2 })
 	})
 }
 
@@ -187,9 +192,9 @@
 			for _, id := range c.ids() {
 				n := c.nodes[id]
 				for range 5 {
-					command := strconv.FormatUint(r.Uint64(), 36)
+					command, limit := strconv.FormatUint(r.Uint64(), 36), time.Duration(r.IntN(1000))*time.Millisecond
 					wg.Go(func() {
-						ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+						ctx, cancel := context.WithTimeout(context.Background(), limit)
 						defer cancel()
 						_, err := n.Propose(ctx, []byte(command))
 						mu.Lock()
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -19,7 +19,7 @@
 
 // replicate sends new entries to the members that are ready for them.
 func (m *Machine) replicate(now time.Time) {
-	for _, to := range m.members() {
+	for _, to := range m.targets() {
 		if p := m.progress[to.key()]; p != nil && p.next <= m.log.last() {
 			m.sendAppend(now, to, p, false)
 		}
@@ -131,7 +131,7 @@
 	if m.role != Leader {
 		return
 	}
-	if to, ok := m.members().find(msg.From.key()); ok {
+	if to, ok := m.targets().find(msg.From.key()); ok {
 		if p.next <= m.log.last() || p.probing {
 			m.sendAppend(now, to, p, false)
 		}
--- a/internal/consensus/snapshot_transfer.go
+++ b/internal/consensus/snapshot_transfer.go
@@ -122,7 +122,7 @@
 		return // an old reply
 	}
 	t.offset, t.sentAt = msg.Offset, time.Time{}
-	if to, ok := m.members().find(msg.From.key()); ok {
+	if to, ok := m.targets().find(msg.From.key()); ok {
 		m.sendChunk(now, to, p, false)
 	}
 }
