--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -48,6 +48,7 @@
 	leadTerm uint64
 	applied  uint64
 	writing  bool // a snapshot is being written
+	writes   writeStats
 	warned   bool // the operator was told that this host must be added
 	snapshot uint64
 }
@@ -266,7 +267,11 @@
 // Status describes the node. After Stop it tells only the last known state.
 func (n *Node) Status() Status {
 	var s Status
-	if err := n.call(context.Background(), func(now time.Time) { s = n.machine.Status(now) }); err != nil {
+	describe := func(now time.Time) {
+		s = n.machine.Status(now)
+		s.LongestWrite, s.SlowWrites = n.writes.longest, n.writes.slow
+	}
+	if err := n.call(context.Background(), describe); err != nil {
 		v := n.view.Load()
 		s = Status{
 			ID: n.self.ID, Incarnation: n.self.Incarnation, Role: v.role, Term: v.term,
--- a/internal/consensus/node_loop.go
+++ b/internal/consensus/node_loop.go
@@ -97,10 +97,15 @@
 // answer. The view is published before the messages, so that a lease that the
 // machine has given up is not seen as valid once another host can know of it.
 func (n *Node) complete() error {
-	out := n.machine.Output(time.Now())
+	start := time.Now()
+	out := n.machine.Output(start)
 	if err := n.write(out); err != nil {
 		return err
 	}
+	if took := time.Since(start); n.writes.note(took, n.opts.HeartbeatInterval) {
+		n.opts.Logger.Warn().Str("id", n.self.ID).Dur("took_ms", took).
+			Msg("the disk takes longer than the heartbeat interval")
+	}
 	finish := n.apply(out.Committed)
 	n.publish(nil)
 	for _, m := range out.Messages {
--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -1,5 +1,7 @@
 package consensus
 
+import "time"
+
 // Status is the state of a node for the state dump.
 type Status struct {
 	ID            string         `json:"id"`
@@ -14,14 +16,16 @@
 	Last          uint64         `json:"last"`
 	SnapshotIndex uint64         `json:"snapshot_index"`
 	Members       []MemberStatus `json:"members"`
-	Joining       []Member       `json:"joining"` // at the leader: hosts that ask to be added
+	Joining       []Member       `json:"joining"`       // at the leader: hosts that ask to be added
+	LongestWrite  time.Duration  `json:"longest_write"` // of the log, in ns, since the start
+	SlowWrites    uint64         `json:"slow_writes"`   // longer than the heartbeat interval
 	Failed        string         `json:"failed,omitempty"`
 }
 
 // MemberStatus is a member and, at the leader, how far it is.
 type MemberStatus struct {
 	Member
-	Match        uint64 `json:"match"`
-	SnapshotSent bool   `json:"snapshot_sent"` // a snapshot is on its way
-	ContactAgeMS int64  `json:"contact_age_ms"`
+	Match        uint64        `json:"match"`
+	SnapshotSent bool          `json:"snapshot_sent"` // a snapshot is on its way
+	ContactAge   time.Duration `json:"contact_age"`   // in ns, since the newest message that it answered
 }
