--- a/internal/consensus/progress.go
+++ b/internal/consensus/progress.go
@@ -11,6 +11,8 @@
 	match uint64 // last entry known to be durable there
 	next  uint64 // next entry to send
 
+	inFlight int // bytes that were sent and not answered
+
 	// probing is set while it is unknown where the logs meet. One append is
 	// outstanding then; paused is set until its reply or the next heartbeat.
 	probing bool
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -13,8 +13,9 @@
 	// behind it.
 	maxAppendEntries = 1024
 	maxAppendBytes   = 1 << 20
-	// maxInFlight bounds the entries that were sent and not answered.
-	maxInFlight = 8192
+	// maxInFlightBytes bounds what was sent and not answered. When it is
+	// reached, the leader waits until the member has answered everything.
+	maxInFlightBytes = 8 << 20
 )
 
 // replicate sends new entries to the members that are ready for them.
@@ -44,7 +45,7 @@
 			return
 		}
 		var entries []wal.Entry
-		if !p.probing && p.next <= p.match+maxInFlight {
+		if !p.probing && p.inFlight < maxInFlightBytes {
 			entries = m.log.from(p.next, maxAppendEntries, maxAppendBytes)
 		}
 		if len(entries) == 0 && !heartbeat && !p.probing {
@@ -58,6 +59,9 @@
 			p.paused = true
 			return
 		}
+		for _, e := range entries {
+			p.inFlight += len(e.Data)
+		}
 		p.next += uint64(len(entries))
 		if p.next > m.log.last() {
 			return
@@ -164,7 +168,7 @@
 		hint = msg.Hint // the entry is gone; a snapshot follows
 	}
 	p.next = max(p.match, min(hint, msg.Index-1)) + 1
-	p.probing, p.paused = true, false
+	p.probing, p.paused, p.inFlight = true, false, 0
 }
 
 // matched notes that the logs agree up to index.
@@ -179,6 +183,9 @@
 		}
 		p.next = max(p.next, index+1)
 	}
+	if p.match+1 == p.next {
+		p.inFlight = 0
+	}
 	if p.snapshot != nil && index >= p.snapshot.snapshot.Index {
 		p.snapshot, p.probing, p.paused = nil, false, false
 		p.next = p.match + 1
--- a/internal/wal/log.go
+++ b/internal/wal/log.go
@@ -221,6 +221,10 @@
 		if err := os.Remove(l.segments[0].path); err != nil {
 			return l.fail(Error.Wrap(err))
 		}
+		// A crash must not bring back a segment without the one after it.
+		if err := syncDir(l.opts.Dir); err != nil {
+			return l.fail(err)
+		}
 		l.segments = l.segments[1:]
 	}
 	return nil
