--- a/internal/consensus/node_test.go
+++ b/internal/consensus/node_test.go
@@ -179,7 +179,10 @@
 // that was refused never.
 func TestOutcomes(t *testing.T) {
 	seed := rand.Uint64()
-	t.Logf("seed %d", seed)
+	if s, err := strconv.ParseUint(os.Getenv("CONSENSUS_SEED"), 10, 64); err == nil {
+		seed = s
+	}
+	t.Logf("CONSENSUS_SEED=%d", seed)
 	synctest.Test(t, func(t *testing.T) {
 		r := rand.New(rand.NewPCG(seed, 0))
 		c := newCluster(t, "a", "b", "c")
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -96,7 +96,10 @@
 		m.send(reply)
 		return
 	}
-	for _, e := range msg.Entries {
+	for i, e := range msg.Entries {
+		if e.Index != msg.Index+uint64(i)+1 {
+			return // malformed
+		}
 		if t, ok := m.log.term(e.Index); ok && t == e.Term {
 			continue
 		}
