--- a/internal/consensus/machine.go
+++ b/internal/consensus/machine.go
@@ -117,9 +117,6 @@
 // Role returns the role in the term.
 func (m *Machine) Role() Role { return m.role }
 
-// Leader returns the leader of the term, if it is known.
-func (m *Machine) Leader() (Member, bool) { return m.leader, m.leader.ID != "" }
-
 // Commit returns the index of the last entry known to be committed.
 func (m *Machine) Commit() uint64 { return m.commit }
 
