control: send watchers only what has changed

At fleet size the whole state has about 5 MB, and every host would get it for each change. A watcher that sets Delta gets the changed objects while the leader remembers them, and the whole state otherwise.

--- /dev/null
+++ b/internal/control/delta.go
@@ -0,0 +1,47 @@
+package control
+
+import "github.com/arbutusring/arbutusring/internal/controlrpc"
+
+// ChangesSince returns what has changed after a version up to the current
+// one, nil if that is no longer known. The version must be one that this
+// state has had.
+func (m *Machine) ChangesSince(version uint64) *controlrpc.StateChanges {
+	m.mu.Lock()
+	touched, ok := m.history.since(version)
+	v := m.current()
+	m.mu.Unlock()
+	if !ok || version > v.Version {
+		return nil
+	}
+	out := &controlrpc.StateChanges{Since: version, Version: v.Version, ConfigVersion: v.ConfigVersion}
+	for _, t := range touched {
+		switch t.part {
+		case partServers:
+			out.Servers = changed(out.Servers, v.Servers, t.id)
+		case partHosts:
+			out.Hosts = changed(out.Hosts, v.Hosts, t.id)
+		case partLeases:
+			out.Leases = changed(out.Leases, v.Leases, t.id)
+		case partGroups:
+			out.Groups = changed(out.Groups, v.Groups, t.id)
+		case partDraining:
+			out.Draining = changed(out.Draining, v.Draining, t.id)
+		case partConfig:
+			out.ConfigText = &v.ConfigText
+		}
+	}
+	return out
+}
+
+// changed enters the present value of an object, nil if it is gone.
+func changed[V any](out map[string]*V, now map[string]V, id string) map[string]*V {
+	if out == nil {
+		out = make(map[string]*V)
+	}
+	if value, ok := now[id]; ok {
+		out[id] = &value
+	} else {
+		out[id] = nil
+	}
+	return out
+}
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -31,7 +31,8 @@
 	byHost    index         // ids of leased servers by host id
 	byGroup   index         // ids of servers by group
 	view      *View         // last view
-	dirty     dirty         // changes since view
+	dirty     [parts]bool   // changed since view
+	history   history       // what the last entries changed
 	stale     bool          // view is not the current state
 	changed   chan struct{} // closed at the next change
 }
@@ -68,8 +69,7 @@
 	for _, c := range commands {
 		r, changed := m.apply(index, c)
 		if changed {
-			m.dirty.mark(c)
-			m.touch(index)
+			m.publish(index)
 		}
 		results = append(results, r)
 	}
@@ -82,29 +82,29 @@
 	case c.Announce != nil:
 		return m.announce(index, c.Announce)
 	case c.Remove != nil:
-		return m.remove(c.Remove)
+		return m.remove(index, c.Remove)
 	case c.Register != nil:
 		return m.register(index, c.Register)
 	case c.Forget != nil:
-		return m.forget(c.Forget)
+		return m.forget(index, c.Forget)
 	case c.Revoke != nil:
-		return m.revoke(c.Revoke)
+		return m.revoke(index, c.Revoke)
 	case c.Assign != nil:
 		return m.assign(index, c.Assign)
 	case c.Begin != nil:
-		return m.begin(c.Begin)
+		return m.begin(index, c.Begin)
 	case c.Name != nil:
-		return m.name(c.Name)
+		return m.name(index, c.Name)
 	case c.Drain != nil:
-		return m.drain(c.Drain)
+		return m.drain(index, c.Drain)
 	case c.Configure != nil:
-		return m.configure(c.Configure)
+		return m.configure(index, c.Configure)
 	}
 	return refused("unknown command"), false
 }
 
-// touch makes a change visible. The caller holds mu.
-func (m *Machine) touch(index uint64) {
+// publish makes a change visible. The caller holds mu.
+func (m *Machine) publish(index uint64) {
 	if m.state.Version < index {
 		m.state.Version = index
 	}
@@ -113,6 +113,12 @@
 	m.changed = make(chan struct{})
 }
 
+// touch records that a command changes an object. The caller holds mu.
+func (m *Machine) touch(index uint64, p part, id string) {
+	m.dirty[p] = true
+	m.history.add(touch{index, p, id})
+}
+
 // View returns the current state.
 func (m *Machine) View() *View {
 	m.mu.Lock()
@@ -123,7 +129,7 @@
 // current returns the view of the current state. The caller holds mu.
 func (m *Machine) current() *View {
 	if m.stale {
-		m.view, m.dirty, m.stale = newView(m, m.view, m.dirty), dirty{}, false
+		m.view, m.dirty, m.stale = newView(m, m.view, m.dirty), [parts]bool{}, false
 	}
 	return m.view
 }
@@ -162,7 +168,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.load(img, config)
-	m.touch(img.State.Version)
+	m.publish(img.State.Version)
 	return nil
 }
 
@@ -188,7 +194,11 @@
 	for _, s := range m.state.Servers {
 		m.byGroup.add(s.Group, s.ID)
 	}
-	m.view, m.dirty, m.stale = new(View), allDirty(), true
+	m.view, m.stale = new(View), true
+	for p := range m.dirty {
+		m.dirty[p] = true
+	}
+	m.history = history{floor: img.State.Version}
 }
 
 func orEmpty[V any](in map[string]V) map[string]V {
--- a/internal/control/machine_group.go
+++ b/internal/control/machine_group.go
@@ -6,7 +6,7 @@
 	"github.com/arbutusring/arbutusring/internal/controlrpc"
 )
 
-func (m *Machine) begin(c *BeginTerm) (Result, bool) {
+func (m *Machine) begin(index uint64, c *BeginTerm) (Result, bool) {
 	g, ok := m.state.Groups[c.Group]
 	if !ok || g.Term != c.ExpectTerm || g.Phase != c.ExpectPhase || c.Term <= g.Term {
 		return conflict("group %q is not in phase %s of term %d", c.Group, c.ExpectPhase, c.ExpectTerm), false
@@ -23,13 +23,14 @@
 	}
 	g.Term, g.Phase, g.Primary = c.Term, controlrpc.PhaseFencing, ""
 	m.state.Groups[c.Group] = g
+	m.touch(index, partGroups, c.Group)
 	return Result{}, true
 }
 
 // name relies on the proposer for what the state cannot show: a majority of
 // the members is fenced at Term, the old owner has let go or has run out, and
 // Server has been promoted at Term.
-func (m *Machine) name(c *NamePrimary) (Result, bool) {
+func (m *Machine) name(index uint64, c *NamePrimary) (Result, bool) {
 	g, ok := m.state.Groups[c.Group]
 	if !ok || g.Term != c.Term || g.Phase != controlrpc.PhaseFencing {
 		return conflict("group %q is not in phase %s of term %d", c.Group, controlrpc.PhaseFencing, c.Term), false
@@ -48,6 +49,7 @@
 	}
 	g.Phase, g.Primary, g.Members = controlrpc.PhaseSteady, c.Server, members
 	m.state.Groups[c.Group] = g
+	m.touch(index, partGroups, c.Group)
 	m.named[c.Group] = true
 	delete(m.old, c.Group)
 	return Result{}, true
--- a/internal/control/machine_host.go
+++ b/internal/control/machine_host.go
@@ -19,10 +19,11 @@
 	}
 	m.state.Hosts[c.Host.ID] = c.Host
 	m.hosts[c.Host.ID] = index
+	m.touch(index, partHosts, c.Host.ID)
 	return Result{}, true
 }
 
-func (m *Machine) forget(c *ForgetHost) (Result, bool) {
+func (m *Machine) forget(index uint64, c *ForgetHost) (Result, bool) {
 	if _, ok := m.state.Hosts[c.ID]; !ok || m.hosts[c.ID] != c.Revision {
 		return conflict("host %q has changed", c.ID), false
 	}
@@ -32,12 +33,14 @@
 	delete(m.state.Hosts, c.ID)
 	delete(m.hosts, c.ID)
 	delete(m.state.Draining, c.ID)
+	m.touch(index, partHosts, c.ID)
+	m.touch(index, partDraining, c.ID)
 	return Result{}, true
 }
 
 // drain is idempotent by change id like configure, so that a late resend of a
 // drain does not take effect after the host was put back into service.
-func (m *Machine) drain(c *SetDraining) (Result, bool) {
+func (m *Machine) drain(index uint64, c *SetDraining) (Result, bool) {
 	a := c.Args
 	sum := digest(a)
 	if r, ok := m.changes.first(a.ChangeID, sum); ok {
@@ -55,6 +58,7 @@
 		m.state.Draining[a.ID] = true
 	}
 	m.changes.add(a.ChangeID, sum, r)
+	m.touch(index, partDraining, a.ID)
 	return r, r.Kind == errkind.OK
 }
 
--- a/internal/control/machine_lease.go
+++ b/internal/control/machine_lease.go
@@ -2,13 +2,14 @@
 
 import "github.com/arbutusring/arbutusring/internal/controlrpc"
 
-func (m *Machine) revoke(c *RevokeLease) (Result, bool) {
+func (m *Machine) revoke(index uint64, c *RevokeLease) (Result, bool) {
 	l, ok := m.state.Leases[c.Server]
 	if !ok || l.Epoch != c.Epoch || l.Revoking {
 		return conflict("lease of %q is not held at epoch %d", c.Server, c.Epoch), false
 	}
 	l.Revoking = true
 	m.state.Leases[c.Server] = l
+	m.touch(index, partLeases, c.Server)
 	return Result{}, true
 }
 
@@ -30,5 +31,6 @@
 	m.state.Leases[c.Server] = controlrpc.Lease{
 		Server: c.Server, Host: c.Host, Incarnation: c.Incarnation, Epoch: index,
 	}
+	m.touch(index, partLeases, c.Server)
 	return Result{}, true
 }
--- a/internal/control/machine_server.go
+++ b/internal/control/machine_server.go
@@ -25,11 +25,12 @@
 	m.state.Servers[s.ID] = s
 	m.servers[s.ID] = index
 	m.byGroup.add(s.Group, s.ID)
-	m.fill(s.Group)
+	m.touch(index, partServers, s.ID)
+	m.fill(index, s.Group)
 	return Result{}, true
 }
 
-func (m *Machine) remove(c *RemoveServer) (Result, bool) {
+func (m *Machine) remove(index uint64, c *RemoveServer) (Result, bool) {
 	s, ok := m.state.Servers[c.ID]
 	if !ok || m.servers[c.ID] != c.Revision {
 		return conflict("server %q has changed", c.ID), false
@@ -43,6 +44,9 @@
 	m.byHost.remove(m.state.Leases[c.ID].Host, c.ID)
 	delete(m.state.Leases, c.ID)
 	delete(m.state.Draining, c.ID)
+	m.touch(index, partServers, c.ID)
+	m.touch(index, partLeases, c.ID)
+	m.touch(index, partDraining, c.ID)
 	return Result{}, true
 }
 
@@ -50,7 +54,7 @@
 // servers in the order of their ids, those that are members already first, up
 // to the declared number. Later the members change only with NamePrimary,
 // because earlier writes were confirmed by a majority of the old members.
-func (m *Machine) fill(group string) {
+func (m *Machine) fill(index uint64, group string) {
 	g, ok := m.state.Groups[group]
 	if !ok || g.Phase != controlrpc.PhaseWaiting {
 		return
@@ -71,8 +75,12 @@
 			members = append(members, id)
 		}
 	}
+	if slices.Equal(g.Members, members) {
+		return
+	}
 	g.Members = members
 	m.state.Groups[group] = g
+	m.touch(index, partGroups, group)
 }
 
 // stored drops the hints of an announcement, which change all the time.
--- a/internal/control/machine_test.go
+++ b/internal/control/machine_test.go
@@ -205,9 +205,11 @@
 
 // TestReplicasAgree guards against control hosts that reach different states
 // from the same log, against numbers that go back, and against views and
-// indexes that differ from the state after a restore.
+// indexes that differ from the state after a restore, and against watchers that
+// miss a change.
 func TestReplicasAgree(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
+		var watched controlrpc.State // by a watcher of two
 		one, two := newReplica(t), newReplica(t)
 		small := rapid.Uint64Range(0, 6)
 		server, host := rapid.SampledFrom([]string{"s1", "s2", "s3"}), rapid.SampledFrom([]string{"h1", "h2"})
@@ -239,6 +241,12 @@
 				t.Fatalf("snapshots differ after %+v", c)
 			}
 			n, m := one.View(), two.View()
+			if rapid.Bool().Draw(t, "watch") && m.Version > watched.Version {
+				reply := controlrpc.WatchReply{Changed: true, State: m.State, Changes: two.ChangesSince(watched.Version)}
+				if watched = reply.Merge(watched); fmt.Sprint(watched) != fmt.Sprint(m.State) {
+					t.Fatalf("watcher has %v, want %v", watched, m.State)
+				}
+			}
 			if fmt.Sprint(n.Held("h1", "a"), n.GroupServers("orders")) != fmt.Sprint(m.Held("h1", "a"), m.GroupServers("orders")) {
 				t.Fatalf("indexes differ after %+v", c)
 			}
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -67,8 +67,13 @@
 		}
 		changed := s.c.machine.Changed()
 		if v := s.c.machine.View(); v.Version > args.Since {
-			reply.Changed, reply.State = true, v.State
-			waiting = false
+			reply.Changed, waiting = true, false
+			if args.Delta && args.Since > 0 {
+				reply.Changes = s.c.machine.ChangesSince(args.Since)
+			}
+			if reply.Changes == nil {
+				reply.State = v.State
+			}
 		}
 		if !waiting {
 			s.confirm(&reply.Answer, func() { *reply = controlrpc.WatchReply{} })
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -74,19 +74,19 @@
 // newView copies what the Machine has changed in place since the last view,
 // and shares the rest with that view. At fleet size a full copy takes tens of
 // milliseconds.
-func newView(m *Machine, last *View, d dirty) *View {
+func newView(m *Machine, last *View, dirty [parts]bool) *View {
 	v := &View{State: m.state, Config: m.config, declared: m.declared, wonBy: m.wonBy, wonChange: m.wonChange}
-	v.Servers = fresh(last.Servers, m.state.Servers, d.servers)
-	v.servers = fresh(last.servers, m.servers, d.servers)
-	v.byGroup = fresh(last.byGroup, m.byGroup, d.servers)
-	v.Hosts = fresh(last.Hosts, m.state.Hosts, d.hosts)
-	v.hosts = fresh(last.hosts, m.hosts, d.hosts)
-	v.Leases = fresh(last.Leases, m.state.Leases, d.leases)
-	v.byHost = fresh(last.byHost, m.byHost, d.leases)
-	v.Groups = fresh(last.Groups, m.state.Groups, d.groups)
-	v.old = fresh(last.old, m.old, d.groups)
-	v.named = fresh(last.named, m.named, d.groups)
-	v.Draining = fresh(last.Draining, m.state.Draining, d.draining)
+	v.Servers = fresh(last.Servers, m.state.Servers, dirty[partServers])
+	v.servers = fresh(last.servers, m.servers, dirty[partServers])
+	v.byGroup = fresh(last.byGroup, m.byGroup, dirty[partServers])
+	v.Hosts = fresh(last.Hosts, m.state.Hosts, dirty[partHosts])
+	v.hosts = fresh(last.hosts, m.hosts, dirty[partHosts])
+	v.Leases = fresh(last.Leases, m.state.Leases, dirty[partLeases])
+	v.byHost = fresh(last.byHost, m.byHost, dirty[partLeases])
+	v.Groups = fresh(last.Groups, m.state.Groups, dirty[partGroups])
+	v.old = fresh(last.old, m.old, dirty[partGroups])
+	v.named = fresh(last.named, m.named, dirty[partGroups])
+	v.Draining = fresh(last.Draining, m.state.Draining, dirty[partDraining])
 	return v
 }
 
--- a/internal/controlrpc/messages.go
+++ b/internal/controlrpc/messages.go
@@ -124,14 +124,17 @@
 type WatchArgs struct {
 	Since uint64        `codec:"s"`
 	Wait  time.Duration `codec:"w"` // the reply comes without a state after this time
+	Delta bool          `codec:"d"` // the caller uses WatchReply.Merge, so changes are enough
 }
 
 // WatchReply carries the state, or no state when nothing changed. In both
-// cases it confirms that the leader was the leader when it answered.
+// cases it confirms that the leader was the leader when it answered. If the
+// caller has asked for it, Changes may take the place of State.
 type WatchReply struct {
 	Answer
-	Changed bool  `codec:"c"`
-	State   State `codec:"s"`
+	Changed bool          `codec:"c"`
+	State   State         `codec:"s"`
+	Changes *StateChanges `codec:"h"`
 }
 
 // AnnounceArgs passes on the announcement of a backend server.
