--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -43,6 +43,11 @@
 			h.session.noteRead(h.request, res)
 			if res.err == nil {
 				for _, a := range h.pending {
+					if a.target == t {
+						// Overtaken by a later attempt: a silent member would
+						// otherwise cost every read the hedge delay.
+						t.member.failed(time.Now())
+					}
 					go h.session.entry.runCancel(a)
 				}
 				return res
