--- a/internal/entry/positions.go
+++ b/internal/entry/positions.go
@@ -13,7 +13,8 @@
 	// flightTimeout bounds one position request.
 	flightTimeout = time.Second
 	// flightGap is the least time between the starts of two position requests
-	// of a group. Sessions that ask in between share the next one.
+	// of a group that run at the same time. Sessions that ask in between share
+	// the next one.
 	flightGap = 2 * time.Millisecond
 )
 
@@ -66,7 +67,7 @@
 	}
 	f := &flight{done: make(chan struct{})}
 	wait := flightGap - time.Since(g.lastFlight)
-	if wait <= 0 {
+	if g.running == nil || wait <= 0 {
 		e.startFlight(g, f)
 		return f
 	}
