Fix hedges that outlive their cycle and late BEGIN messages; bound retries of idle destinations

A BEGIN without an answer is cancelled before the release, so that it opens nothing when it arrives late. Status polls that fail make members suspect.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -40,6 +40,12 @@
 		return s.refuse(p.kind, nil, errkind.New(errkind.Internal, "the answer of server %q is malformed", t.server))
 	}
 	status := out[len(out)-1]
+	if status != 'I' && s.tx == nil && !p.begin {
+		// Left over from a BEGIN that arrived late. What the cycle did is part
+		// of it and is rolled back, unless the owner does not follow.
+		s.release(t, ownerrpc.RequestID{})
+		return s.refuse(p.kind, nil, errkind.New(errkind.Internal, "server %q was in a transaction that the session had not begun", t.server))
+	}
 	switch status {
 	case 'I':
 		s.tx = nil
--- a/internal/entry/consistency_test.go
+++ b/internal/entry/consistency_test.go
@@ -191,7 +191,7 @@
 		done := make(chan answer, 8)
 		go func() { done <- early.read("a") }()
 		synctest.Wait()
-		is.Equal(f.calls["Owner.Position"], 1)
+		is.Equal(f.called("Owner.Position"), 1)
 
 		writer := open(t, ent)
 		defer writer.close()
@@ -205,10 +205,10 @@
 		for range late {
 			is.Equal((<-done).values, []string{"1"}) // while the first request is still on its way
 		}
-		is.True(f.calls["Owner.Position"] <= 3) // sessions that ask at the same time share a request
-		before := f.calls["Owner.Position"]
+		is.True(f.called("Owner.Position") <= 3) // sessions that ask at the same time share a request
+		before := f.called("Owner.Position")
 		late[0].read("a")
-		is.Equal(f.calls["Owner.Position"], before) // once for each session
+		is.Equal(f.called("Owner.Position"), before) // once for each session
 		close(gate)
 		is.Equal((<-done).code, "")
 	})
--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -238,6 +238,13 @@
 	return ownerrpc.Load{Server: id, Applied: f.applied(id), Slots: 3, Service: time.Millisecond, Full: f.servers[id].full}
 }
 
+// called returns how often a method was called.
+func (f *fake) called(method string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.calls[method]
+}
+
 // count returns how often a statement that contains the text was executed.
 func (f *fake) count(text string) int {
 	f.mu.Lock()
--- a/internal/entry/faults_test.go
+++ b/internal/entry/faults_test.go
@@ -279,3 +279,24 @@
 		}
 	})
 }
+
+// TestRetryBudget guards against retries that multiply the load of owners that
+// lose every answer.
+func TestRetryBudget(t *testing.T) {
+	bubble(t, "", func(t *testing.T, is *is.I, f *fake, ent *entry.Entry) {
+		d := open(t, ent, "arbutusring.deadline", "100ms")
+		defer d.close()
+		d.must("insert into kv values ('a', '1')")
+		for range 200 {
+			is.Equal(d.read("a").code, "")
+		}
+		f.exec = func(context.Context, *ownerrpc.ExecArgs) (fault, *ownerrpc.ExecReply) { return faultLoseAsk, nil }
+		before := f.called("Owner.Exec")
+		const statements = 200
+		for range statements {
+			is.Equal(d.read("a").outcome, "unknown")
+		}
+		// Three bursts of ten and one in a second for each member on top.
+		is.True(f.called("Owner.Exec")-before <= statements+3*10+3*20)
+	})
+}
--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -79,12 +79,12 @@
 func (h *hedge) launch(ctx context.Context, gv *groupView, t *target) {
 	a := attempt{t, h.request.id(h.session, t)}
 	h.pending = append(h.pending, a)
-	go h.run(ctx, a, gv.readTerm(t))
+	go h.run(ctx, a, h.request.args(h.session, t, a.id, h.pos, gv.readTerm(t)))
 }
 
-func (h *hedge) run(ctx context.Context, a attempt, term uint64) {
+func (h *hedge) run(ctx context.Context, a attempt, args *ownerrpc.ExecArgs) {
 	res := result{target: a.target, id: a.id}
-	res.reply, res.sent, res.err = h.session.call(ctx, h.request, a.target, a.id, h.pos, term)
+	res.reply, res.sent, res.err = h.session.call(ctx, h.request, a.target, args)
 	h.results <- res
 }
 
--- a/internal/entry/loops.go
+++ b/internal/entry/loops.go
@@ -27,16 +27,17 @@
 		case <-e.ctx.Done():
 			return
 		}
-		for address := range e.ownersInUse() {
-			e.startPoll(address)
+		for address, members := range e.ownersInUse() {
+			e.startPoll(address, members)
 		}
 	}
 }
 
-// ownersInUse returns the addresses of the owners of groups with sessions.
-func (e *Entry) ownersInUse() map[string]bool {
+// ownersInUse returns the owners of groups with sessions by address, each with
+// the members of these groups that it owns.
+func (e *Entry) ownersInUse() map[string][]*member {
 	v := e.view.Load()
-	addresses := make(map[string]bool)
+	owners := make(map[string][]*member)
 	e.mu.Lock()
 	groups := make([]*group, 0, len(e.groups))
 	for _, g := range e.groups {
@@ -49,14 +50,14 @@
 			continue
 		}
 		for _, t := range gv.targets {
-			addresses[t.address] = true
+			owners[t.address] = append(owners[t.address], t.member)
 		}
 	}
-	return addresses
+	return owners
 }
 
 // startPoll polls one owner unless the last poll of it still runs.
-func (e *Entry) startPoll(address string) {
+func (e *Entry) startPoll(address string, members []*member) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.polling[address] {
@@ -64,10 +65,12 @@
 	}
 	e.polling[address] = true
 	e.background.Add(1)
-	go e.runPoll(address)
+	go e.runPoll(address, members)
 }
 
-func (e *Entry) runPoll(address string) {
+// runPoll polls one owner. A failed poll makes its members suspect, which finds
+// a silent owner also when no statement waits for it.
+func (e *Entry) runPoll(address string, members []*member) {
 	defer e.background.Done()
 	ctx, cancel := context.WithTimeout(e.ctx, pollTimeout)
 	defer cancel()
@@ -83,6 +86,11 @@
 		}
 	}
 	e.mu.Unlock()
+	if err != nil && e.ctx.Err() == nil {
+		for _, m := range members {
+			m.failed(now)
+		}
+	}
 	for i, m := range known {
 		if m == nil {
 			continue
--- a/internal/entry/member.go
+++ b/internal/entry/member.go
@@ -120,7 +120,7 @@
 func (m *member) spendRetry() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.budget.spend()
+	return m.budget.spend(time.Now())
 }
 
 // full reports whether the queue of the rank is known to be full right now.
--- a/internal/entry/outcome.go
+++ b/internal/entry/outcome.go
@@ -55,16 +55,15 @@
 		return nil, verdictUnknown, false
 	case outcome.Found && outcome.Reply.ID == id:
 		return &outcome.Reply, verdictAnswered, true
-	case outcome.Incarnation != t.incarnation:
-		return nil, verdictUnknown, true
 	case outcome.Running:
 		return nil, verdictUnknown, false
 	}
+	// Also sent to another incarnation, which may receive the request yet.
 	cancelled, err := owners.Cancel(ctx, t.address, &ownerrpc.CancelArgs{ID: id, Server: t.server})
 	switch {
 	case err != nil:
 		return nil, verdictUnknown, false
-	case cancelled.Incarnation != t.incarnation:
+	case cancelled.Incarnation != t.incarnation || outcome.Incarnation != t.incarnation:
 		return nil, verdictUnknown, true
 	case cancelled.Confirmed:
 		return nil, verdictNotRun, true
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -52,7 +52,7 @@
 		Write:        write,
 		Begin:        r.plan.begin,
 		InTx:         s.tx != nil,
-		Repeatable:   r.repeatable,
+		Repeatable:   s.isRepeatable(r.plan.read) || !r.plan.executes,
 		RequestToken: r.token,
 		Require:      pos,
 		Messages:     r.plan.messages,
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -64,7 +64,7 @@
 		s.floored = true
 	}
 	if reply.TxStatus == 'T' || reply.TxStatus == 'E' {
-		s.release(t)
+		s.release(t, ownerrpc.RequestID{})
 	}
 }
 
@@ -105,12 +105,14 @@
 
 // call sends one attempt and waits for the answer. The error has the kind that
 // the owner answered with, or the kind of the transport's failure.
-func (s *session) call(ctx context.Context, r *request, t *target, id ownerrpc.RequestID, pos logpos.Position, term uint64) (*ownerrpc.ExecReply, Sent, error) {
-	keep := reserve(r.deadline)
-	if r.plan.begin && !s.awaitRelease(ctx, t) || time.Until(r.deadline) <= 0 {
+//
+// It uses nothing of the session but track, because a hedge may still run when
+// the cycle has ended.
+func (s *session) call(ctx context.Context, r *request, t *target, args *ownerrpc.ExecArgs) (*ownerrpc.ExecReply, Sent, error) {
+	id, keep := args.ID, reserve(r.deadline)
+	if time.Until(r.deadline) <= 0 {
 		return nil, NotSent, errkind.New(errkind.DeadlineExceeded, "the deadline passed before the statement was sent")
 	}
-	args := r.args(s, t, id, pos, term)
 	ctx, cancel := context.WithDeadline(ctx, r.deadline.Add(-keep))
 	defer cancel()
 	s.track(attempt{t, id})
--- a/internal/entry/runread.go
+++ b/internal/entry/runread.go
@@ -147,7 +147,11 @@
 		res = h.do(ctx, gv, t, tried)
 	} else {
 		res = result{target: t, id: r.id(s, t)}
-		res.reply, res.sent, res.err = s.call(ctx, r, t, res.id, pos, gv.readTerm(t))
+		if r.plan.begin && !s.awaitRelease(ctx, t) {
+			res.err = errkind.New(errkind.DeadlineExceeded, "waiting for the end of the last transaction")
+			return res
+		}
+		res.reply, res.sent, res.err = s.call(ctx, r, t, r.args(s, t, res.id, pos, gv.readTerm(t)))
 		s.noteRead(r, res)
 	}
 	return res
@@ -165,7 +169,7 @@
 	if res.sent == NoAnswer {
 		r.unanswered(attempt{res.target, res.id})
 		if r.plan.begin {
-			s.release(res.target)
+			s.release(res.target, res.id)
 		}
 	}
 }
--- a/internal/entry/runtx.go
+++ b/internal/entry/runtx.go
@@ -25,7 +25,7 @@
 	var pause backoff
 	for {
 		id := s.nextID()
-		reply, sent, err := s.call(ctx, r, t, id, s.token, term)
+		reply, sent, err := s.call(ctx, r, t, r.args(s, t, id, s.token, term))
 		if sent == NoAnswer {
 			reply, err = s.recover(ctx, t, id, err)
 		}
@@ -109,17 +109,18 @@
 	}
 	s.tx.failed = true
 	s.entry.metrics.abandonedTx.Inc(1)
-	s.release(s.tx.target)
+	s.release(s.tx.target, ownerrpc.RequestID{})
 }
 
 // release rolls back what the session has open at a server. Until it is done,
 // the session begins no other transaction at that owner, which a late Release
-// would end.
-func (s *session) release(t *target) {
+// would end. An unanswered BEGIN is stated, so that it opens nothing when it
+// arrives after the release; the zero id states none.
+func (s *session) release(t *target, begin ownerrpc.RequestID) {
 	done := make(chan struct{})
 	s.releases = append(s.releases, pendingRelease{t, done})
 	s.entry.background.Add(1)
-	go s.entry.runRelease(&ownerrpc.ReleaseArgs{Entry: s.entry.id, Session: s.number, Server: t.server}, t.address, done)
+	go s.entry.runRelease(&ownerrpc.ReleaseArgs{Entry: s.entry.id, Session: s.number, Server: t.server}, begin, t.address, done)
 }
 
 // awaitRelease waits until no release is on its way to the owner of t. It
@@ -146,7 +147,7 @@
 
 // runRelease repeats the release until it arrives. An owner that cannot be
 // reached rolls back by itself.
-func (e *Entry) runRelease(args *ownerrpc.ReleaseArgs, address string, done chan struct{}) {
+func (e *Entry) runRelease(args *ownerrpc.ReleaseArgs, begin ownerrpc.RequestID, address string, done chan struct{}) {
 	defer e.background.Done()
 	defer close(done)
 	ctx, cancel := context.WithTimeout(e.ctx, releaseTime)
@@ -154,7 +155,13 @@
 	var pause backoff
 	for {
 		callCtx, cancelCall := context.WithTimeout(ctx, releaseCallTime)
-		err := e.opts.Owners.Release(callCtx, address, args)
+		var err error
+		if begin != (ownerrpc.RequestID{}) {
+			_, err = e.opts.Owners.Cancel(callCtx, address, &ownerrpc.CancelArgs{ID: begin, Server: args.Server})
+		}
+		if err == nil {
+			err = e.opts.Owners.Release(callCtx, address, args)
+		}
 		cancelCall()
 		if err == nil || !pause.wait(ctx, nil) {
 			return
--- a/internal/entry/runwrite.go
+++ b/internal/entry/runwrite.go
@@ -47,7 +47,12 @@
 		s.entry.metrics.retries.Inc(1)
 	}
 	id := r.id(s, t)
-	reply, sent, err := s.call(ctx, r, t, id, s.token, term)
+	if r.plan.begin && !s.awaitRelease(ctx, t) {
+		err := errkind.New(errkind.DeadlineExceeded, "waiting for the end of the last transaction")
+		r.note(err, NotSent)
+		return nil, err
+	}
+	reply, sent, err := s.call(ctx, r, t, r.args(s, t, id, s.token, term))
 	if sent != NotSent {
 		r.sends++
 	}
@@ -77,7 +82,7 @@
 	}
 	r.unanswered(attempt{t, id})
 	if r.plan.begin {
-		s.release(t)
+		s.release(t, id)
 	}
 	if r.plan.begin && !r.plan.commit {
 		// Without COMMIT nothing of the transaction can have taken effect.
--- a/internal/entry/session_test.go
+++ b/internal/entry/session_test.go
@@ -168,7 +168,7 @@
 		d := open(t, ent)
 		defer d.close()
 		is.Equal(d.read("a").code, "53000") // asks all three
-		asked := f.calls["Owner.Exec"]
+		asked := f.called("Owner.Exec")
 		is.Equal(asked, 3)
 		for range 20 {
 			a := d.read("a")
@@ -176,7 +176,7 @@
 			is.Equal(a.outcome, "not_run")
 			is.Equal(d.query("insert into kv values ('a', '1')").code, "53000")
 		}
-		is.Equal(f.calls["Owner.Exec"], asked)
+		is.Equal(f.called("Owner.Exec"), asked)
 		f.exec = nil
 		d.must("set arbutusring.rank = 'urgent'")
 		is.Equal(d.read("a").code, "")
@@ -242,8 +242,8 @@
 			time.Sleep(50 * time.Millisecond)
 		}
 		synctest.Wait()
-		is.True(f.calls["Owner.Cancel"] > 0) // the losers are cancelled
-		is.True(f.calls["Owner.Cancel"] < 10)
+		is.True(f.called("Owner.Cancel") > 0) // the losers are cancelled
+		is.True(f.called("Owner.Cancel") < 10)
 	})
 }
 
