--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -43,6 +43,11 @@
 			h.session.noteRead(h.request, res)
 			if res.err == nil {
 				for _, a := range h.pending {
+					if a.target == t {
+						// Overtaken by a later attempt: a silent member would
+						// otherwise cost every read the hedge delay.
+						t.member.failed(time.Now())
+					}
 					go h.session.entry.runCancel(a)
 				}
 				return res
@@ -74,12 +79,12 @@
 func (h *hedge) launch(ctx context.Context, gv *groupView, t *target) {
 	a := attempt{t, h.request.id(h.session, t)}
 	h.pending = append(h.pending, a)
-	go h.run(ctx, a, gv.readTerm(t))
+	go h.run(ctx, a, h.request.args(h.session, t, a.id, h.pos, gv.readTerm(t)))
 }
 
-func (h *hedge) run(ctx context.Context, a attempt, term uint64) {
+func (h *hedge) run(ctx context.Context, a attempt, args *ownerrpc.ExecArgs) {
 	res := result{target: a.target, id: a.id}
-	res.reply, res.sent, res.err = h.session.call(ctx, h.request, a.target, a.id, h.pos, term)
+	res.reply, res.sent, res.err = h.session.call(ctx, h.request, a.target, args)
 	h.results <- res
 }
 
