--- a/cmd/arbutusring/installation_test.go
+++ b/cmd/arbutusring/installation_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -62,10 +63,15 @@
 default = true
 `
 
+// loopbackIP is an address of the loopback network for this test process: a
+// free port of 127.0.0.1 may be taken by an outgoing connection before the
+// process that it is meant for has started.
+var loopbackIP = fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
+
 // freeAddress returns a loopback address that was free a moment ago.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", loopbackIP+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/faulttest/installation.go
+++ b/internal/faulttest/installation.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -74,6 +75,7 @@
 type Installation struct {
 	Network *Network
 	opts    Options
+	ip      string
 
 	controlPeers []string
 	controlOps   []string
@@ -101,7 +103,7 @@
 		opts.Policy = DefaultPolicy
 	}
 	in := &Installation{
-		Network: NewNetwork(), opts: opts,
+		Network: NewNetwork(), opts: opts, ip: loopbackIP(),
 		controls: make([]*process.Control, opts.Controls),
 		entries:  make([]*process.Entry, opts.Entries),
 		servers:  make([]*standin.Server, 3),
@@ -144,29 +146,30 @@
 // reserve chooses all addresses, so that a restarted process keeps its own.
 func (in *Installation) reserve() error {
 	for i := range in.controls {
-		if err := reserve(&in.controlPeers, &in.controlOps); err != nil {
+		if err := in.reserveAddresses(&in.controlPeers, &in.controlOps); err != nil {
 			return err
 		}
 		in.Network.Register(in.controlPeers[i], controlID(i))
 	}
 	for i := range in.entries {
-		if err := reserve(&in.entryPeers, &in.entryOps, &in.entryCallers); err != nil {
+		if err := in.reserveAddresses(&in.entryPeers, &in.entryOps, &in.entryCallers); err != nil {
 			return err
 		}
 		in.Network.Register(in.entryPeers[i], entryID(i))
 	}
 	for range in.servers {
-		if err := reserve(&in.serverAddrs); err != nil {
+		if err := in.reserveAddresses(&in.serverAddrs); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// reserve appends a free loopback address to each list.
-func reserve(lists ...*[]string) error {
+// reserveAddresses appends a free address of the installation's loopback IP to each
+// list.
+func (in *Installation) reserveAddresses(lists ...*[]string) error {
 	for _, list := range lists {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		ln, err := net.Listen("tcp", in.ip+":0")
 		if err != nil {
 			return Error.Wrap(err)
 		}
@@ -176,6 +179,13 @@
 	return nil
 }
 
+// loopbackIP returns a random address of the loopback network. Each
+// installation has its own, because a port of 127.0.0.1 that a stopped process
+// has freed may be taken by an outgoing connection before it starts again.
+func loopbackIP() string {
+	return fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
+}
+
 // latency returns the one-way latency between two hosts by their numbers,
 // which tell their regions.
 func (in *Installation) latency(from, to string) time.Duration {
