standin: let the replica connect before the planned stop is tested

Cause of a failure in 1 of 15 runs: the stop waits for the replicas that are connected, and the test could stop the primary before its replica had connected for the first time.

--- a/internal/standin/server_test.go
+++ b/internal/standin/server_test.go
@@ -114,6 +114,8 @@
 func TestStopIsGraceful(t *testing.T) {
 	is := is.New(t)
 	servers := group(t, 2, nil)
+	// Only a replica that is connected is waited for by the stop.
+	eventually(t, "replica is connected", func() bool { return applied(servers[1]) == applied(servers[0]) })
 	idle, busy := client(t, servers[0], ""), client(t, servers[0], "")
 	_, err := busy.Exec(t.Context(), "BEGIN")
 	is.NoErr(err)
