--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -413,9 +413,15 @@
 // halfClose tells the caller that nothing more comes, and leaves it a short
 // time to read the answer and to close. Caller holds c.mu.
 func (c *conn) halfClose() {
-	if raw, err := c.nc.SyscallConn(); err == nil {
-		_ = raw.Control(func(fd uintptr) { _ = syscall.Shutdown(int(fd), syscall.SHUT_WR) })
+	// nbio marks the connection closed under its lock before it closes the
+	// descriptor, which the next connection may get.
+	c.nc.Lock()
+	if closed, _ := c.nc.IsClosed(); !closed {
+		if raw, err := c.nc.SyscallConn(); err == nil {
+			_ = raw.Control(func(fd uintptr) { _ = syscall.Shutdown(int(fd), syscall.SHUT_WR) })
+		}
 	}
+	c.nc.Unlock()
 	_ = c.nc.SetReadDeadline(time.Now().Add(lingerTime))
 }
 
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -4,7 +4,7 @@
 
 // Handler executes sessions. All functions are required. Run and Close of one
 // session are never called at the same time; Cancel may be called at any time
-// between Open and Close.
+// after Open, also during Run and Close.
 type Handler struct {
 	// Open starts a session. An error ends the connection with a FATAL
 	// ErrorResponse of the error's kind.
--- a/internal/entry/faults_test.go
+++ b/internal/entry/faults_test.go
@@ -126,6 +126,10 @@
 		before := f.count("select")
 		is.Equal(d.read("a").values, []string{"1"})
 		is.Equal(f.count("select"), before+1) // at most once
+		f.exec = onText("select", faultLoseAsk, faultLate, faultLoseAsk, faultLoseAsk)
+		is.Equal(d.read("a").values, []string{"1"}) // the owners confirm that it did not run
+		time.Sleep(time.Second)
+		is.Equal(f.count("select"), before+2)
 	})
 }
 
--- a/internal/entry/member.go
+++ b/internal/entry/member.go
@@ -137,7 +137,7 @@
 	standingCovers  standing = iota // has applied the required position
 	standingMay                     // may reach the position while the owner waits
 	standingBehind                  // did not reach a position lately
-	standingSuspect                 // failed lately
+	standingSuspect                 // failed lately, or is being shut down
 )
 
 // judge returns the standing for a read that requires pos, and the estimated
@@ -153,7 +153,7 @@
 	service := max(m.load.Service, 100*time.Microsecond)
 	cost := m.distance + service*time.Duration(waiting+1)/time.Duration(max(m.load.Slots, 1))
 	switch {
-	case now.Before(m.suspect) || m.unreachable:
+	case now.Before(m.suspect) || m.unreachable || m.load.Draining:
 		return standingSuspect, cost
 	case m.applied.Covers(pos):
 		return standingCovers, cost
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"time"
 
 	"github.com/arbutusring/arbutusring/internal/ownerrpc"
@@ -19,7 +20,7 @@
 
 	sends      int       // requests that were sent, or may have been
 	costly     int       // sends that may have used queue or slot; further ones need retry budget
-	maybeRan   bool      // an attempt ended with an unknown outcome
+	unknown    bool      // an owner answered an attempt with an unknown outcome
 	unresolved []attempt // attempts without an answer, whose id is used again
 	last       error     // of the last failed attempt
 }
@@ -74,7 +75,7 @@
 	r.last = err
 	kind := errkind.Of(err)
 	if sent == Answered && kind.Info().Outcome != errkind.NotRun {
-		r.maybeRan = true
+		r.unknown = true
 	}
 	// Other refusals are made before the queue: another attempt after them
 	// adds no load, and without it every failover would drain the budgets.
@@ -84,18 +85,23 @@
 }
 
 // unanswered records an attempt whose outcome is not known.
-func (r *request) unanswered(a attempt) {
-	r.maybeRan = true
-	r.unresolved = append(r.unresolved, a)
+func (r *request) unanswered(a attempt) { r.unresolved = append(r.unresolved, a) }
+
+// resolved records that the attempt with that id never ran.
+func (r *request) resolved(id ownerrpc.RequestID) {
+	r.unresolved = slices.DeleteFunc(r.unresolved, func(a attempt) bool { return a.id == id })
 }
 
+// mayHaveRun reports whether an attempt may have run.
+func (r *request) mayHaveRun() bool { return r.unknown || len(r.unresolved) > 0 }
+
 // final returns the error for the caller. It never states not_run if an
 // earlier attempt may have run.
 func (r *request) final(err error) error {
 	if err == nil {
 		err = errkind.New(errkind.DeadlineExceeded, "the deadline passed before the statement was sent")
 	}
-	if r.maybeRan && errkind.Of(err).Info().Outcome == errkind.NotRun {
+	if r.mayHaveRun() && errkind.Of(err).Info().Outcome == errkind.NotRun {
 		return errkind.Wrap(errkind.OutcomeUnknown, err, "an earlier attempt may have run")
 	}
 	return err
--- a/internal/entry/runread.go
+++ b/internal/entry/runread.go
@@ -77,6 +77,7 @@
 				s.countRead(res.target)
 				return reply, res.target, nil
 			case verdict == verdictNotRun:
+				r.resolved(res.id)
 				action = OtherMember
 			default:
 				return reply, res.target, errkind.New(errkind.OutcomeUnknown, "the answer of server %q was lost", res.target.server)
--- a/internal/entry/runwrite.go
+++ b/internal/entry/runwrite.go
@@ -86,7 +86,7 @@
 	}
 	if r.plan.begin && !r.plan.commit {
 		// Without COMMIT nothing of the transaction can have taken effect.
-		r.maybeRan = false
+		r.unknown, r.unresolved = false, nil
 		*action = GiveUp
 		return nil, errkind.New(errkind.TransactionLost, "the answer to BEGIN was lost; the transaction is rolled back")
 	}
