--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -89,6 +89,7 @@
 	if err := s.engine.Start(); err != nil {
 		return Error.Wrap(errors.Join(err, ln.Close()))
 	}
+	s.opts.Logger.Info().Stringer("address", ln.Addr()).Msg("accepting callers")
 	s.accepted.Add(1)
 	go s.loop()
 	return nil
@@ -148,6 +149,7 @@
 		select {
 		case <-ctx.Done():
 			err = Error.Wrap(ctx.Err())
+			s.opts.Logger.Warn().Int("connections", s.registry.count()).Msg("ending caller connections that are still in use")
 		case <-time.After(5 * time.Millisecond):
 			continue
 		}
--- /dev/null
+++ b/internal/entry/attempt.go
@@ -0,0 +1,9 @@
+package entry
+
+import "github.com/arbutusring/arbutusring/internal/ownerrpc"
+
+// attempt is one request to one owner.
+type attempt struct {
+	target *target
+	id     ownerrpc.RequestID
+}
--- a/internal/entry/attributes.go
+++ b/internal/entry/attributes.go
@@ -22,15 +22,6 @@
 	deadline     time.Duration // 0: the value of the policy
 }
 
-// repeatable is the attribute of that name.
-type repeatable uint8
-
-const (
-	repeatableDefault repeatable = iota // on for reads, off for writes
-	repeatableOn
-	repeatableOff
-)
-
 func defaultAttributes() attributes { return attributes{maxStaleness: -1} }
 
 // set sets one attribute; the empty value with reset restores the default.
--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -59,13 +59,6 @@
 	return nil, errkind.New(errkind.NoMember, "no member of group %q can serve the read", gv.name)
 }
 
-// scored is a target with its standing.
-type scored struct {
-	target *target
-	class  standing
-	cost   time.Duration
-}
-
 func pickOfTwo(list []scored) *target {
 	a := list[rand.IntN(len(list))]
 	b := list[rand.IntN(len(list))]
--- /dev/null
+++ b/internal/entry/effectivekey.go
@@ -0,0 +1,4 @@
+package entry
+
+// effectiveKey identifies an effective policy.
+type effectiveKey struct{ group, rank string }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -162,6 +162,8 @@
 	e.mu.Unlock()
 	old := e.view.Swap(newView(e, state, cfg))
 	close(old.changed)
+	e.opts.Logger.Info().Uint64("state_version", state.Version).Uint64("config_version", state.ConfigVersion).
+		Int("groups", len(cfg.DatabaseGroups)).Msg("state is in force")
 }
 
 // Confirmed records that control confirmed the state by answering a request
@@ -202,6 +204,7 @@
 // The owner of the caller connections ends the idle ones meanwhile.
 func (e *Entry) Drain(ctx context.Context) error {
 	e.draining.Store(true)
+	e.opts.Logger.Info().Int("sessions", e.sessionCount()).Msg("draining: new sessions are refused")
 	tick := time.NewTicker(10 * time.Millisecond)
 	defer tick.Stop()
 	for e.sessionCount() > 0 {
--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -8,15 +8,6 @@
 	"github.com/arbutusring/arbutusring/pkg/logpos"
 )
 
-// result is the result of one attempt.
-type result struct {
-	target *target
-	id     ownerrpc.RequestID
-	reply  *ownerrpc.ExecReply
-	sent   Sent
-	err    error
-}
-
 // hedge is a read that is sent to a second member when the first is silent.
 // The first answer without an error wins. The second attempt is paid from the
 // retry budget of its member.
--- a/internal/entry/member.go
+++ b/internal/entry/member.go
@@ -100,13 +100,15 @@
 	m.budget.earn(retryShare)
 }
 
-// failed makes the member avoided for a time.
-func (m *member) failed(now time.Time) {
+// failed makes the member avoided for a time. It returns true for the first
+// failure in a row.
+func (m *member) failed(now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	wait := min(suspectMin<<min(m.failures, 10), suspectMax)
 	m.failures++
 	m.suspect = now.Add(wait)
+	return m.failures == 1
 }
 
 // lagged records that the member did not reach a position in time.
--- a/internal/entry/pgx_test.go
+++ b/internal/entry/pgx_test.go
@@ -83,6 +83,17 @@
 			}
 			is.True(conn.PgConn().ParameterStatus("arbutusring.session_token") != "")
 
+			var batch pgx.Batch
+			batch.Queue("insert into kv values ($1, $2)", "c", "1")
+			batch.Queue("select v from kv where k = $1", "c")
+			results := conn.SendBatch(ctx, &batch)
+			_, err = results.Exec()
+			is.NoErr(err)
+			var batched string
+			is.NoErr(results.QueryRow().Scan(&batched))
+			is.Equal(batched, "1")
+			is.NoErr(results.Close())
+
 			tx, err := conn.Begin(ctx)
 			is.NoErr(err)
 			_, err = tx.Exec(ctx, "insert into kv values ($1, $2)", "b", "x")
--- a/internal/entry/positions.go
+++ b/internal/entry/positions.go
@@ -18,25 +18,6 @@
 	flightGap = 2 * time.Millisecond
 )
 
-// flight is one Owner.Position request that several sessions may wait for.
-type flight struct {
-	seq     uint64    // from Entry.nextSeq when the request starts; 0 before
-	started time.Time // when the request starts
-	done    chan struct{}
-	pos     logpos.Position // valid after done
-	err     error           // valid after done
-}
-
-// wanted says which position requests satisfy a reader.
-type wanted struct {
-	after uint64    // requests with a greater seq
-	since time.Time // requests that started at this time or later
-}
-
-func (w wanted) accepts(seq uint64, started time.Time) bool {
-	return seq > w.after && !started.Before(w.since)
-}
-
 // position returns a confirmed position of the primary from a request that w
 // accepts. It never joins a request that started too early: that request may
 // have read the position before a write that the session has to see.
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -127,7 +127,7 @@
 	}
 	if err != nil {
 		if !errors.Is(ctx.Err(), context.Canceled) && (ctx.Err() == nil || now.Sub(start) >= silence) {
-			t.member.failed(now)
+			s.entry.suspect(t, now, err)
 		}
 		if errkind.Of(err) == errkind.ConnectFailed {
 			return nil, NotSent, err
@@ -142,7 +142,14 @@
 	case errkind.PositionNotReached:
 		t.member.lagged(now)
 	case errkind.ServerLost, errkind.NotOwner, errkind.StaleTerm, errkind.ConnectFailed, errkind.Draining, errkind.ConfigStale:
-		t.member.failed(now)
+		s.entry.suspect(t, now, errkind.New(reply.Kind, "%s", reply.Detail))
 	}
 	return reply, Answered, errkind.New(reply.Kind, "%s", reply.Detail)
 }
+
+// suspect makes a member avoided and logs the first failure in a row.
+func (e *Entry) suspect(t *target, now time.Time, err error) {
+	if t.member.failed(now) {
+		e.opts.Logger.Warn().Err(err).Str("server", t.server).Str("owner", t.host).Msg("member is avoided after a failure")
+	}
+}
--- a/internal/entry/samples.go
+++ b/internal/entry/samples.go
@@ -3,21 +3,12 @@
 import (
 	"sort"
 	"time"
-
-	"github.com/arbutusring/arbutusring/pkg/logpos"
 )
 
 // maxSampleAge is how long samples are kept. A read that accepts older data
 // gets the oldest sample, which is stricter than necessary.
 const maxSampleAge = time.Minute
 
-// sample states that pos covers every write acknowledged before at.
-type sample struct {
-	seq uint64
-	at  time.Time // start of the request, on the monotonic clock
-	pos logpos.Position
-}
-
 // samples is the list of samples of a group in the order of their start.
 type samples struct {
 	list []sample
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -33,27 +33,6 @@
 	stop     context.CancelFunc // ends the cycle in progress; nil if there is none
 }
 
-// attempt is one request to one owner.
-type attempt struct {
-	target *target
-	id     ownerrpc.RequestID
-}
-
-// transaction is an open transaction. It is bound to one server at one owner.
-type transaction struct {
-	target   *target
-	term     uint64 // in force when it began; 0 at a replica
-	readOnly bool
-	aborted  bool // a statement failed at the server
-	failed   bool // lost or refused; the caller has not ended it yet
-}
-
-// pendingRelease is a transaction that is being rolled back at its owner.
-type pendingRelease struct {
-	target *target
-	done   chan struct{} // closed when the release has arrived or was given up
-}
-
 // status returns the transaction status for ReadyForQuery.
 func (s *session) status() byte {
 	switch {
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -22,31 +22,6 @@
 	effective sync.Map // effectiveKey -> policy.Effective
 }
 
-// effectiveKey identifies an effective policy.
-type effectiveKey struct{ group, rank string }
-
-// groupView is one database group.
-type groupView struct {
-	view    *view
-	name    string
-	term    uint64
-	primary *target // nil while there is none that can be reached
-	targets []*target
-}
-
-// target is a member of a group together with the host that owns it.
-type target struct {
-	server      string
-	dataCentre  string // of the owner
-	address     string // rpc address of the owner
-	host        string // id of the owner
-	incarnation string // of the owner process
-	epoch       uint64
-	primary     bool
-	draining    bool // no new work
-	member      *member
-}
-
 func newView(e *Entry, state controlrpc.State, cfg *policy.Config) *view {
 	v := &view{state: state, cfg: cfg, groups: make(map[string]*groupView), changed: make(chan struct{})}
 	v.ahead = make(map[string][]string)
