--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"runtime"
+	"sync"
 	"testing"
 	"time"
 
@@ -146,13 +147,20 @@
 	}
 	before := measure()
 	clients := make([]net.Conn, sessions)
-	for i := range clients {
-		c := benchClient(t, address)
-		if err := c.roundTrip(message); err != nil {
-			t.Fatal(err)
-		}
-		clients[i] = c.sock // the buffer of the client is not kept
+	var wg sync.WaitGroup
+	for part := range 10 {
+		wg.Go(func() {
+			for i := part; i < sessions; i += 10 {
+				c := benchClient(t, address)
+				if err := c.roundTrip(message); err != nil {
+					t.Error(err)
+					return
+				}
+				clients[i] = c.sock // the buffer of the client is not kept
+			}
+		})
 	}
+	wg.Wait()
 	held := (int64(measure()) - int64(before)) / sessions
 	t.Logf("%d idle sessions: %d bytes held for each, client socket included", sessions, held)
 	if held > limit {
