--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -68,13 +68,6 @@
 	maxCompared = 4
 )
 
-// scored is a target with its standing.
-type scored struct {
-	target *target
-	class  standing
-	cost   time.Duration
-}
-
 // pick takes the candidate with the least cost. A random tenth keeps equal
 // candidates from being chosen by all entries at the same time. Among many
 // candidates it looks at a random few only, for the same reason.
--- a/internal/entry/member.go
+++ b/internal/entry/member.go
@@ -100,13 +100,15 @@
 	m.budget.earn(retryShare)
 }
 
-// failed makes the member avoided for a time.
-func (m *member) failed(now time.Time) {
+// failed makes the member avoided for a time. It returns true for the first
+// failure in a row.
+func (m *member) failed(now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	wait := min(suspectMin<<min(m.failures, 10), suspectMax)
 	m.failures++
 	m.suspect = now.Add(wait)
+	return m.failures == 1
 }
 
 // lagged records that the member did not reach a position in time.
@@ -137,7 +139,7 @@
 	standingCovers  standing = iota // has applied the required position
 	standingMay                     // may reach the position while the owner waits
 	standingBehind                  // did not reach a position lately
-	standingSuspect                 // failed lately
+	standingSuspect                 // failed lately, or is being shut down
 )
 
 // judge returns the standing for a read that requires pos, and the estimated
@@ -153,7 +155,7 @@
 	service := max(m.load.Service, 100*time.Microsecond)
 	cost := m.distance + service*time.Duration(waiting+1)/time.Duration(max(m.load.Slots, 1))
 	switch {
-	case now.Before(m.suspect) || m.unreachable:
+	case now.Before(m.suspect) || m.unreachable || m.load.Draining:
 		return standingSuspect, cost
 	case m.applied.Covers(pos):
 		return standingCovers, cost
--- a/internal/faulttest/installation.go
+++ b/internal/faulttest/installation.go
@@ -496,6 +496,11 @@
 	return "postgres://caller@" + in.entryCallers[i] + "/" + Group + "?sslmode=disable"
 }
 
+// ServerDSN returns the DSN of a backend server, without the proxy.
+func (in *Installation) ServerDSN(i int) string {
+	return "postgres://caller@" + in.serverAddrs[i] + "/" + Group + "?sslmode=disable"
+}
+
 // Close ends everything at once.
 func (in *Installation) Close() {
 	for i := range in.entries {
