--- a/internal/process/follower.go
+++ b/internal/process/follower.go
@@ -120,7 +120,7 @@
 	if err != nil || reply.Kind != errkind.OK {
 		return false
 	}
-	if reply.Changed {
+	if reply.Changed && reply.State.Version > since {
 		return f.take(&reply.State, sentAt)
 	}
 	return true
