--- a/internal/control/doc.go
+++ b/internal/control/doc.go
@@ -26,6 +26,29 @@
 //     of the members is fenced; the old owner confirms, or runs out; the chosen
 //     member is promoted; the new primary is logged.
 //
+// Each attempt to name a primary has a term of its own, also when it repeats
+// an attempt that did not finish. Two members are therefore never promoted at
+// the same term, even if a deposed leader is still at work.
+//
+// # Members
+//
+// The declared number of members is taken from the configuration. A group is
+// waiting until as many servers have announced themselves, and keeps these
+// members from then on. A server joins, leaves or is replaced only in a
+// planned change of the primary: all acknowledgements stop, the old members are
+// fenced, and the new members are logged together with the primary if a
+// majority of them has received what the chosen member had when it was fenced.
+// A member that is gone without a departing announcement is replaced once an
+// operator drains it.
+//
+// # What the owners must do
+//
+// An owner acts on a lease only as the newest heartbeat reply says, counts the
+// ttl from before it called Heartbeat, and drops what Owner.Revoke names. The
+// majority that it waits for is that of Group.Members at exactly the term of
+// its role: while its state shows another term of the group, it acknowledges
+// nothing, because the members may have changed with the term.
+//
 // # Usage
 //
 //	ctl := control.New(control.Options{Members: members, Revoke: owner.Revoke, Log: log})
--- a/internal/control/failover_test.go
+++ b/internal/control/failover_test.go
@@ -133,6 +133,7 @@
 // loses an acknowledged write, or that has two owners of a primary, when
 // something fails at any step of the change.
 func TestFailover(t *testing.T) {
+	t.Parallel()
 	for _, tc := range []struct {
 		name   string
 		faults []func(*world, *traffic)
--- a/internal/control/lease_test.go
+++ b/internal/control/lease_test.go
@@ -108,6 +108,7 @@
 // and against a group that does not recover, whatever is paused, cut off,
 // restarted, drained, killed or replaced.
 func TestOneOwner(t *testing.T) {
+	t.Parallel()
 	draw := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) event {
 		return event{
 			delay: time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond,
--- a/internal/control/machine_test.go
+++ b/internal/control/machine_test.go
@@ -208,6 +208,7 @@
 // indexes that differ from the state after a restore, and against watchers that
 // miss a change.
 func TestReplicasAgree(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		var watched controlrpc.State // by a watcher of two
 		one, two := newReplica(t), newReplica(t)
--- a/internal/control/membership_test.go
+++ b/internal/control/membership_test.go
@@ -40,6 +40,7 @@
 // members that are replaced by servers which lack acknowledged writes, and
 // against a change of members that never comes.
 func TestMembers(t *testing.T) {
+	t.Parallel()
 	for _, tc := range []struct {
 		name  string
 		steps []func(*world, *traffic)
