--- a/internal/control/failover_test.go
+++ b/internal/control/failover_test.go
@@ -223,9 +223,8 @@
 						fault(w, tr)
 					}
 					time.Sleep(5 * time.Second)
-					w.mu.Lock()
-					defer w.mu.Unlock()
-					found := strings.Join(tr.violations, "; ")
+					var found string
+					w.locked(func() { found = strings.Join(tr.violations, "; ") })
 					if mechanism == "" && found != "" {
 						t.Errorf("violations: %s", found)
 					}
--- a/internal/control/lease_test.go
+++ b/internal/control/lease_test.go
@@ -42,9 +42,7 @@
 			return len(w.owners("s1")) == 1 && len(w.owners("s2")) == 1 && len(w.owners("s3")) == 1 && w.allFollow("orders")
 		})
 		tr.progress(time.Second)
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		out = tr.violations
+		w.locked(func() { out = tr.violations })
 	})
 	return out
 }
--- a/internal/controlrpc/client_test.go
+++ b/internal/controlrpc/client_test.go
@@ -1,6 +1,7 @@
 package controlrpc_test
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -81,11 +82,7 @@
 				is := is.New(t)
 				s := tc.script
 				c := &controlrpc.Client{Addresses: []string{"a", "b", "c"}, Call: s.call}
-				limit := tc.limit
-				if limit == 0 {
-					limit = 10 * time.Second
-				}
-				ctx, cancel := context.WithTimeout(t.Context(), limit)
+				ctx, cancel := context.WithTimeout(t.Context(), cmp.Or(tc.limit, 10*time.Second))
 				defer cancel()
 				start := time.Now()
 				reply, err := c.Apply(ctx, &controlrpc.ApplyArgs{ChangeID: "c1"})
