--- a/internal/control/attempt.go
+++ b/internal/control/attempt.go
@@ -215,9 +215,9 @@
 		return st, err
 	}
 	joined := make(chan map[string]MemberStatus, 1)
-	go func() {
+	a.calls.Go(func() {
 		joined <- a.askServers(ctx, a.joining, a.opts.ProbeTimeout, len(a.joining), len(a.joining), fence)
-	}()
+	})
 	fenced := a.askServers(ctx, a.members, a.opts.StepTimeout, need, len(a.before), fence)
 	if len(fenced) < need {
 		return nil, errkind.New(errkind.NoMember, "%d of %d members are fenced, %d are needed", len(fenced), len(a.members), need)
