--- a/internal/control/assigner.go
+++ b/internal/control/assigner.go
@@ -36,6 +36,8 @@
 	// lost is told of a primary whose owner has run out. Nobody observes that
 	// primary until the next owner has its lease.
 	lost func(group string)
+	// unreached is filled by Failover.
+	unreached *unreached
 
 	mu       sync.Mutex
 	releases map[string]*release // of revoking leases, by server id; guarded by mu
@@ -47,13 +49,14 @@
 	done  bool // the holder has let go or has run out
 }
 
-func newAssigner(opts Options, log *Log, machine *Machine, sessions *Sessions, lost func(group string)) *Assigner {
+func newAssigner(opts Options, log *Log, machine *Machine, sessions *Sessions, lost func(group string), unreached *unreached) *Assigner {
 	return &Assigner{
 		opts: opts, log: log, machine: machine, sessions: sessions,
-		logger:   opts.Logger.With().Str("part", "assigner").Logger(),
-		wake:     make(chan struct{}, 1),
-		lost:     lost,
-		releases: make(map[string]*release),
+		logger:    opts.Logger.With().Str("part", "assigner").Logger(),
+		wake:      make(chan struct{}, 1),
+		lost:      lost,
+		unreached: unreached,
+		releases:  make(map[string]*release),
 	}
 }
 
@@ -79,7 +82,7 @@
 // step plans once and carries out what can be done now.
 func (a *Assigner) step(ctx context.Context, group *sync.WaitGroup) {
 	v := a.machine.View()
-	plan := makePlan(v, a.usable, a.sessions.Live, a.settled, !a.sessions.Complete())
+	plan := makePlan(v, a.usable, a.sessions.Live, a.settled, a.unreached.avoid, !a.sessions.Complete())
 	var commands []Command
 	for _, l := range plan.Revoke {
 		commands = append(commands, Command{Revoke: &RevokeLease{Server: l.Server, Epoch: l.Epoch}})
--- a/internal/control/failover.go
+++ b/internal/control/failover.go
@@ -34,6 +34,8 @@
 
 	wake  chan struct{}
 	slots chan struct{} // one for each running attempt
+	// unreached tells the Assigner which primaries their owners don't reach.
+	unreached *unreached
 
 	mu     sync.Mutex
 	groups map[string]*groupWork // groups with something to do; guarded by mu
@@ -52,10 +54,11 @@
 func newFailover(opts Options, log *Log, machine *Machine, sessions *Sessions) *Failover {
 	return &Failover{
 		opts: opts, log: log, machine: machine, sessions: sessions,
-		logger: opts.Logger.With().Str("part", "failover").Logger(),
-		wake:   make(chan struct{}, 1),
-		slots:  make(chan struct{}, opts.Parallel),
-		groups: make(map[string]*groupWork),
+		logger:    opts.Logger.With().Str("part", "failover").Logger(),
+		wake:      make(chan struct{}, 1),
+		slots:     make(chan struct{}, opts.Parallel),
+		groups:    make(map[string]*groupWork),
+		unreached: &unreached{byID: make(map[string]*report)},
 	}
 }
 
@@ -179,6 +182,9 @@
 	}
 	start := time.Now()
 	err := a.run(ctx)
+	if errors.Is(err, errNotNeeded) {
+		f.unreached.add(a.was.Primary, f.machine.View().Leases[a.was.Primary].Host)
+	}
 	switch {
 	case err == nil:
 		f.opts.meters.named.Inc(1)
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -36,7 +36,7 @@
 	l.failover = newFailover(opts, log, machine, l.sessions)
 	l.assigner = newAssigner(opts, log, machine, l.sessions, func(group string) {
 		l.failover.Request(group, CauseSuspect)
-	})
+	}, l.failover.unreached)
 	l.followers = newFollowers(opts, machine)
 	l.registrar = newRegistrar(ctx, opts, log)
 	l.cleaner = &cleaner{
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -39,15 +39,17 @@
 	byKey   map[holder]*candidate
 	region  map[string]string // of each data centre, as its hosts say
 	local   bool
+	avoid   func(server string) string
 }
 
 // makePlan decides for every server. usable reports whether a holder sends
 // heartbeats to this leader, live whether its leases may still be in force,
 // and settled whether it has been up long enough to receive improvements. If
-// local is true, servers go only to hosts of their own data centre.
-func makePlan(v *View, usable, live, settled func(holder) bool, local bool) Plan {
+// local is true, servers go only to hosts of their own data centre. avoid names
+// a host that should not own a server, empty for none.
+func makePlan(v *View, usable, live, settled func(holder) bool, avoid func(server string) string, local bool) Plan {
 	p := newPlanner(v, usable)
-	p.local = local
+	p.local, p.avoid = local, avoid
 	plan := Plan{Target: make(map[string]holder)}
 	var free, kept, primaries []controlrpc.Lease
 	moving := 0
@@ -66,6 +68,9 @@
 					moving++
 					plan.Revoke = append(plan.Revoke, l)
 				}
+			case avoid(id) == l.Host && p.pick(id) != nil:
+				moving++
+				plan.Revoke = append(plan.Revoke, l)
 			default:
 				if v.Groups[group].Primary == id {
 					primaries = append(primaries, l)
@@ -135,7 +140,17 @@
 // by id among equals; nil if there is none.
 func (p *planner) pick(server string) *candidate {
 	in, _ := p.nearest(server)
-	return idlest(in)
+	host := p.avoid(server)
+	if host == "" {
+		return idlest(in)
+	}
+	other := func(in []*candidate) *candidate {
+		return idlest(slices.DeleteFunc(slices.Clone(in), func(c *candidate) bool { return c.host == host }))
+	}
+	if c := other(in); c != nil {
+		return c
+	}
+	return other(p.all)
 }
 
 func idlest(in []*candidate) *candidate {
@@ -163,7 +178,7 @@
 			to = idlest(slices.DeleteFunc(slices.Clone(in), func(c *candidate) bool { return !settled(c.holder) }))
 			idle[at] = to
 		}
-		if from == nil || to == nil {
+		if from == nil || to == nil || p.avoid(l.Server) != "" {
 			continue
 		}
 		far := (at.centre != "" && from.centre != at.centre) || (at.region != "" && from.region != at.region)
