--- a/internal/control/failover_test.go
+++ b/internal/control/failover_test.go
@@ -10,7 +10,6 @@
 
 	"github.com/arbutusring/arbutusring/internal/control"
 	"github.com/arbutusring/arbutusring/internal/controlrpc"
-	"github.com/arbutusring/arbutusring/pkg/errkind"
 )
 
 // killPrimary stops the primary. Its owner reports that after 500 ms.
@@ -35,7 +34,7 @@
 		s.down = false
 	}
 	for _, h := range w.hosts {
-		h.paused, h.silent, h.deaf, h.mute = false, false, false, false
+		h.paused, h.silent, h.deaf, h.mute, h.blind = false, false, false, false, false
 	}
 }
 
@@ -58,9 +57,7 @@
 
 func request(w *world, _ *traffic) {
 	reply, err := w.client().Failover(w.t.Context(), &controlrpc.FailoverArgs{Group: "orders"})
-	if err != nil || reply.Kind != errkind.OK {
-		w.t.Errorf("failover: %v %v", err, reply)
-	}
+	w.must("failover", reply.Answer, err)
 }
 
 func drainPrimary(w *world, _ *traffic) { setDraining(w, w.primary("orders"), false) }
@@ -69,9 +66,7 @@
 	reply, err := w.client().Drain(w.t.Context(), &controlrpc.DrainArgs{
 		ID: id, Undo: undo, ChangeID: fmt.Sprint(id, undo, time.Now()),
 	})
-	if err != nil || reply.Kind != errkind.OK {
-		w.t.Errorf("drain: %v %v", err, reply)
-	}
+	w.must("drain", reply.Answer, err)
 }
 
 // at returns a fault that replaces the leader or fails a call when a step is
@@ -138,6 +133,7 @@
 // loses an acknowledged write, or that has two owners of a primary, when
 // something fails at any step of the change.
 func TestFailover(t *testing.T) {
+	t.Parallel()
 	for _, tc := range []struct {
 		name   string
 		faults []func(*world, *traffic)
@@ -146,6 +142,7 @@
 		{"primary lost", []func(*world, *traffic){killPrimary}, 2 * time.Second},
 		{"primary and its owner lost", []func(*world, *traffic){killPrimary, atOwner(pause)}, 4 * time.Second},
 		{"owner paused", []func(*world, *traffic){atOwner(pause)}, 3 * time.Second},
+		{"owner does not reach the primary", []func(*world, *traffic){atOwner(func(h *host) { h.blind = true })}, 5 * time.Second},
 		{"old owner silent", []func(*world, *traffic){atOwner(silence), killPrimary}, 3 * time.Second},
 		{"old owner silent, operator's request", []func(*world, *traffic){atOwner(silence), request}, 3 * time.Second},
 		{"old owner cut off, operator's request", []func(*world, *traffic){atOwner(cut), request}, 3 * time.Second},
@@ -227,9 +224,8 @@
 						fault(w, tr)
 					}
 					time.Sleep(5 * time.Second)
-					w.mu.Lock()
-					defer w.mu.Unlock()
-					found := strings.Join(tr.violations, "; ")
+					var found string
+					w.locked(func() { found = strings.Join(tr.violations, "; ") })
 					if mechanism == "" && found != "" {
 						t.Errorf("violations: %s", found)
 					}
