Send statements that a replica refused as writes to the primary as writes

The owner waits for the majority only for cycles marked as writes. The same holds for read-only transactions that SET TRANSACTION makes writable.

--- a/internal/entry/faults_test.go
+++ b/internal/entry/faults_test.go
@@ -111,10 +111,12 @@
 		d.must("insert into kv values ('a', '1')")
 		f.exec = onText("select", faultLoseAsk, faultRefuse)
 		is.Equal(d.read("a").values, []string{"1"})
+		time.Sleep(time.Second) // the suspicions end
 		f.exec = func(_ context.Context, args *ownerrpc.ExecArgs) (fault, *ownerrpc.ExecReply) {
 			if args.Server != "s0" {
 				return faultNone, &ownerrpc.ExecReply{Kind: errkind.ReadOnlyMember}
 			}
+			is.True(args.Write) // the owner has to wait for its commit
 			return faultNone, nil
 		}
 		is.Equal(d.read("a").values, []string{"1"})
@@ -133,6 +135,24 @@
 	})
 }
 
+// TestReadOnlyTransactionThatWrites guards against a commit for which the owner
+// does not wait, because it believes that the transaction is read-only.
+func TestReadOnlyTransactionThatWrites(t *testing.T) {
+	bubble(t, "[[policy]]\nname = \"p\"\nreplica_reads = false", func(t *testing.T, is *is.I, f *fake, ent *entry.Entry) {
+		var writes []bool
+		f.exec = func(_ context.Context, args *ownerrpc.ExecArgs) (fault, *ownerrpc.ExecReply) {
+			writes = append(writes, args.Write)
+			return faultNone, nil
+		}
+		d := open(t, ent)
+		defer d.close()
+		for _, sql := range []string{"begin read only", "select 1", "set transaction read write", "insert into kv values ('a', '1')", "commit"} {
+			d.must(sql)
+		}
+		is.Equal(writes, []bool{false, false, true, true, false})
+	})
+}
+
 // TestTransactionFaults guards against a lost transaction that is reported as
 // committed, as unknown without need, or that makes the session unusable.
 func TestTransactionFaults(t *testing.T) {
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -41,7 +41,9 @@
 func (r *request) args(s *session, t *target, id ownerrpc.RequestID, pos logpos.Position, term uint64) *ownerrpc.ExecArgs {
 	write := !r.plan.read
 	if s.tx != nil {
-		write = !s.tx.readOnly
+		// A read-only transaction at the primary can be made writable by SET
+		// TRANSACTION; the owner has to know, in order to wait for the commit.
+		write = !s.tx.readOnly || t.primary && write
 	}
 	return &ownerrpc.ExecArgs{
 		ID:           id,
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -44,7 +44,7 @@
 		term  uint64
 	)
 	if p.read {
-		reply, t, err = s.runRead(ctx, r)
+		reply, t, term, err = s.runRead(ctx, r)
 	} else {
 		reply, t, term, err = s.runWrite(ctx, r)
 	}
--- a/internal/entry/runread.go
+++ b/internal/entry/runread.go
@@ -15,7 +15,7 @@
 
 // runRead executes a read at the most suitable member. With an error, the
 // reply is that of the last attempt, if there was one.
-func (s *session) runRead(ctx context.Context, r *request) (*ownerrpc.ExecReply, *target, error) {
+func (s *session) runRead(ctx context.Context, r *request) (*ownerrpc.ExecReply, *target, uint64, error) {
 	var (
 		pause    backoff
 		tried    = make(map[*target]bool)
@@ -25,49 +25,47 @@
 		v := s.entry.view.Load()
 		gv := v.groups[s.group.name]
 		if gv == nil {
-			return nil, nil, errkind.New(errkind.UnknownGroup, "database group %q is not declared", s.group.name)
+			return nil, nil, 0, errkind.New(errkind.UnknownGroup, "database group %q is not declared", s.group.name)
 		}
 		t, pos, err := s.pick(ctx, r, gv, replicas, tried)
 		if err != nil {
 			kind := errkind.Of(err)
 			if kind == errkind.Overloaded || len(tried) > 0 && errkind.Of(r.last) == errkind.Overloaded {
 				s.entry.metrics.refusedLocally.Inc(1)
-				return nil, nil, errkind.Wrap(errkind.Overloaded, err, "rank %q", r.eff.Rank.Name)
+				return nil, nil, 0, errkind.Wrap(errkind.Overloaded, err, "rank %q", r.eff.Rank.Name)
 			}
 			if Decide(kind, NotSent, r.repeatable, false) == GiveUp {
-				return nil, nil, err
+				return nil, nil, 0, err
 			}
 			if len(tried) == 0 || r.last == nil {
 				r.last = err
 			}
 			clear(tried)
 			if !pause.wait(ctx, v) {
-				return nil, nil, r.last
+				return nil, nil, 0, r.last
 			}
 			continue
 		}
 		if r.costly > 0 && !t.member.spendRetry() {
 			s.entry.metrics.budgetEmpty.Inc(1)
 			if errkind.Of(r.last) == errkind.Overloaded {
-				return nil, nil, r.last
+				return nil, nil, 0, r.last
 			}
 			if !pause.wait(ctx, v) {
-				return nil, nil, r.last
+				return nil, nil, 0, r.last
 			}
 			continue
 		}
 		res := s.attemptRead(ctx, r, gv, t, pos, replicas, tried)
 		if res.err == nil {
 			if replicas && !res.target.primary && !r.plan.begin && refusedReadOnly(res.reply.Messages) {
-				replicas = false
-				r.last = errkind.New(errkind.ReadOnlyMember, "server %q refused a write", res.target.server)
-				continue
+				return s.redirect(ctx, r)
 			}
 			s.countRead(res.target)
-			return res.reply, res.target, nil
+			return res.reply, res.target, gv.readTerm(res.target), nil
 		}
 		if errkind.Of(res.err) == errkind.ReadOnlyMember {
-			replicas = false
+			return s.redirect(ctx, r)
 		}
 		action := Decide(errkind.Of(res.err), res.sent, r.repeatable, false)
 		if action == AskOutcome {
@@ -75,28 +73,37 @@
 			switch {
 			case verdict == verdictAnswered && reply.Kind == errkind.OK:
 				s.countRead(res.target)
-				return reply, res.target, nil
+				return reply, res.target, gv.readTerm(res.target), nil
 			case verdict == verdictNotRun:
 				r.resolved(res.id)
 				action = OtherMember
 			default:
-				return reply, res.target, errkind.New(errkind.OutcomeUnknown, "the answer of server %q was lost", res.target.server)
+				return reply, res.target, 0, errkind.New(errkind.OutcomeUnknown, "the answer of server %q was lost", res.target.server)
 			}
 		}
 		switch action {
 		case GiveUp:
-			return res.reply, res.target, res.err
+			return res.reply, res.target, 0, res.err
 		case OtherMember:
 			tried[res.target] = true
 		case Wait:
 			clear(tried)
 			if !pause.wait(ctx, v) {
-				return nil, nil, r.last
+				return nil, nil, 0, r.last
 			}
 		}
 	}
 }
 
+// redirect executes a statement that a replica refused as a write at the
+// primary. It looked like a read, so it changes data in a way that its text
+// does not show, for example by a function within a view.
+func (s *session) redirect(ctx context.Context, r *request) (*ownerrpc.ExecReply, *target, uint64, error) {
+	r.plan.read = false
+	r.repeatable = s.isRepeatable(false)
+	return s.runWrite(ctx, r)
+}
+
 // pick returns the member for the next attempt and the position to require.
 func (s *session) pick(ctx context.Context, r *request, gv *groupView, replicas bool, tried map[*target]bool) (*target, logpos.Position, error) {
 	pos, err := s.required(ctx, r)
