--- /dev/null
+++ b/internal/consensus/status.go
@@ -0,0 +1,31 @@
+package consensus
+
+import "time"
+
+// Status is the state of a node for the state dump.
+type Status struct {
+	ID            string         `json:"id"`
+	Incarnation   string         `json:"incarnation"`
+	Initialised   bool           `json:"initialised"`
+	Role          Role           `json:"role"`
+	Term          uint64         `json:"term"`
+	Leader        Member         `json:"leader"`
+	LeaseValid    bool           `json:"lease_valid"`
+	Commit        uint64         `json:"commit"`
+	Applied       uint64         `json:"applied"`
+	Last          uint64         `json:"last"`
+	SnapshotIndex uint64         `json:"snapshot_index"`
+	Members       []MemberStatus `json:"members"`
+	Joining       []Member       `json:"joining"`       // at the leader: hosts that ask to be added
+	LongestWrite  time.Duration  `json:"longest_write"` // of the log, in ns, since the start
+	SlowWrites    uint64         `json:"slow_writes"`   // longer than the heartbeat interval
+	Failed        string         `json:"failed,omitempty"`
+}
+
+// MemberStatus is a member and, at the leader, how far it is.
+type MemberStatus struct {
+	Member
+	Match        uint64        `json:"match"`
+	SnapshotSent bool          `json:"snapshot_sent"` // a snapshot is on its way
+	ContactAge   time.Duration `json:"contact_age"`   // in ns, since the newest message that it answered
+}
--- /dev/null
+++ b/internal/control/leadership.go
@@ -0,0 +1,80 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// silence is the time after which a server that announces itself again may
+// have been restarted. Servers announce themselves every second.
+const silence = 3 * time.Second
+
+// leadership is everything that runs while this host is the leader. It starts
+// with empty memory; the replicated state carries what has to survive.
+type leadership struct {
+	log       *Log
+	ctx       context.Context // ends with the leadership
+	sessions  *Sessions
+	assigner  *Assigner
+	failover  *Failover
+	followers *Followers
+	registrar *registrar
+	cleaner   *cleaner
+	start     time.Time
+
+	mu        sync.Mutex
+	announced map[string]time.Time // last announcement by server id; guarded by mu
+}
+
+func newLeadership(ctx context.Context, opts Options, log *Log, machine *Machine) *leadership {
+	l := &leadership{log: log, ctx: ctx, start: time.Now(), announced: make(map[string]time.Time)}
+	l.sessions = NewSessions(opts.TTL, opts.Drift)
+	if opts.disabled.newLeader {
+		l.sessions.start = time.Time{}
+	}
+	l.failover = newFailover(opts, log, machine, l.sessions)
+	l.assigner = newAssigner(opts, log, machine, l.sessions, func(group string) {
+		l.failover.Request(group, CauseSuspect)
+	})
+	l.followers = newFollowers(opts, machine)
+	l.registrar = newRegistrar(ctx, opts, log)
+	l.cleaner = &cleaner{
+		log: log, machine: machine, leadership: l,
+		logger: opts.Logger.With().Str("part", "cleaner").Logger(),
+	}
+	return l
+}
+
+// run works until the leadership ends.
+func (l *leadership) run() {
+	var group sync.WaitGroup
+	group.Go(func() { l.assigner.run(l.ctx) })
+	group.Go(func() { l.failover.run(l.ctx) })
+	group.Go(func() { l.followers.run(l.ctx) })
+	group.Go(func() { l.cleaner.run(l.ctx) })
+	group.Wait()
+	l.registrar.wait()
+}
+
+// heard records an announcement.
+func (l *leadership) heard(server string) {
+	l.mu.Lock()
+	last, ok := l.announced[server]
+	l.announced[server] = time.Now()
+	l.mu.Unlock()
+	if ok && time.Since(last) > silence {
+		l.followers.Again(server)
+	}
+}
+
+// silentFor returns the time since the last announcement of a server, or since
+// the start of the leadership if there was none.
+func (l *leadership) silentFor(server string) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if last, ok := l.announced[server]; ok {
+		return time.Since(last)
+	}
+	return time.Since(l.start)
+}
--- a/internal/controlrpc/messages.go
+++ b/internal/controlrpc/messages.go
@@ -70,11 +70,15 @@
 	Members []string `codec:"m" json:"members"` // server ids; majorities count these
 }
 
-// Lease says which host owns a server.
+// Lease says which host owns a server. It belongs to one incarnation of the
+// host, because a restarted process does not know what its predecessor still
+// had in progress.
 type Lease struct {
-	Server string `codec:"s" json:"server"`
-	Host   string `codec:"h" json:"host"`
-	Epoch  uint64 `codec:"e" json:"epoch"` // grows with each change of the owner
+	Server      string `codec:"s" json:"server"`
+	Host        string `codec:"h" json:"host"`
+	Incarnation string `codec:"n" json:"incarnation"`
+	Epoch       uint64 `codec:"e" json:"epoch"`              // grows with each change of the owner
+	Revoking    bool   `codec:"x" json:"revoking,omitempty"` // no longer granted; the owner has yet to let go
 }
 
 // State is the replicated state that entry hosts work from.
@@ -120,14 +124,17 @@
 type WatchArgs struct {
 	Since uint64        `codec:"s"`
 	Wait  time.Duration `codec:"w"` // the reply comes without a state after this time
+	Delta bool          `codec:"d"` // the caller uses WatchReply.Merge, so changes are enough
 }
 
 // WatchReply carries the state, or no state when nothing changed. In both
-// cases it confirms that the leader was the leader when it answered.
+// cases it confirms that the leader was the leader when it answered. If the
+// caller has asked for it, Changes may take the place of State.
 type WatchReply struct {
 	Answer
-	Changed bool  `codec:"c"`
-	State   State `codec:"s"`
+	Changed bool          `codec:"c"`
+	State   State         `codec:"s"`
+	Changes *StateChanges `codec:"h"`
 }
 
 // AnnounceArgs passes on the announcement of a backend server.
