--- a/internal/entry/consistency_test.go
+++ b/internal/entry/consistency_test.go
@@ -213,3 +213,20 @@
 		is.Equal((<-done).code, "")
 	})
 }
+
+// TestSamplesAreBounded guards against a list of samples that grows with the
+// rate of new sessions.
+func TestSamplesAreBounded(t *testing.T) {
+	bubble(t, "", func(t *testing.T, is *is.I, f *fake, ent *entry.Entry) {
+		const sessions, seconds = 5000, 100
+		for range sessions {
+			d := open(t, ent)
+			is.Equal(d.read("a").code, "")
+			d.close()
+			time.Sleep(seconds * time.Second / sessions)
+		}
+		kept := ent.Dump().(entry.Dump).Groups[0].Samples
+		is.True(f.called("Owner.Position") >= sessions)
+		is.True(kept > 1000 && kept < 4000) // a minute's worth, 25 ms apart, and a quarter
+	})
+}
--- a/internal/entry/samples.go
+++ b/internal/entry/samples.go
@@ -9,6 +9,10 @@
 // gets the oldest sample, which is stricter than necessary.
 const maxSampleAge = time.Minute
 
+// sampleGap is the least distance of samples that are kept, apart from the
+// newest. New sessions may ask for the position hundreds of times in a second.
+const sampleGap = 25 * time.Millisecond
+
 // samples is the list of samples of a group in the order of their start.
 type samples struct {
 	list []sample
@@ -16,6 +20,10 @@
 
 // add inserts s. Requests may finish in another order than they started.
 func (l *samples) add(s sample) {
+	if n := len(l.list); n >= 2 && s.at.After(l.list[n-1].at) && l.list[n-1].at.Sub(l.list[n-2].at) < sampleGap {
+		l.list[n-1] = s
+		return
+	}
 	i := sort.Search(len(l.list), func(i int) bool { return l.list[i].at.After(s.at) })
 	l.list = append(l.list, sample{})
 	copy(l.list[i+1:], l.list[i:])
@@ -30,7 +38,9 @@
 	for n < len(l.list)-1 && newest.Sub(l.list[n].at) > maxSampleAge {
 		n++
 	}
-	l.list = append(l.list[:0], l.list[n:]...)
+	if n > len(l.list)/4 { // not one by one, because it moves the rest
+		l.list = append(l.list[:0], l.list[n:]...)
+	}
 }
 
 // newest returns the sample that started last.
