--- a/internal/caller/framer.go
+++ b/internal/caller/framer.go
@@ -18,10 +18,16 @@
 	buf  []byte // bytes that no returned cycle contains
 	scan int    // offset in buf of the first message that was not examined
 	err  error  // the stream is unusable after the first error
+
+	terminated bool // bytes after Terminate are ignored
 }
 
 // Push appends received bytes.
-func (f *Framer) Push(data []byte) { f.buf = append(f.buf, data...) }
+func (f *Framer) Push(data []byte) {
+	if !f.terminated {
+		f.buf = append(f.buf, data...)
+	}
+}
 
 // Buffered returns the number of bytes that no returned cycle contains.
 func (f *Framer) Buffered() int { return len(f.buf) }
@@ -47,6 +53,7 @@
 			f.scan += size
 		case kind == kindTerminate:
 			f.drop(len(f.buf)) // whatever the caller left unfinished
+			f.terminated = true
 			return Cycle{Kind: kind}, true, nil
 		case kind == KindFlush:
 			c := Cycle{Kind: kind, Messages: f.take(f.scan)}
