--- a/cmd/arbutusring/installation_test.go
+++ b/cmd/arbutusring/installation_test.go
@@ -63,20 +63,23 @@
 default = true
 `
 
-// loopbackIP is an address of the loopback network for this test process: a
-// free port of 127.0.0.1 may be taken by an outgoing connection before the
-// process that it is meant for has started.
+// loopbackIP is an address of the loopback network for this test process.
 var loopbackIP = fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
 
-// freeAddress returns a loopback address that was free a moment ago.
+// freeAddress returns a loopback address that was free a moment ago. Its port
+// is below those of outgoing connections, which could take it before the
+// process that it is meant for has started.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", loopbackIP+":0")
-	if err != nil {
-		t.Fatal(err)
+	for range 100 {
+		ln, err := net.Listen("tcp", fmt.Sprintf("%s:%d", loopbackIP, 2000+rand.IntN(13000)))
+		if err == nil {
+			defer func() { _ = ln.Close() }()
+			return ln.Addr().String()
+		}
 	}
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
 
 func newInstallation(t *testing.T, controls, entries int) *installation {
--- a/internal/faulttest/installation.go
+++ b/internal/faulttest/installation.go
@@ -169,9 +169,9 @@
 // list.
 func (in *Installation) reserveAddresses(lists ...*[]string) error {
 	for _, list := range lists {
-		ln, err := net.Listen("tcp", in.ip+":0")
+		ln, err := listenBelowEphemeral(in.ip)
 		if err != nil {
-			return Error.Wrap(err)
+			return err
 		}
 		*list = append(*list, ln.Addr().String())
 		defer func() { _ = ln.Close() }()
@@ -179,9 +179,23 @@
 	return nil
 }
 
-// loopbackIP returns a random address of the loopback network. Each
-// installation has its own, because a port of 127.0.0.1 that a stopped process
-// has freed may be taken by an outgoing connection before it starts again.
+// listenBelowEphemeral listens on a random port that no outgoing connection
+// uses as its own: otherwise a port that a stopped process has freed may be
+// taken before the process starts again.
+func listenBelowEphemeral(ip string) (net.Listener, error) {
+	const first, count, attempts = 2000, 13000, 100
+	var err error
+	for range attempts {
+		var ln net.Listener
+		if ln, err = net.Listen("tcp", fmt.Sprintf("%s:%d", ip, first+rand.IntN(count))); err == nil {
+			return ln, nil
+		}
+	}
+	return nil, Error.Wrap(err)
+}
+
+// loopbackIP returns a random address of the loopback network, so that
+// installations that run at the same time don't share ports.
 func loopbackIP() string {
 	return fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
 }
