--- a/internal/process/follower.go
+++ b/internal/process/follower.go
@@ -114,14 +114,14 @@
 func (f *follower) watch(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
-	since := f.state.Load().Version
+	old := f.state.Load()
 	sentAt := time.Now()
-	reply, err := f.p.control.Watch(ctx, &controlrpc.WatchArgs{Since: since, Wait: watchWait})
+	reply, err := f.p.control.Watch(ctx, &controlrpc.WatchArgs{Since: old.Version, Wait: watchWait, Delta: true})
 	if err != nil || reply.Kind != errkind.OK {
 		return false
 	}
-	if reply.Changed && reply.State.Version > since {
-		return f.take(&reply.State, sentAt)
+	if state := reply.Merge(*old); state.Version > old.Version {
+		return f.take(&state, sentAt)
 	}
 	return true
 }
