--- /dev/null
+++ b/internal/capacity/usage.go
@@ -0,0 +1,26 @@
+package capacity
+
+import (
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+)
+
+// ProcessorTime returns the processor time that this process has used.
+func ProcessorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		panic("capacity: getrusage: " + err.Error())
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// Memory returns the bytes in use in the heap and in stacks, after a garbage
+// collection.
+func Memory() float64 {
+	debug.FreeOSMemory()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc + m.StackInuse)
+}
