--- a/internal/capacity/members.go
+++ b/internal/capacity/members.go
@@ -30,6 +30,7 @@
 	term    uint64
 	primary bool
 	down    bool
+	follows uint64 // term at which it was told whom to follow
 	pos     logpos.Position
 }
 
@@ -54,6 +55,20 @@
 	}
 }
 
+// Follows reports whether a member of a group, and with it a majority of three
+// together with the primary, has been told to follow the primary of a term.
+// Until then no write of that term is acknowledged.
+func (m *Members) Follows(f Fleet, g int, term uint64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for k := range DesignMembers {
+		if s := m.servers[f.Server(g, k).Address]; !s.down && s.follows >= term {
+			return true
+		}
+	}
+	return false
+}
+
 // Functions returns the calls for control.
 func (m *Members) Functions() control.Members {
 	return control.Members{
@@ -67,7 +82,9 @@
 			return m.call(ctx, address, func(s *member) { s.term, s.primary = max(s.term, term), true })
 		},
 		Follow: func(ctx context.Context, address, _ string, term uint64) (control.MemberStatus, error) {
-			return m.call(ctx, address, func(s *member) { s.term, s.primary = max(s.term, term), false })
+			return m.call(ctx, address, func(s *member) {
+				s.term, s.primary, s.follows = max(s.term, term), false, max(s.follows, term)
+			})
 		},
 	}
 }
