--- a/internal/capacity/peer_bench_test.go
+++ b/internal/capacity/peer_bench_test.go
@@ -136,3 +136,39 @@
 		report(b, cpu, traffic)
 	}
 }
+
+// BenchmarkAnnounce measures announcements that change nothing, as every backend
+// server makes them once a second, over a loopback connection.
+func BenchmarkAnnounce(b *testing.B) {
+	f := capacity.NewFleet(300)
+	for b.Loop() {
+		members := capacity.NewMembers(f, memberDelay)
+		leader, err := capacity.StartLeader(f, 0, control.Options{
+			Members: members.Functions(), Revoke: capacity.NewHosts(f).Revoke(0), FollowEvery: time.Hour, TTL: time.Hour,
+		})
+		if err != nil {
+			b.Fatal(err)
+		}
+		p := startPeer(b, "Control", leader.Service())
+		pool := p.pool()
+		announce := func(g int) {
+			args, reply := &controlrpc.AnnounceArgs{Server: f.Server(g, 1)}, new(controlrpc.AnnounceReply)
+			if err := pool.Call(context.Background(), p.address, "Control.Announce", args, reply); err != nil || reply.Kind != "" {
+				b.Fatal(err, reply.Answer)
+			}
+		}
+		for g := range 300 {
+			announce(g)
+		}
+		const n = 10_000
+		bytes, used := p.traffic.Total(), capacity.ProcessorTime()
+		for i := range n {
+			announce(i % 300)
+		}
+		b.ReportMetric(us(capacity.ProcessorTime()-used)/n, "cpu-us/announcement")
+		b.ReportMetric(float64(p.traffic.Total()-bytes)/n, "bytes/announcement")
+		pool.Close()
+		p.stop()
+		leader.End()
+	}
+}
