--- a/internal/capacity/state_bench_test.go
+++ b/internal/capacity/state_bench_test.go
@@ -66,12 +66,15 @@
 func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 func us(d time.Duration) float64 { return float64(d) / float64(time.Microsecond) }
 
-// report logs the series of a benchmark.
+// report logs the series of a benchmark, in one record because package testing
+// shows only the first ten records of a benchmark.
 func report(b *testing.B, all ...*capacity.Series) {
 	b.Helper()
+	var out strings.Builder
 	for _, s := range all {
-		b.Log(s.String())
+		out.WriteString("\n" + s.String())
 	}
+	b.Log(out.String())
 }
 
 func series(name, x, y string) *capacity.Series {
