--- a/internal/capacity/doc.go
+++ b/internal/capacity/doc.go
@@ -4,7 +4,7 @@
 //
 // The measurements are benchmarks, which run the real parts with small
 // stand-ins for what surrounds them: a log without disk and quorum, members and
-// owners that answer after a fixed time. Each benchmark logs its points and a
+// owners that answer after a fixed time. Each benchmark prints its points and a
 // fitted line.
 //
 // # Usage
--- a/internal/capacity/entry_bench_test.go
+++ b/internal/capacity/entry_bench_test.go
@@ -131,7 +131,7 @@
 			}
 			e.Close()
 		}
-		report(b, owners, polls, samples, cpu)
+		report(owners, polls, samples, cpu)
 	}
 }
 
@@ -208,7 +208,7 @@
 			b.Log(err)
 		}
 		e.Close()
-		report(b, memory)
+		report(memory)
 	}
 }
 
--- a/internal/capacity/health_bench_test.go
+++ b/internal/capacity/health_bench_test.go
@@ -58,6 +58,6 @@
 			share.Add(float64(groups), float64(answered.Load())/float64(2*f.Hosts))
 			cpu.Add(float64(groups), ms(capacity.ProcessorTime()-used))
 		}
-		report(b, took, cpu, share, reply)
+		report(took, cpu, share, reply)
 	}
 }
--- a/internal/capacity/leader_bench_test.go
+++ b/internal/capacity/leader_bench_test.go
@@ -79,7 +79,7 @@
 			entries.Add(x, 1+float64(w.leader.Entries.Load()-e)/s)
 			w.stop()
 		}
-		report(b, cpu, beats, calls, entries)
+		report(cpu, beats, calls, entries)
 	}
 }
 
@@ -96,7 +96,7 @@
 			})))
 			w.leader.End()
 		}
-		report(b, s)
+		report(s)
 	}
 }
 
@@ -141,7 +141,7 @@
 			}
 			w.stop()
 		}
-		report(b, named, follows, half, cpu, entries, bytes)
+		report(named, follows, half, cpu, entries, bytes)
 	}
 }
 
@@ -205,7 +205,7 @@
 			follows.Add(float64(groups), slices.Max(majorities))
 			w.stop()
 		}
-		report(b, named, follows)
+		report(named, follows)
 	}
 }
 
--- a/internal/capacity/owner_bench_test.go
+++ b/internal/capacity/owner_bench_test.go
@@ -105,7 +105,7 @@
 			setState.Add(float64(n), us(timed(func() { w.SetState(w.state, w.cfg) })))
 			w.stop()
 		}
-		report(b, cpu, polls, memory, setState)
+		report(cpu, polls, memory, setState)
 	}
 }
 
@@ -124,7 +124,7 @@
 			memory.Add(float64(n), capacity.Memory()-before)
 			w.stop()
 		}
-		report(b, memory)
+		report(memory)
 	}
 }
 
--- a/internal/capacity/peer_bench_test.go
+++ b/internal/capacity/peer_bench_test.go
@@ -83,7 +83,7 @@
 			}
 			p.stop()
 		}
-		report(b, cpu, traffic, writes, memory)
+		report(cpu, traffic, writes, memory)
 	}
 }
 
@@ -133,7 +133,7 @@
 			p.stop()
 			leader.End()
 		}
-		report(b, cpu, traffic)
+		report(cpu, traffic)
 	}
 }
 
--- a/internal/capacity/state_bench_test.go
+++ b/internal/capacity/state_bench_test.go
@@ -66,15 +66,12 @@
 func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 func us(d time.Duration) float64 { return float64(d) / float64(time.Microsecond) }
 
-// report logs the series of a benchmark, in one record because package testing
-// shows only the first ten records of a benchmark.
-func report(b *testing.B, all ...*capacity.Series) {
-	b.Helper()
-	var out strings.Builder
+// report prints the series of a benchmark. It does not log them, because package
+// testing shows only the first ten lines of a benchmark's log.
+func report(all ...*capacity.Series) {
 	for _, s := range all {
-		out.WriteString("\n" + s.String())
+		fmt.Println(s)
 	}
-	b.Log(out.String())
 }
 
 func series(name, x, y string) *capacity.Series {
@@ -126,7 +123,7 @@
 			e.Close()
 			runtime.KeepAlive(m)
 		}
-		report(b, size, text, enc, small, deflate, dec, parse, ownerSet, entrySet, stateHeap, viewHeap)
+		report(size, text, enc, small, deflate, dec, parse, ownerSet, entrySet, stateHeap, viewHeap)
 	}
 }
 
@@ -198,7 +195,7 @@
 				}
 			})))
 		}
-		report(b, s)
+		report(s)
 	}
 }
 
@@ -261,7 +258,7 @@
 				}
 			})))
 		}
-		report(b, entrySize, apply, view, groupView, snapshotSize, snapshot, restore, memory)
+		report(entrySize, apply, view, groupView, snapshotSize, snapshot, restore, memory)
 	}
 }
 
--- a/internal/capacity/watch_bench_test.go
+++ b/internal/capacity/watch_bench_test.go
@@ -107,7 +107,7 @@
 				memory.Add(x, float64(r.memory))
 				lost.Add(x, 1+float64(r.lost))
 			}
-			report(b, took, cpu, bytes, memory, lost)
+			report(took, cpu, bytes, memory, lost)
 		}
 	}
 }
