--- a/internal/capacity/leader_bench_test.go
+++ b/internal/capacity/leader_bench_test.go
@@ -100,49 +100,64 @@
 	}
 }
 
-// BenchmarkDataCentreLoss measures the time from the loss of a data centre, with
-// its hosts, until the last group has a new primary, and until the last group
-// has a majority that follows it, without which no write is acknowledged.
+// BenchmarkDataCentreLoss measures the loss of a data centre.
 func BenchmarkDataCentreLoss(b *testing.B) {
 	for b.Loop() {
-		named := series("last new primary", "primaries lost", "s")
-		follows := series("last majority that follows", "primaries lost", "s")
-		half := series("median majority that follows", "primaries lost", "s")
-		cpu := series("processor time", "primaries lost", "s")
-		entries := series("log entries", "primaries lost", "entries")
-		bytes := series("log bytes", "primaries lost", "bytes")
-		for _, groups := range capacity.Sizes {
-			w := startWorld(b, groups)
-			time.Sleep(time.Duration(groups) * time.Millisecond) // until followers were told for the first time
-			lost := w.fleet.Host(0).DataCentre
-			var affected []int
-			for g := range groups {
-				if w.fleet.Server(g, 0).DataCentre == lost {
-					affected = append(affected, g)
-				}
-			}
-			x := float64(len(affected))
-			used, e, by := capacity.ProcessorTime(), w.leader.Entries.Load(), w.leader.Bytes.Load()
-			began := time.Now()
-			w.members.Lose(lost)
-			w.hosts.Lose(lost)
-			primaries, majorities := w.wait(began, affected)
-			cpu.Add(x, (capacity.ProcessorTime() - used).Seconds())
-			entries.Add(x, float64(w.leader.Entries.Load()-e))
-			bytes.Add(x, float64(w.leader.Bytes.Load()-by))
-			if len(majorities) < len(affected) {
-				b.Logf("%d groups: %d of %d have no new primary, %d no majority that follows, after %v",
-					groups, len(affected)-len(primaries), len(affected), len(affected)-len(majorities), waitLimit)
-			}
-			if len(majorities) > 0 {
-				named.Add(x, primaries[len(primaries)-1])
-				follows.Add(x, majorities[len(majorities)-1])
-				half.Add(x, majorities[len(majorities)/2])
+		measureLoss(b, capacity.Sizes, 0)
+	}
+}
+
+// BenchmarkRegionLoss measures the isolation of a region in which control has no
+// majority, as the other two regions see it.
+func BenchmarkRegionLoss(b *testing.B) {
+	for b.Loop() {
+		measureLoss(b, []int{1000, 10_000}, 1, 4, 7)
+	}
+}
+
+// measureLoss measures the time from the loss of data centres, with their hosts,
+// until the last group has a new primary, and until the last group has a
+// majority that follows it, without which no write is acknowledged.
+func measureLoss(b *testing.B, sizes []int, centres ...int) {
+	b.Helper()
+	named := series("last new primary", "primaries lost", "s")
+	follows := series("last majority that follows", "primaries lost", "s")
+	half := series("median majority that follows", "primaries lost", "s")
+	cpu := series("processor time", "primaries lost", "s")
+	entries := series("log entries", "primaries lost", "entries")
+	bytes := series("log bytes", "primaries lost", "bytes")
+	for _, groups := range sizes {
+		w := startWorld(b, groups)
+		time.Sleep(time.Duration(groups) * time.Millisecond) // until followers were told for the first time
+		var affected []int
+		for g := range groups {
+			if slices.Contains(centres, w.fleet.Centre(g, 0)) {
+				affected = append(affected, g)
 			}
-			w.stop()
 		}
-		report(named, follows, half, cpu, entries, bytes)
+		x := float64(len(affected))
+		used, e, by := capacity.ProcessorTime(), w.leader.Entries.Load(), w.leader.Bytes.Load()
+		began := time.Now()
+		for _, c := range centres {
+			w.members.Lose(w.fleet.Host(c).DataCentre)
+			w.hosts.Lose(w.fleet.Host(c).DataCentre)
+		}
+		primaries, majorities := w.wait(began, affected)
+		cpu.Add(x, (capacity.ProcessorTime() - used).Seconds())
+		entries.Add(x, float64(w.leader.Entries.Load()-e))
+		bytes.Add(x, float64(w.leader.Bytes.Load()-by))
+		if len(majorities) < len(affected) {
+			b.Logf("%d groups: %d of %d have no new primary, %d no majority that follows, after %v",
+				groups, len(affected)-len(primaries), len(affected), len(affected)-len(majorities), waitLimit)
+		}
+		if len(majorities) > 0 {
+			named.Add(x, primaries[len(primaries)-1])
+			follows.Add(x, majorities[len(majorities)-1])
+			half.Add(x, majorities[len(majorities)/2])
+		}
+		w.stop()
 	}
+	report(named, follows, half, cpu, entries, bytes)
 }
 
 // waitLimit bounds the wait for changes of primaries.
