--- a/internal/consensus/machine.go
+++ b/internal/consensus/machine.go
@@ -47,6 +47,7 @@
 	firstIndex  uint64               // no-op of the term
 	heartbeatAt time.Time
 	handover    *handover
+	departures  []departure
 	abdicated   bool // the lease is given up for the rest of the term
 	joining     map[string]joining
 
@@ -116,9 +117,6 @@
 // Role returns the role in the term.
 func (m *Machine) Role() Role { return m.role }
 
-// Leader returns the leader of the term, if it is known.
-func (m *Machine) Leader() (Member, bool) { return m.leader, m.leader.ID != "" }
-
 // Commit returns the index of the last entry known to be committed.
 func (m *Machine) Commit() uint64 { return m.commit }
 
@@ -278,6 +276,6 @@
 		m.resetElection(now)
 	}
 	m.role, m.leader = Follower, Member{}
-	m.votes, m.progress, m.handover, m.joining = nil, nil, nil, nil
+	m.votes, m.progress, m.handover, m.joining, m.departures = nil, nil, nil, nil, nil
 	m.abdicated = false
 }
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -13,13 +13,14 @@
 	// behind it.
 	maxAppendEntries = 1024
 	maxAppendBytes   = 1 << 20
-	// maxInFlight bounds the entries that were sent and not answered.
-	maxInFlight = 8192
+	// maxInFlightBytes bounds what was sent and not answered. When it is
+	// reached, the leader waits until the member has answered everything.
+	maxInFlightBytes = 8 << 20
 )
 
 // replicate sends new entries to the members that are ready for them.
 func (m *Machine) replicate(now time.Time) {
-	for _, to := range m.members() {
+	for _, to := range m.targets() {
 		if p := m.progress[to.key()]; p != nil && p.next <= m.log.last() {
 			m.sendAppend(now, to, p, false)
 		}
@@ -44,7 +45,7 @@
 			return
 		}
 		var entries []wal.Entry
-		if !p.probing && p.next <= p.match+maxInFlight {
+		if !p.probing && p.inFlight < maxInFlightBytes {
 			entries = m.log.from(p.next, maxAppendEntries, maxAppendBytes)
 		}
 		if len(entries) == 0 && !heartbeat && !p.probing {
@@ -58,6 +59,9 @@
 			p.paused = true
 			return
 		}
+		for _, e := range entries {
+			p.inFlight += len(e.Data)
+		}
 		p.next += uint64(len(entries))
 		if p.next > m.log.last() {
 			return
@@ -92,7 +96,10 @@
 		m.send(reply)
 		return
 	}
-	for _, e := range msg.Entries {
+	for i, e := range msg.Entries {
+		if e.Index != msg.Index+uint64(i)+1 {
+			return // malformed
+		}
 		if t, ok := m.log.term(e.Index); ok && t == e.Term {
 			continue
 		}
@@ -131,7 +138,7 @@
 	if m.role != Leader {
 		return
 	}
-	if to, ok := m.members().find(msg.From.key()); ok {
+	if to, ok := m.targets().find(msg.From.key()); ok {
 		if p.next <= m.log.last() || p.probing {
 			m.sendAppend(now, to, p, false)
 		}
@@ -164,7 +171,7 @@
 		hint = msg.Hint // the entry is gone; a snapshot follows
 	}
 	p.next = max(p.match, min(hint, msg.Index-1)) + 1
-	p.probing, p.paused = true, false
+	p.probing, p.paused, p.inFlight = true, false, 0
 }
 
 // matched notes that the logs agree up to index.
@@ -179,6 +186,9 @@
 		}
 		p.next = max(p.next, index+1)
 	}
+	if p.match+1 == p.next {
+		p.inFlight = 0
+	}
 	if p.snapshot != nil && index >= p.snapshot.snapshot.Index {
 		p.snapshot, p.probing, p.paused = nil, false, false
 		p.next = p.match + 1
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"sync"
 
 	"github.com/arbutusring/arbutusring/internal/controlrpc"
@@ -30,7 +31,8 @@
 	byHost    index         // ids of leased servers by host id
 	byGroup   index         // ids of servers by group
 	view      *View         // last view
-	dirty     dirty         // changes since view
+	dirty     [parts]bool   // changed since view
+	history   history       // what the last entries changed
 	stale     bool          // view is not the current state
 	changed   chan struct{} // closed at the next change
 }
@@ -67,8 +69,7 @@
 	for _, c := range commands {
 		r, changed := m.apply(index, c)
 		if changed {
-			m.dirty.mark(c)
-			m.touch(index)
+			m.publish(index)
 		}
 		results = append(results, r)
 	}
@@ -81,29 +82,29 @@
 	case c.Announce != nil:
 		return m.announce(index, c.Announce)
 	case c.Remove != nil:
-		return m.remove(c.Remove)
+		return m.remove(index, c.Remove)
 	case c.Register != nil:
 		return m.register(index, c.Register)
 	case c.Forget != nil:
-		return m.forget(c.Forget)
+		return m.forget(index, c.Forget)
 	case c.Revoke != nil:
-		return m.revoke(c.Revoke)
+		return m.revoke(index, c.Revoke)
 	case c.Assign != nil:
 		return m.assign(index, c.Assign)
 	case c.Begin != nil:
-		return m.begin(c.Begin)
+		return m.begin(index, c.Begin)
 	case c.Name != nil:
-		return m.name(c.Name)
+		return m.name(index, c.Name)
 	case c.Drain != nil:
-		return m.drain(c.Drain)
+		return m.drain(index, c.Drain)
 	case c.Configure != nil:
-		return m.configure(c.Configure)
+		return m.configure(index, c.Configure)
 	}
 	return refused("unknown command"), false
 }
 
-// touch makes a change visible. The caller holds mu.
-func (m *Machine) touch(index uint64) {
+// publish makes a change visible. The caller holds mu.
+func (m *Machine) publish(index uint64) {
 	if m.state.Version < index {
 		m.state.Version = index
 	}
@@ -112,12 +113,23 @@
 	m.changed = make(chan struct{})
 }
 
+// touch records that a command changes an object. The caller holds mu.
+func (m *Machine) touch(index uint64, p part, id string) {
+	m.dirty[p] = true
+	m.history.add(touch{index, p, id})
+}
+
 // View returns the current state.
 func (m *Machine) View() *View {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.current()
+}
+
+// current returns the view of the current state. The caller holds mu.
+func (m *Machine) current() *View {
 	if m.stale {
-		m.view, m.dirty, m.stale = newView(m, m.view, m.dirty), dirty{}, false
+		m.view, m.dirty, m.stale = newView(m, m.view, m.dirty), [parts]bool{}, false
 	}
 	return m.view
 }
@@ -130,13 +142,16 @@
 	return m.changed
 }
 
-// Snapshot returns the whole state. Equal states have equal snapshots.
+// Snapshot returns the whole state. Equal states have equal snapshots. It
+// encodes without the lock, because that takes several 100 ms at fleet size.
 func (m *Machine) Snapshot() []byte {
 	m.mu.Lock()
-	defer m.mu.Unlock()
+	v := m.current()
+	changes := slices.Clone(m.changes.order)
+	m.mu.Unlock()
 	return encode(image{
-		State: m.state, WonBy: m.wonBy, WonChange: m.wonChange,
-		Old: m.old, Named: m.named, Servers: m.servers, Hosts: m.hosts, Changes: m.changes.order,
+		State: v.State, WonBy: v.wonBy, WonChange: v.wonChange,
+		Old: v.old, Named: v.named, Servers: v.servers, Hosts: v.hosts, Changes: changes,
 	})
 }
 
@@ -153,7 +168,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.load(img, config)
-	m.touch(img.State.Version)
+	m.publish(img.State.Version)
 	return nil
 }
 
@@ -179,7 +194,11 @@
 	for _, s := range m.state.Servers {
 		m.byGroup.add(s.Group, s.ID)
 	}
-	m.view, m.dirty, m.stale = new(View), allDirty(), true
+	m.view, m.stale = new(View), true
+	for p := range m.dirty {
+		m.dirty[p] = true
+	}
+	m.history = history{floor: img.State.Version}
 }
 
 func orEmpty[V any](in map[string]V) map[string]V {
--- a/internal/control/traffic_test.go
+++ b/internal/control/traffic_test.go
@@ -12,7 +12,7 @@
 )
 
 // traffic writes to the primary of the group "orders" through its owner,
-// replicates, and checks the invariants every 2 ms of simulated time.
+// replicates, and checks the invariants every 4 ms of simulated time.
 type traffic struct {
 	w     *world
 	acked logpos.Position // greatest acknowledged position
@@ -23,16 +23,15 @@
 	// them with a mechanism switched off.
 	violations []string
 	named      uint64 // last term whose primary was checked
-	lag        map[string]bool
 }
 
 func (w *world) startTraffic() *traffic {
-	tr := &traffic{w: w, last: time.Now(), lag: make(map[string]bool)}
+	tr := &traffic{w: w, last: time.Now()}
 	ctx, cancel := context.WithCancel(w.t.Context())
 	w.endTraffic = cancel
 	w.running.Go(func() {
 		for ctx.Err() == nil {
-			time.Sleep(2 * time.Millisecond)
+			time.Sleep(4 * time.Millisecond)
 			v := w.view()
 			w.mu.Lock()
 			tr.check(v)
@@ -99,8 +98,11 @@
 			s.received = logpos.Position{Term: s.term, LSN: s.received.LSN + 1}
 			copies := 1
 			for _, r := range tr.w.servers {
-				if r != s && r.follows == s.address && r.term == s.term && !r.down && !tr.lag[r.id] && slices.Contains(members, r.id) {
-					r.received = s.received
+				if r == s || r.follows != s.address || r.term != s.term || r.down || tr.w.lag[r.id] {
+					continue
+				}
+				r.received = s.received
+				if slices.Contains(members, r.id) {
 					copies++
 				}
 			}
--- a/internal/control/world_test.go
+++ b/internal/control/world_test.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"maps"
+	"reflect"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -16,7 +18,10 @@
 	"github.com/arbutusring/arbutusring/pkg/logpos"
 )
 
-var errSilent = errors.New("no answer")
+var (
+	errSilent = errors.New("no answer")
+	errFenced = errors.New("fenced at a greater term")
+)
 
 // controlView is the state at one control host.
 type controlView = control.View
@@ -28,9 +33,10 @@
 	mu       sync.Mutex
 	controls []*control.Control
 	leader   int
-	noLease  bool // the leader has lost its quorum and does not know yet
+	lag      map[string]bool // servers that receive nothing
+	noLease  bool            // the leader has lost its quorum and does not know yet
 	term     uint64
-	entries  [][]byte
+	index    uint64             // of the last log entry
 	servers  map[string]*server // by address
 	hosts    map[string]*host   // by address
 	// before is called before every call of a member or owner and before every
@@ -38,7 +44,6 @@
 	before func(step string) error
 	// after is called when a proposal was applied; an error replaces its answer.
 	after   func(step string) error
-	calls   map[string]int // calls by step
 	running sync.WaitGroup // entry hosts and traffic
 	// endTraffic is set by startTraffic.
 	endTraffic context.CancelFunc
@@ -75,7 +80,7 @@
 func newWorld(t testing.TB, controls int, opts control.Options) *world {
 	w := &world{
 		t: t, leader: -1, servers: make(map[string]*server), hosts: make(map[string]*host),
-		calls: make(map[string]int),
+		lag: make(map[string]bool),
 	}
 	opts.Members = control.Members{
 		Status: func(ctx context.Context, address string) (control.MemberStatus, error) {
@@ -91,7 +96,7 @@
 		Promote: func(ctx context.Context, address string, term uint64) (control.MemberStatus, error) {
 			return w.member(ctx, "promote", address, func(s *server) error {
 				if term < s.term {
-					return errkind.New(errkind.StaleTerm, "fenced at %d", s.term)
+					return errFenced
 				}
 				if !s.primary {
 					s.from = s.received
@@ -104,10 +109,12 @@
 		Follow: func(ctx context.Context, address, primary string, term uint64) (control.MemberStatus, error) {
 			return w.member(ctx, "follow", address, func(s *server) error {
 				if term < s.term {
-					return errkind.New(errkind.StaleTerm, "fenced at %d", s.term)
+					return errFenced
 				}
 				s.term, s.primary, s.follows = term, false, primary
-				s.received = w.servers[primary].received
+				if !w.lag[s.id] {
+					s.received = w.servers[primary].received
+				}
 				return nil
 			})
 		},
@@ -123,38 +130,38 @@
 
 // log returns the log as one control host sees it.
 func (w *world) log(i int) control.Log {
-	leads := func() bool {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		return w.leader == i
+	leads := func() (ok bool) {
+		w.locked(func() { ok = w.leader == i })
+		return ok
 	}
 	return control.Log{
 		Propose: func(ctx context.Context, entry []byte) ([]byte, error) {
 			time.Sleep(2 * time.Millisecond)
-			step := stepOf(entry)
+			step := control.StepOf(entry)
 			if w.call("propose "+step) != nil || ctx.Err() != nil || !leads() {
 				return nil, errkind.New(errkind.NotLeader, "not the leader")
 			}
-			w.mu.Lock()
-			w.entries = append(w.entries, entry)
-			index := uint64(len(w.entries))
-			w.mu.Unlock()
+			var index uint64
+			w.locked(func() {
+				w.index++
+				index = w.index
+			})
 			var out []byte
 			for j, c := range w.controls {
 				if r := c.Apply(index, entry); j == i {
 					out = r
 				}
 			}
-			if after := w.getAfter(); after != nil && after(step) != nil {
+			var after func(string) error
+			if w.locked(func() { after = w.after }); after != nil && after(step) != nil {
 				return nil, errkind.New(errkind.OutcomeUnknown, "the answer was lost")
 			}
 			return out, nil
 		},
 		IsLeader: leads,
-		LeaseValid: func() bool {
-			w.mu.Lock()
-			defer w.mu.Unlock()
-			return w.leader == i && !w.noLease
+		LeaseValid: func() (ok bool) {
+			w.locked(func() { ok = w.leader == i && !w.noLease })
+			return ok
 		},
 		ReadBarrier: func(ctx context.Context) error { return ctx.Err() },
 		Leader: func() (string, bool) {
@@ -169,12 +176,6 @@
 	}
 }
 
-func (w *world) getAfter() func(string) error {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.after
-}
-
 // lead makes another control host the leader.
 func (w *world) lead(i int) {
 	w.mu.Lock()
@@ -189,13 +190,10 @@
 	w.controls[i].OnLeader(true, term)
 }
 
-// call counts a step and asks the test whether it fails.
+// call asks the test whether a step fails.
 func (w *world) call(step string) error {
-	w.mu.Lock()
-	w.calls[step]++
-	before := w.before
-	w.mu.Unlock()
-	if before != nil {
+	var before func(string) error
+	if w.locked(func() { before = w.before }); before != nil {
 		return before(step)
 	}
 	return nil
@@ -242,24 +240,11 @@
 	if _, err := fmt.Sscanf(address, "control%d", &i); err != nil {
 		return err
 	}
-	s := w.controls[i].Service()
-	switch a := args.(type) {
-	case *controlrpc.HeartbeatArgs:
-		return s.Heartbeat(a, reply.(*controlrpc.HeartbeatReply))
-	case *controlrpc.WatchArgs:
-		return s.Watch(a, reply.(*controlrpc.WatchReply))
-	case *controlrpc.AnnounceArgs:
-		return s.Announce(a, reply.(*controlrpc.AnnounceReply))
-	case *controlrpc.ApplyArgs:
-		return s.Apply(a, reply.(*controlrpc.ApplyReply))
-	case *controlrpc.GetArgs:
-		return s.Get(a, reply.(*controlrpc.GetReply))
-	case *controlrpc.DrainArgs:
-		return s.Drain(a, reply.(*controlrpc.DrainReply))
-	case *controlrpc.FailoverArgs:
-		return s.Failover(a, reply.(*controlrpc.FailoverReply))
-	}
-	return fmt.Errorf("unknown method %s", method)
+	_, name, _ := strings.Cut(method, ".")
+	call := reflect.ValueOf(w.controls[i].Service()).MethodByName(name)
+	out := call.Call([]reflect.Value{reflect.ValueOf(args), reflect.ValueOf(reply)})
+	err, _ := out[0].Interface().(error)
+	return err
 }
 
 func (w *world) client() *controlrpc.Client {
@@ -271,18 +256,15 @@
 }
 
 // addServer announces a server; position is that of its last record.
-func (w *world) addServer(id, group, centre string, received logpos.Position) *server {
+func (w *world) addServer(id, group, centre string, received logpos.Position) {
 	s := &server{id: id, address: "at-" + id, received: received}
-	w.mu.Lock()
-	w.servers[s.address] = s
-	w.mu.Unlock()
+	w.locked(func() { w.servers[s.address] = s })
 	reply, err := w.client().Announce(w.t.Context(), &controlrpc.AnnounceArgs{Server: controlrpc.Server{
 		ID: id, Group: group, Address: s.address, DataCentre: centre, Slots: 3, Connections: 25,
 	}})
 	if err != nil || reply.Kind != errkind.OK {
 		w.t.Errorf("announcing %s: %v %v", id, err, reply.Answer)
 	}
-	return s
 }
 
 // addHost starts an entry host that sends heartbeats every 300 ms.
@@ -292,9 +274,7 @@
 		w: w, client: w.client(), epochs: make(map[string]uint64), roles: make(map[string]uint64), cancelled: cancel,
 		info: controlrpc.Host{ID: id, Incarnation: incarnation, Address: "at-" + id, DataCentre: centre, Region: region},
 	}
-	w.mu.Lock()
-	w.hosts[h.info.Address] = h
-	w.mu.Unlock()
+	w.locked(func() { w.hosts[h.info.Address] = h })
 	w.running.Go(func() { h.run(ctx) })
 	return h
 }
@@ -383,15 +363,15 @@
 	}
 }
 
-// setBefore replaces the failing steps.
-func (w *world) setBefore(f func(step string) error) {
+// locked calls f with w.mu held.
+func (w *world) locked(f func()) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.before = f
+	f()
 }
 
-// allFollow reports whether every server of a steady group has been told to
-// follow the primary.
+// allFollow reports whether every server of a steady group that is up has been
+// told to follow the primary.
 func (w *world) allFollow(group string) bool {
 	v := w.view()
 	g := v.Groups[group]
@@ -399,7 +379,7 @@
 	defer w.mu.Unlock()
 	for _, id := range v.GroupServers(group) {
 		s := w.servers["at-"+id]
-		if s.term != g.Term || (id != g.Primary && s.follows != "at-"+g.Primary) {
+		if !s.down && (s.term != g.Term || (id != g.Primary && s.follows != "at-"+g.Primary)) {
 			return false
 		}
 	}
@@ -427,9 +407,6 @@
 	}
 }
 
-// stepOf names the first command of a log entry.
-func stepOf(entry []byte) string { return control.StepOf(entry) }
-
 // config declares one group.
 func config(members int) string {
 	return fmt.Sprintf("[[database_group]]\nname = \"orders\"\nmembers = %d\n", members)
--- a/internal/faulttest/installation.go
+++ b/internal/faulttest/installation.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -12,6 +13,8 @@
 
 	"github.com/arbutusring/arbutusring/internal/controlrpc"
 	"github.com/arbutusring/arbutusring/internal/operator"
+	"github.com/arbutusring/arbutusring/internal/ownerrpc"
+	"github.com/arbutusring/arbutusring/internal/peer"
 	"github.com/arbutusring/arbutusring/internal/process"
 	"github.com/arbutusring/arbutusring/internal/standin"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
@@ -61,6 +64,10 @@
 	Policy   string // default DefaultPolicy
 	Standin  standin.Options
 	Logger   zerolog.Logger
+
+	// RegionLatency is the one-way latency between regions; each data centre
+	// is in a region of its own.
+	RegionLatency time.Duration
 }
 
 // Installation is a whole system of goroutines over loopback TCP. Its methods
@@ -68,6 +75,7 @@
 type Installation struct {
 	Network *Network
 	opts    Options
+	ip      string
 
 	controlPeers []string
 	controlOps   []string
@@ -95,11 +103,14 @@
 		opts.Policy = DefaultPolicy
 	}
 	in := &Installation{
-		Network: NewNetwork(), opts: opts,
+		Network: NewNetwork(), opts: opts, ip: loopbackIP(),
 		controls: make([]*process.Control, opts.Controls),
 		entries:  make([]*process.Entry, opts.Entries),
 		servers:  make([]*standin.Server, 3),
 	}
+	if opts.RegionLatency > 0 {
+		in.Network.Latency = in.latency
+	}
 	if err := in.reserve(); err != nil {
 		return nil, err
 	}
@@ -135,29 +146,30 @@
 // reserve chooses all addresses, so that a restarted process keeps its own.
 func (in *Installation) reserve() error {
 	for i := range in.controls {
-		if err := reserve(&in.controlPeers, &in.controlOps); err != nil {
+		if err := in.reserveAddresses(&in.controlPeers, &in.controlOps); err != nil {
 			return err
 		}
 		in.Network.Register(in.controlPeers[i], controlID(i))
 	}
 	for i := range in.entries {
-		if err := reserve(&in.entryPeers, &in.entryOps, &in.entryCallers); err != nil {
+		if err := in.reserveAddresses(&in.entryPeers, &in.entryOps, &in.entryCallers); err != nil {
 			return err
 		}
 		in.Network.Register(in.entryPeers[i], entryID(i))
 	}
 	for range in.servers {
-		if err := reserve(&in.serverAddrs); err != nil {
+		if err := in.reserveAddresses(&in.serverAddrs); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// reserve appends a free loopback address to each list.
-func reserve(lists ...*[]string) error {
+// reserveAddresses appends a free address of the installation's loopback IP to each
+// list.
+func (in *Installation) reserveAddresses(lists ...*[]string) error {
 	for _, list := range lists {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		ln, err := net.Listen("tcp", in.ip+":0")
 		if err != nil {
 			return Error.Wrap(err)
 		}
@@ -167,6 +179,22 @@
 	return nil
 }
 
+// loopbackIP returns a random address of the loopback network. Each
+// installation has its own, because a port of 127.0.0.1 that a stopped process
+// has freed may be taken by an outgoing connection before it starts again.
+func loopbackIP() string {
+	return fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
+}
+
+// latency returns the one-way latency between two hosts by their numbers,
+// which tell their regions.
+func (in *Installation) latency(from, to string) time.Duration {
+	if from == "" || to == "" || from[len(from)-1]%3 == to[len(to)-1]%3 {
+		return 0
+	}
+	return in.opts.RegionLatency
+}
+
 func controlID(i int) string { return fmt.Sprintf("control-%d", i) }
 func entryID(i int) string   { return fmt.Sprintf("entry-%d", i) }
 func serverID(i int) string  { return fmt.Sprintf("server-%d", i) }
@@ -182,7 +210,7 @@
 		members[controlID(j)] = a
 	}
 	cfg := settings.Settings{
-		Host:   settings.Host{ID: controlID(i), DataCentre: fmt.Sprintf("dc-%d", i%3), Region: "r"},
+		Host:   settings.Host{ID: controlID(i), DataCentre: fmt.Sprintf("dc-%d", i%3), Region: fmt.Sprintf("region-%d", i%3)},
 		Listen: settings.Listen{Peers: in.controlPeers[i], Operators: in.controlOps[i]},
 		Control: settings.Control{
 			Addresses: in.controlPeers, DataFolder: folder, Bootstrap: true, Members: members,
@@ -209,10 +237,10 @@
 // StartEntry starts an entry process.
 func (in *Installation) StartEntry(i int) error {
 	cfg, err := settings.Parse("faulttest", fmt.Sprintf(`
-host = { id = %q, data_centre = "dc-%d", region = "r" }
+host = { id = %q, data_centre = "dc-%d", region = "region-%d" }
 listen = { callers = %q, peers = %q, operators = %q }
 control = { addresses = ["%s"] }
-`, entryID(i), i%3, in.entryCallers[i], in.entryPeers[i], in.entryOps[i],
+`, entryID(i), i%3, i%3, in.entryCallers[i], in.entryPeers[i], in.entryOps[i],
 		strings.Join(in.controlPeers, `", "`)), settings.RoleEntry)
 	if err != nil {
 		return err
@@ -432,6 +460,37 @@
 	return live >= len(in.entries)
 }
 
+// Owner returns the number of the entry that owns a server, or false.
+func (in *Installation) Owner(ctx context.Context, server int) (int, bool) {
+	reply, err := in.State(ctx)
+	if err != nil {
+		return 0, false
+	}
+	for i := range in.entries {
+		if reply.State.Leases[serverID(server)].Host == entryID(i) {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+// Statuses returns what the owners report about their servers.
+func (in *Installation) Statuses(ctx context.Context) []ownerrpc.ServerStatus {
+	pool := peer.NewPool(peer.PoolOptions{})
+	defer pool.Close()
+	owners := ownerrpc.Client{Call: pool.Call}
+	var all []ownerrpc.ServerStatus
+	for _, address := range in.entryPeers {
+		if reply, err := owners.Status(ctx, address, new(ownerrpc.StatusArgs)); err == nil {
+			all = append(all, reply.Servers...)
+		}
+	}
+	return all
+}
+
+// EntryOperator returns the operator address of an entry.
+func (in *Installation) EntryOperator(i int) string { return in.entryOps[i] }
+
 // CallerDSN returns the DSN of an entry.
 func (in *Installation) CallerDSN(i int) string {
 	return "postgres://caller@" + in.entryCallers[i] + "/" + Group + "?sslmode=disable"
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -4,10 +4,9 @@
 //
 // # Planned stop
 //
-// An entry process first reports not ready and asks control for no new
-// leases, so that the balancer and the other hosts turn away from it. Its
-// owner side finishes what it has taken; control then moves its leases; its
-// sessions end when they are idle. Only then are the listeners closed. A
+// An entry process first reports not ready and ends its sessions as they
+// become idle. Its owner side then finishes what it has taken, and control
+// moves its leases. Only then are the other listeners closed. A
 // control process hands over leadership before it stops.
 //
 // # Usage
@@ -83,6 +82,7 @@
 	p.control = &controlrpc.Client{Addresses: opts.Settings.Control.Addresses, Call: p.pool.Call}
 	p.owner = owner.New(owner.Options{
 		Host:           p.host.ID,
+		Incarnation:    p.host.Incarnation,
 		Connect:        connectBackend,
 		Logger:         opts.Logger.With().Str("part", "owner").Logger(),
 		Registry:       p.registry,
@@ -121,6 +121,7 @@
 	p.tasks.start(p.owner.Run)
 	p.tasks.start(p.follower.loopHeartbeat)
 	p.tasks.start(p.follower.loopWatch)
+	p.tasks.start(p.follower.loopSuspects)
 	p.tasks.start(p.runPeers)
 	p.tasks.start(p.runOperators)
 	p.opts.Logger.Info().Str("host", p.host.ID).Stringer("callers", p.callers.Addr()).
@@ -196,13 +197,16 @@
 }
 
 // Stop is the planned stop. Its error tells that ctx ended before everything
-// in progress was finished.
+// in progress was finished. The entry refuses new sessions while the caller
+// side ends the idle ones; the owner side goes on meanwhile, because they use
+// it.
 func (p *Entry) Stop(ctx context.Context) error {
 	var group errs.Group
-	group.Add(p.entry.Drain(ctx))
+	drained := make(chan error, 1)
+	go p.runDrain(ctx, drained)
+	group.Add(p.callers.Shutdown(ctx), <-drained)
 	group.Add(p.owner.Drain(ctx))
 	p.follower.drain(ctx)
-	group.Add(p.callers.Shutdown(ctx))
 	group.Add(p.http.Shutdown(ctx))
 	group.Add(p.peers.Shutdown(ctx))
 	p.abort()
@@ -210,6 +214,8 @@
 	return Error.Wrap(group.Err())
 }
 
+func (p *Entry) runDrain(ctx context.Context, drained chan<- error) { drained <- p.entry.Drain(ctx) }
+
 // Abort ends the process at once, as a crash does.
 func (p *Entry) Abort() {
 	_ = p.callers.Close()
