--- a/internal/capacity/watch_bench_test.go
+++ b/internal/capacity/watch_bench_test.go
@@ -22,11 +22,18 @@
 	lost   int64  // replies whose connection ended before they were complete
 }
 
-// changeAndWatch makes one small change while a number of hosts, each with a
-// connection of its own, wait for the next state.
-func changeAndWatch(b *testing.B, groups, hosts int) fanOut {
+// watched is a fan-out to measure.
+type watched struct {
+	groups, hosts int
+	delta         bool // the hosts ask for changes only
+	configuration bool // the change is a configuration, otherwise a small one
+}
+
+// changeAndWatch makes one change while a number of hosts, each with a connection
+// of its own, wait for it.
+func changeAndWatch(b *testing.B, c watched) fanOut {
 	b.Helper()
-	f := capacity.NewFleet(groups)
+	f := capacity.NewFleet(c.groups)
 	members := capacity.NewMembers(f, memberDelay)
 	leader, err := capacity.StartLeader(f, 0, control.Options{
 		Members: members.Functions(), Revoke: capacity.NewHosts(f).Revoke(0), FollowEvery: time.Hour, TTL: time.Hour,
@@ -40,12 +47,13 @@
 	since := leader.Machine().View().Version
 	var all sync.WaitGroup
 	var lost atomic.Int64
-	for range hosts {
+	for range c.hosts {
 		pool := p.pool()
 		defer pool.Close()
 		all.Go(func() {
 			reply := new(controlrpc.WatchReply)
-			err := pool.Call(context.Background(), p.address, "Control.Watch", &controlrpc.WatchArgs{Since: since, Wait: time.Minute}, reply)
+			args := &controlrpc.WatchArgs{Since: since, Wait: time.Minute, Delta: c.delta}
+			err := pool.Call(context.Background(), p.address, "Control.Watch", args, reply)
 			if err != nil || !reply.Changed {
 				lost.Add(1)
 			}
@@ -71,8 +79,13 @@
 		}
 	})
 	bytes, used, began := p.traffic.Total(), capacity.ProcessorTime(), time.Now()
-	reply := new(controlrpc.DrainReply)
-	_ = leader.Service().Drain(&controlrpc.DrainArgs{ID: f.ServerID(0, 1), ChangeID: "c"}, reply) // never fails
+	if c.configuration {
+		_ = leader.Service().Apply(&controlrpc.ApplyArgs{ // never fails
+			ChangeID: "second", BaseVersion: 1, Operator: "operator", Text: f.ConfigText(),
+		}, new(controlrpc.ApplyReply))
+	} else {
+		_ = leader.Service().Drain(&controlrpc.DrainArgs{ID: f.ServerID(0, 1), ChangeID: "c"}, new(controlrpc.DrainReply)) // never fails
+	}
 	all.Wait()
 	out := fanOut{took: time.Since(began), cpu: capacity.ProcessorTime() - used, bytes: p.traffic.Total() - bytes}
 	close(done)
@@ -87,11 +100,22 @@
 	for b.Loop() {
 		for _, dimension := range []struct {
 			name  string
-			sizes [][2]int // groups, hosts
-			x     int
+			sizes []watched
+			x     func(watched) int
 		}{
-			{"hosts, 300 groups", [][2]int{{300, 50}, {300, 150}, {300, 300}, {300, 1000}}, 1},
-			{"groups, 100 hosts", [][2]int{{100, 100}, {300, 100}, {1000, 100}, {3000, 100}}, 0},
+			{"hosts, 300 groups", []watched{
+				{groups: 300, hosts: 50}, {groups: 300, hosts: 150}, {groups: 300, hosts: 300}, {groups: 300, hosts: 1000},
+			}, byHosts},
+			{"groups, 100 hosts", []watched{
+				{groups: 100, hosts: 100}, {groups: 300, hosts: 100}, {groups: 1000, hosts: 100}, {groups: 3000, hosts: 100},
+			}, byGroups},
+			{"hosts, 10,000 groups, changes only", []watched{
+				{groups: 10_000, hosts: 100, delta: true}, {groups: 10_000, hosts: 1000, delta: true}, {groups: 10_000, hosts: 3000, delta: true},
+			}, byHosts},
+			{"groups, 100 hosts, changes of a configuration", []watched{
+				{groups: 1000, hosts: 100, delta: true, configuration: true}, {groups: 3000, hosts: 100, delta: true, configuration: true},
+				{groups: 10_000, hosts: 100, delta: true, configuration: true},
+			}, byGroups},
 		} {
 			took := series("until the last host has the state", dimension.name, "s")
 			cpu := series("processor time of control and hosts", dimension.name, "s")
@@ -99,8 +123,8 @@
 			memory := series("memory of control and hosts", dimension.name, "bytes")
 			lost := series("replies lost, with one added", dimension.name, "replies")
 			for _, size := range dimension.sizes {
-				r := changeAndWatch(b, size[0], size[1])
-				x := float64(size[dimension.x])
+				r := changeAndWatch(b, size)
+				x := float64(dimension.x(size))
 				took.Add(x, r.took.Seconds())
 				cpu.Add(x, r.cpu.Seconds())
 				bytes.Add(x, float64(r.bytes))
@@ -111,3 +135,6 @@
 		}
 	}
 }
+
+func byHosts(w watched) int  { return w.hosts }
+func byGroups(w watched) int { return w.groups }
