--- a/internal/control/lease_test.go
+++ b/internal/control/lease_test.go
@@ -42,9 +42,7 @@
 			return len(w.owners("s1")) == 1 && len(w.owners("s2")) == 1 && len(w.owners("s3")) == 1 && w.allFollow("orders")
 		})
 		tr.progress(time.Second)
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		out = tr.violations
+		w.locked(func() { out = tr.violations })
 	})
 	return out
 }
@@ -89,18 +87,14 @@
 		defer w.mu.Unlock()
 		h, s := w.hosts["at-"+e.host], w.servers["at-s"+e.host[1:]]
 		switch e.kind {
-		case "kill":
-			s.down, s.lost = true, time.Now()
-		case "revive":
-			s.down = false
+		case "kill", "revive":
+			s.down, s.lost = e.kind == "kill", time.Now()
 		case "lag":
 			tr.w.lag = map[string]bool{s.id: true}
-		case "pause":
-			h.paused = true
-		case "resume":
-			h.paused = false
+		case "pause", "resume":
+			h.paused = e.kind == "pause"
 		case "cut":
-			h.silent, h.deaf = true, true
+			cut(h)
 		case "mend":
 			h.silent, h.deaf, h.mute = false, false, false
 		}
@@ -112,6 +106,7 @@
 // and against a group that does not recover, whatever is paused, cut off,
 // restarted, drained, killed or replaced.
 func TestOneOwner(t *testing.T) {
+	t.Parallel()
 	draw := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) event {
 		return event{
 			delay: time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond,
