settings, tomlstrict: name the line and key in every error; test over data files

A bare number was accepted as a duration in nanoseconds; it is now an error. Checks after decoding now give the line of the key.

--- a/pkg/settings/defaults.go
+++ b/pkg/settings/defaults.go
@@ -12,7 +12,7 @@
 			MaxConnections: 10_000,
 			MaxCycleBytes:  16 << 20,
 			MaxAnswerBytes: 16 << 20,
-			StopTimeout:    tomlstrict.Duration(30 * time.Second),
+			StopTimeout:    tomlstrict.NewDuration(30 * time.Second),
 		},
 		Log: Log{Level: "info"},
 	}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -86,12 +86,13 @@
 	if err != nil || role != RoleControl {
 		return cfg, err
 	}
+	folder := tomlstrict.Locate(string(text)).At(file, "control.data_folder")
 	info, err := os.Stat(cfg.Control.DataFolder)
 	if err != nil {
-		return Settings{}, Error.New("%s: control.data_folder: %v", file, err)
+		return Settings{}, Error.New("%s: %v", folder, err)
 	}
 	if !info.IsDir() {
-		return Settings{}, Error.New("%s: control.data_folder: %s is no folder", file, cfg.Control.DataFolder)
+		return Settings{}, Error.New("%s: %s is not a folder", folder, cfg.Control.DataFolder)
 	}
 	return cfg, nil
 }
@@ -103,7 +104,7 @@
 	if err := tomlstrict.Decode(file, text, &cfg); err != nil {
 		return Settings{}, err
 	}
-	if err := cfg.check(file, role); err != nil {
+	if err := cfg.check(file, tomlstrict.Locate(text), role); err != nil {
 		return Settings{}, err
 	}
 	return cfg, nil
--- a/pkg/tomlstrict/tomlstrict.go
+++ b/pkg/tomlstrict/tomlstrict.go
@@ -11,8 +11,9 @@
 import (
 	"errors"
 	"fmt"
+	"reflect"
+	"sort"
 	"strings"
-	"time"
 
 	"github.com/pelletier/go-toml/v2"
 	"github.com/zeebo/errs"
@@ -21,58 +22,65 @@
 // Error is the class of every error of this package.
 var Error = errs.Class("toml")
 
-// Decode reads text, which came from the named file, into v. Unknown keys and
+// Decode reads text, which came from the named file, into the variable that v
+// points to. Unknown keys and
 // values of the wrong type are errors.
 func Decode(file, text string, v any) error {
-	dec := toml.NewDecoder(strings.NewReader(text))
-	dec.DisallowUnknownFields()
-	err := dec.Decode(v)
+	err := decode(text, v)
 	if err == nil {
 		return nil
 	}
+	lines := Locate(text)
 	var strict *toml.StrictMissingError
 	if errors.As(err, &strict) && len(strict.Errors) > 0 {
-		lines := make([]string, 0, len(strict.Errors))
+		unknown := make([]string, 0, len(strict.Errors))
 		for i := range strict.Errors {
-			lines = append(lines, describe(file, &strict.Errors[i], "unknown key"))
+			unknown = append(unknown, lines.describe(file, &strict.Errors[i], "unknown key"))
 		}
-		return Error.New("%s", strings.Join(lines, "; "))
+		return Error.New("%s", strings.Join(unknown, "; "))
 	}
 	var syntax *toml.DecodeError
 	if errors.As(err, &syntax) {
-		return Error.New("%s", describe(file, syntax, syntax.Error()))
+		return Error.New("%s", lines.describe(file, syntax, plain(syntax)))
 	}
-	return Error.New("%s: %v", file, err)
+	row := failingLine(text, v)
+	return Error.New("%s:%d: %s: %s", file, row, lines.onLine(row, ""), strings.TrimPrefix(err.Error(), "toml: "))
 }
 
-func describe(file string, err *toml.DecodeError, text string) string {
-	row, _ := err.Position()
-	key := strings.Join(err.Key(), ".")
-	if key == "" {
-		return fmt.Sprintf("%s:%d: %s", file, row, text)
-	}
-	return fmt.Sprintf("%s:%d: %s: %s", file, row, key, text)
+func decode(text string, v any) error {
+	dec := toml.NewDecoder(strings.NewReader(text))
+	dec.DisallowUnknownFields()
+	return dec.Decode(v)
 }
 
-// Duration is a time.Duration that is written as in Go: "250ms", "1m30s".
-type Duration time.Duration
+// failingLine finds the line of an error for which the decoder gives no
+// position, for example a number where a Duration is expected. The decoder
+// works from top to bottom, so every text that ends at or after the line
+// fails in the same way, and none that ends before it does.
+func failingLine(text string, v any) int {
+	rows := strings.SplitAfter(text, "\n")
+	return 1 + sort.Search(len(rows)-1, func(i int) bool {
+		err := decode(strings.Join(rows[:i+1], ""), reflect.New(reflect.TypeOf(v).Elem()).Interface())
+		var syntax *toml.DecodeError
+		var strict *toml.StrictMissingError
+		return err != nil && !errors.As(err, &syntax) && !errors.As(err, &strict)
+	})
+}
 
-// UnmarshalText reads the form that time.ParseDuration reads and refuses
-// negative durations.
-func (d *Duration) UnmarshalText(text []byte) error {
-	v, err := time.ParseDuration(string(text))
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	if v < 0 {
-		return Error.New("duration %q is negative", text)
+// plain returns the message of an error without the prefixes of the decoder.
+func plain(err *toml.DecodeError) string {
+	message := err.Error()
+	for strings.HasPrefix(message, "toml: ") {
+		message = strings.TrimPrefix(message, "toml: ")
 	}
-	*d = Duration(v)
-	return nil
+	return message
 }
 
-// MarshalText writes the form that time.Duration writes.
-func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
-
-// Std returns d as a time.Duration.
-func (d Duration) Std() time.Duration { return time.Duration(d) }
+func (l Lines) describe(file string, err *toml.DecodeError, message string) string {
+	row, _ := err.Position()
+	key := l.onLine(row, strings.Join(err.Key(), "."))
+	if key == "" {
+		return fmt.Sprintf("%s:%d: %s", file, row, message)
+	}
+	return fmt.Sprintf("%s:%d: %s: %s", file, row, key, message)
+}
