--- a/pkg/policy/effective.go
+++ b/pkg/policy/effective.go
@@ -5,12 +5,11 @@
 
 // Group returns the declared group of that name.
 func (c *Config) Group(name string) (DatabaseGroup, bool) {
-	for _, g := range c.DatabaseGroups {
-		if g.Name == name {
-			return g, true
-		}
+	i, ok := c.indexed().groups[name]
+	if !ok {
+		return DatabaseGroup{}, false
 	}
-	return DatabaseGroup{}, false
+	return c.DatabaseGroups[i], true
 }
 
 // Ranks returns the declared ranks, or one implicit rank if there are none.
@@ -44,28 +43,15 @@
 	}
 	eff := defaults
 	eff.Rank = r
-	for _, p := range c.Policies {
+	for _, p := range c.indexed().policies {
 		if p.matches(g, r) {
-			p.overlay(&eff)
+			p.policy.overlay(&eff)
 		}
 	}
 	return eff, true
 }
 
-// matches reports whether both selectors match. Parse has checked them.
-func (p Policy) matches(g DatabaseGroup, r TrafficRank) bool {
-	groups, err := ParseSelector(p.Groups)
-	if err != nil {
-		return false
-	}
-	ranks, err := ParseSelector(p.Ranks)
-	if err != nil {
-		return false
-	}
-	return groups.Matches(g.Name, g.Labels) && ranks.Matches(r.Name, r.Labels)
-}
-
-func (p Policy) overlay(eff *Effective) {
+func (p *Policy) overlay(eff *Effective) {
 	if p.Deadline != nil {
 		eff.Deadline = p.Deadline.Std()
 	}
--- a/pkg/policy/policy.go
+++ b/pkg/policy/policy.go
@@ -65,12 +65,15 @@
 	RetryBudget  *float64             `toml:"retry_budget"`
 }
 
-// Config is a whole configuration. It is immutable after Parse.
+// Config is a whole configuration. It is immutable after Parse. A Config that
+// is built by hand works too, but it is indexed again at every lookup.
 type Config struct {
 	DatabaseGroups []DatabaseGroup `toml:"database_group"`
 	ProxyPools     []ProxyPool     `toml:"proxy_pool"`
 	TrafficRanks   []TrafficRank   `toml:"traffic_rank"`
 	Policies       []Policy        `toml:"policy"`
+
+	index *index // set by Parse; nil in a Config built by hand
 }
 
 // Effective is what holds for one rank at one group.
--- /dev/null
+++ b/pkg/policy/policy_test.go
@@ -0,0 +1,203 @@
+package policy_test
+
+import (
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/arbutusring/arbutusring/pkg/policy"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// TestErrors guards against an error without file, line or key. A comment
+// "# ERROR text" states the error that its line must give, "# ERRORS text" one
+// of the file that has no line. There must be no other error.
+func TestErrors(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.toml")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no test data: %v", err)
+	}
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			text, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, err = policy.Parse("F", string(text))
+			got := ""
+			if err != nil {
+				got = err.Error()
+			}
+			want := 0
+			for i, line := range strings.Split(string(text), "\n") {
+				expected := ""
+				if _, text, ok := strings.Cut(line, "# ERROR "); ok {
+					expected = "F:" + strconv.Itoa(i+1) + ": " + text
+				} else if _, text, ok := strings.Cut(line, "# ERRORS "); ok {
+					expected = "F: " + text
+				} else {
+					continue
+				}
+				want++
+				if !strings.Contains(got, expected) {
+					t.Errorf("error %q does not contain %q", got, expected)
+				}
+			}
+			if n := strings.Count(got, "F:"); n != want {
+				t.Errorf("%d errors, want %d: %s", n, want, got)
+			}
+		})
+	}
+}
+
+const declared = `
+[[database_group]]
+name = "orders"
+members = 3
+labels = { tier = "orders" }
+[[database_group]]
+name = "menus"
+members = 3
+[[traffic_rank]]
+name = "urgent"
+order = 0
+labels = { work = "orders" }
+[[traffic_rank]]
+name = "normal"
+order = 1
+default = true
+`
+
+// TestEffective guards the defaults, the order of the overlay and the name
+// label, in a parsed Config and in one built by hand.
+func TestEffective(t *testing.T) {
+	d := policy.Effective{
+		Deadline: 5 * time.Second, QueueLimit: 64, ReplicaReads: true, PositionWait: 20 * time.Millisecond, RetryBudget: 0.1,
+	}
+	with := func(set func(e *policy.Effective)) policy.Effective {
+		e := d
+		set(&e)
+		return e
+	}
+	for _, row := range []struct {
+		name, policies, group, rank string
+		want                        policy.Effective
+	}{
+		{"defaults", "", "orders", "", d},
+		{"later wins", "[[policy]]\nname='a'\nqueue_limit=1\ndeadline='1s'\n[[policy]]\nname='b'\nqueue_limit=2", "orders", "normal",
+			with(func(e *policy.Effective) { e.QueueLimit, e.Deadline = 2, time.Second })},
+		{"false and zero are values", "[[policy]]\nname='a'\nreplica_reads=false\nposition_wait='0s'\nretry_budget=0.0", "menus", "",
+			with(func(e *policy.Effective) { e.ReplicaReads, e.PositionWait, e.RetryBudget = false, 0, 0 })},
+		{"group label", "[[policy]]\nname='a'\ngroups='tier=orders'\nmax_staleness='3s'", "orders", "",
+			with(func(e *policy.Effective) { e.MaxStaleness = 3 * time.Second })},
+		{"no such label", "[[policy]]\nname='a'\ngroups='tier=orders'\nmax_staleness='3s'", "menus", "", d},
+		{"absent label", "[[policy]]\nname='a'\ngroups='!tier'\nqueue_limit=9", "menus", "",
+			with(func(e *policy.Effective) { e.QueueLimit = 9 })},
+		{"name label of a group", "[[policy]]\nname='a'\ngroups='name=menus'\nhedge_after='1s'", "menus", "",
+			with(func(e *policy.Effective) { e.HedgeAfter = time.Second })},
+		{"name label of a rank", "[[policy]]\nname='a'\nranks='name in (urgent)'\nqueue_limit=7", "orders", "urgent",
+			with(func(e *policy.Effective) { e.QueueLimit = 7 })},
+		{"rank label", "[[policy]]\nname='a'\nranks='work=orders'\nqueue_limit=7", "orders", "normal", d},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			cfg, err := policy.Parse("F", declared+row.policies)
+			is.NoErr(err)
+			byHand := &policy.Config{DatabaseGroups: cfg.DatabaseGroups, TrafficRanks: cfg.TrafficRanks, Policies: cfg.Policies}
+			for _, c := range []*policy.Config{cfg, byHand} {
+				got, ok := c.Effective(row.group, row.rank)
+				is.True(ok)
+				row.want.Rank, _ = c.Rank(row.rank)
+				is.Equal(got, row.want)
+				for _, undeclared := range [][2]string{{"none", ""}, {"orders", "none"}} {
+					_, ok = c.Effective(undeclared[0], undeclared[1])
+					is.True(!ok)
+				}
+			}
+		})
+	}
+	is := is.New(t)
+	r, ok := new(policy.Config).Rank("")
+	is.True(ok)
+	is.Equal(r.Name, "default") // the implicit rank
+}
+
+// TestEffectiveIgnoresOtherPolicies guards against any influence of policies
+// that do not match: wherever they stand, the effective values are the same.
+func TestEffectiveIgnoresOtherPolicies(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limits := rapid.SliceOfN(rapid.IntRange(1, 99), 0, 5).Draw(t, "limits")
+		matching, others := declared, declared
+		n := 0
+		other := func() {
+			for range rapid.IntRange(0, 3).Draw(t, "others") {
+				n++
+				sel := rapid.SampledFrom([]string{"groups='name=menus'", "ranks='work=orders'", "groups='!tier'", "groups='tier in (x,y)'"}).Draw(t, "selector")
+				others += "[[policy]]\nname='other" + strconv.Itoa(n) + "'\n" + sel + "\nqueue_limit=1000\ndeadline='9s'\n"
+			}
+		}
+		for i, limit := range limits {
+			other()
+			p := "[[policy]]\nname='p" + strconv.Itoa(i) + "'\ngroups='tier=orders'\nqueue_limit=" + strconv.Itoa(limit) + "\n"
+			matching += p
+			others += p
+		}
+		other()
+		a, errA := policy.Parse("F", matching)
+		b, errB := policy.Parse("F", others)
+		if errA != nil || errB != nil {
+			t.Fatal(errA, errB)
+		}
+		x, _ := a.Effective("orders", "normal")
+		y, _ := b.Effective("orders", "normal")
+		if x.QueueLimit != y.QueueLimit || x.Deadline != y.Deadline {
+			t.Fatalf("without the others %+v, with them %+v", x, y)
+		}
+	})
+}
+
+// FuzzParse guards control and entries against any configuration text. What
+// is accepted must also give effective values for every group and rank.
+func FuzzParse(f *testing.F) {
+	files, _ := filepath.Glob("testdata/*.toml")
+	deployed, _ := filepath.Glob("../../deploy/*/configuration.toml")
+	for _, file := range append(files, deployed...) {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(string(text))
+	}
+	f.Add(declared)
+	f.Fuzz(func(t *testing.T, text string) { parseAny(t, text) })
+}
+
+// TestParseNeverPanics covers texts that are nearly valid, which random bytes
+// seldom are.
+func TestParseNeverPanics(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		parts := rapid.SliceOf(rapid.OneOf(rapid.String(), rapid.SampledFrom([]string{
+			"[[policy]]\n", "[[database_group]]\n", "[[traffic_rank]]\n", "name = \"a\"\n", "members = 1\n", "default = true\n",
+			"floor = inf\n", "floor = nan\n", "groups = \"a in (b)\"\n", "labels.x = \"y\"\n", "deadline = \"1s\"\n", "[policy.x]\n",
+		}))).Draw(t, "parts")
+		parseAny(t, strings.Join(parts, ""))
+	})
+}
+
+func parseAny(t interface{ Fatalf(string, ...any) }, text string) {
+	cfg, err := policy.Parse("F", text)
+	if err != nil {
+		return
+	}
+	for _, g := range cfg.DatabaseGroups {
+		for _, r := range cfg.Ranks() {
+			if _, ok := cfg.Effective(g.Name, r.Name); !ok {
+				t.Fatalf("no effective values for %q and %q", g.Name, r.Name)
+			}
+		}
+	}
+}
--- a/pkg/policy/selector.go
+++ b/pkg/policy/selector.go
@@ -1,8 +1,6 @@
 package policy
 
 import (
-	"maps"
-
 	"k8s.io/apimachinery/pkg/labels"
 )
 
@@ -25,8 +23,34 @@
 
 // Matches reports whether the selector matches the labels of the named object.
 func (s Selector) Matches(name string, set map[string]string) bool {
-	all := make(labels.Set, len(set)+1)
-	maps.Copy(all, set)
-	all[nameLabel] = name
-	return s.sel.Matches(all)
+	return s.sel.Matches(namedLabels{name: name, set: set})
+}
+
+// namedLabels are the declared labels of an object and its name label.
+type namedLabels struct {
+	name string
+	set  map[string]string
+}
+
+var _ labels.Labels = namedLabels{}
+
+// Has reports whether there is such a label.
+func (n namedLabels) Has(label string) bool {
+	_, ok := n.Lookup(label)
+	return ok
+}
+
+// Get returns the value of a label, or the empty text without one.
+func (n namedLabels) Get(label string) string {
+	value, _ := n.Lookup(label)
+	return value
+}
+
+// Lookup returns the value of a label and whether there is one.
+func (n namedLabels) Lookup(label string) (string, bool) {
+	if label == nameLabel {
+		return n.name, true
+	}
+	value, ok := n.set[label]
+	return value, ok
 }
