--- a/internal/health/answer.go
+++ b/internal/health/answer.go
@@ -81,5 +81,5 @@
 	Reachable bool   `json:"reachable"`
 	AgeMS     int64  `json:"age_ms"` // since the server last answered its owner
 	LagLSN    uint64 `json:"lag_lsn"`
-	Known     bool   `json:"known"` // the owner answered
+	Known     bool   `json:"known"` // the owner answered with a fact that is fresh
 }
--- a/internal/health/collector.go
+++ b/internal/health/collector.go
@@ -29,7 +29,8 @@
 	Local func() controlrpc.State
 }
 
-// Ask answers a question within about 1 s. An error means that the question
+// Ask answers a question within 1.5 s: the timeouts of control and of both
+// samples, and the time between these. An error means that the question
 // is malformed; missing facts make answers unknown.
 func (c *Collector) Ask(ctx context.Context, q Question) ([]Answer, error) {
 	if _, err := policy.ParseSelector(q.Selector); err != nil {
@@ -112,7 +113,10 @@
 			mu.Lock()
 			defer mu.Unlock()
 			for _, st := range reply.Servers {
-				s.Servers[st.Server] = Observation{Host: reply.Host, Status: st}
+				// An owner that lost its lease may still report the server.
+				if seen, ok := s.Servers[st.Server]; !ok || seen.Status.Epoch <= st.Epoch {
+					s.Servers[st.Server] = Observation{Host: reply.Host, Status: st}
+				}
 			}
 		})
 	}
--- a/internal/health/evaluate.go
+++ b/internal/health/evaluate.go
@@ -95,7 +95,8 @@
 	return a
 }
 
-// pool judges a proxy pool by the heartbeats of its hosts.
+// pool judges a proxy pool by the heartbeats of its hosts. Without any live
+// host it is unknown, like its silent hosts.
 func (in *Inputs) pool(p policy.ProxyPool) Answer {
 	a := Answer{Kind: KindPool, Name: p.Name, Labels: p.Labels, Status: Up}
 	sel, err := policy.ParseSelector(p.Hosts)
@@ -103,13 +104,18 @@
 		a.set(Unknown, err.Error())
 		return a
 	}
+	silent := 0
 	for id, h := range in.State.Hosts {
 		if !sel.Matches(id, hostLabels(h)) {
 			continue
 		}
 		a.Facts.HostsDeclared++
 		seen := in.Seen[id]
-		if seen.Live && !h.Draining && !in.State.Draining[id] {
+		if !seen.Live {
+			silent++
+			continue
+		}
+		if !h.Draining && !in.State.Draining[id] {
 			a.Facts.HostsLive++
 			a.AgeMS = max(a.AgeMS, seen.Age.Milliseconds())
 		}
@@ -119,8 +125,10 @@
 		a.set(Unknown, "control did not answer")
 	case a.Facts.HostsDeclared == 0:
 		a.set(Unknown, "no host matches the selector of the pool")
+	case a.Facts.HostsLive == 0 && silent > 0:
+		a.set(Unknown, fmt.Sprintf("no heartbeat of %d of %d hosts, the others are draining", silent, a.Facts.HostsDeclared))
 	case a.Facts.HostsLive == 0:
-		a.set(Down, "no host of the pool is live")
+		a.set(Down, "all hosts of the pool are draining")
 	case a.Facts.HostsLive < a.Facts.HostsDeclared:
 		a.set(Degraded, fmt.Sprintf("%d of %d hosts are live", a.Facts.HostsLive, a.Facts.HostsDeclared))
 	}
@@ -192,15 +200,18 @@
 		if known {
 			st := obs.Status
 			sf = ServerFacts{
-				Server: id, Owner: obs.Host, Primary: st.Primary, Known: true,
+				Server: id, Owner: obs.Host, Primary: st.Primary,
+				Known:     !st.Reachable || st.HeardAge < maxAge,
 				Reachable: st.Reachable && st.HeardAge < maxAge,
 				AgeMS:     st.HeardAge.Milliseconds(),
 				LagLSN:    newest - st.Applied.LSN,
 			}
-			before := in.Before.Servers[id].Status
-			ok += delta(st.Successes, before.Successes)
-			failed += delta(st.Failures, before.Failures)
-			refused += delta(st.Refused, before.Refused)
+			// Counters of two owners, or without an earlier sample, give no rate.
+			if before, sampled := in.Before.Servers[id]; sampled && before.Host == obs.Host {
+				ok += delta(st.Successes, before.Status.Successes)
+				failed += delta(st.Failures, before.Status.Failures)
+				refused += delta(st.Refused, before.Status.Refused)
+			}
 			for rank, n := range st.Load.Queued {
 				f.Queued[rank] += n
 			}
