--- /dev/null
+++ b/internal/operator/body.go
@@ -0,0 +1,70 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/arbutusring/arbutusring/internal/controlrpc"
+	"github.com/arbutusring/arbutusring/pkg/errkind"
+)
+
+// maxBody bounds a request, in bytes. The largest is a configuration:
+// 10,000 groups of about 200 bytes.
+const maxBody = 8 << 20
+
+// change serves a request to control whose arguments are the body.
+func change[A, R any](call func(context.Context, *A) (*R, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if call == nil {
+			http.NotFound(w, r)
+			return
+		}
+		args := new(A)
+		if !readJSON(w, r, args) {
+			return
+		}
+		ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
+		defer cancel()
+		reply, err := call(ctx, args)
+		if err != nil {
+			writeError(w, err)
+			return
+		}
+		writeJSON(w, http.StatusOK, reply)
+	}
+}
+
+func readJSON(w http.ResponseWriter, r *http.Request, v any) bool {
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody))
+	dec.DisallowUnknownFields()
+	err := dec.Decode(v)
+	if err == nil && dec.Decode(new(struct{})) != io.EOF {
+		err = errors.New("there is more than one JSON value")
+	}
+	if err != nil {
+		writeError(w, errkind.Wrap(errkind.BadRequest, err, "body of the request"))
+		return false
+	}
+	return true
+}
+
+func writeError(w http.ResponseWriter, err error) {
+	status := http.StatusServiceUnavailable
+	if errkind.Of(err) == errkind.BadRequest {
+		status = http.StatusBadRequest
+	}
+	writeJSON(w, status, controlrpc.Answer{Kind: errkind.Of(err), Detail: err.Error()})
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		status, data = http.StatusInternalServerError, []byte(`{"kind":"internal"}`)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(append(data, '\n'))
+}
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 
@@ -16,9 +18,15 @@
 // Error is the class of every error of this package without a kind.
 var Error = errs.Class("operator")
 
+// maxAnswer bounds an answer that the client reads, in bytes. The largest is
+// the state of 10,000 groups: about 30,000 servers and leases of 500 bytes.
+const maxAnswer = 64 << 20
+
 // Client calls the operator interface of one process. An error of a call that
 // changes something has kind errkind.OutcomeUnknown if the change may have
-// been accepted; resending it with the same change id is safe.
+// been accepted; resending it with the same change id is safe. It has kind
+// errkind.ConnectFailed if there was no connection, and for every lost answer
+// of a call that changes nothing.
 type Client struct {
 	Address string // ip:port
 }
@@ -88,24 +96,49 @@
 	return reply, do(r, errkind.OutcomeUnknown, reply)
 }
 
+// notSent reports whether no connection was made, so that the request was
+// certainly not sent.
+func notSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// refusal turns an answer with an error status into an error. After a failure
+// of the process itself, a change may have been accepted.
+func refusal(r *http.Request, resp *http.Response, data []byte, lost errkind.Kind) error {
+	var a controlrpc.Answer
+	if json.Unmarshal(data, &a) != nil || a.Kind == errkind.OK {
+		a = controlrpc.Answer{Kind: errkind.Internal, Detail: r.URL.Path + " was answered with " + resp.Status}
+	}
+	switch {
+	case resp.StatusCode == http.StatusNotFound:
+		a = controlrpc.Answer{Kind: errkind.Unsupported, Detail: r.URL.Host + " does not offer " + r.URL.Path}
+	case a.Kind == errkind.Internal && resp.StatusCode >= http.StatusInternalServerError && lost == errkind.OutcomeUnknown:
+		a.Kind = errkind.OutcomeUnknown
+	}
+	return errkind.New(a.Kind, "%s", a.Detail)
+}
+
 // do sends the request and decodes the answer; lost is the kind of the error
 // when no whole answer comes.
 func do(r *http.Request, lost errkind.Kind, reply any) error {
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
+		if notSent(err) {
+			lost = errkind.ConnectFailed
+		}
 		return errkind.Wrap(lost, err, "request to %s", r.URL.Host)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(resp.Body)
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
+	if err == nil && len(data) > maxAnswer {
+		err = Error.New("the answer is longer than %d bytes", maxAnswer)
+	}
 	if err != nil {
 		return errkind.Wrap(lost, err, "answer of %s", r.URL.Host)
 	}
 	if resp.StatusCode != http.StatusOK {
-		var a controlrpc.Answer
-		if json.Unmarshal(data, &a) != nil || a.Kind == errkind.OK {
-			return errkind.New(errkind.Internal, "%s answered %s", r.URL, resp.Status)
-		}
-		return errkind.New(a.Kind, "%s", a.Detail)
+		return refusal(r, resp, data, lost)
 	}
 	if err := json.Unmarshal(data, reply); err != nil {
 		return errkind.Wrap(lost, err, "answer of %s", r.URL.Host)
--- /dev/null
+++ b/internal/operator/handlers.go
@@ -0,0 +1,21 @@
+package operator
+
+import (
+	"context"
+
+	"github.com/arbutusring/arbutusring/internal/controlrpc"
+	"github.com/rcrowley/go-metrics"
+)
+
+// Handlers are what a process offers. A nil field is answered with 404.
+type Handlers struct {
+	Announce func(ctx context.Context, args *controlrpc.AnnounceArgs) (*controlrpc.AnnounceReply, error)
+	Apply    func(ctx context.Context, args *controlrpc.ApplyArgs) (*controlrpc.ApplyReply, error)
+	Get      func(ctx context.Context, args *controlrpc.GetArgs) (*controlrpc.GetReply, error)
+	Drain    func(ctx context.Context, args *controlrpc.DrainArgs) (*controlrpc.DrainReply, error)
+	Failover func(ctx context.Context, args *controlrpc.FailoverArgs) (*controlrpc.FailoverReply, error)
+	Health   func(ctx context.Context, kind, selector string) (any, error)
+	Dump     func() any
+	Ready    func() bool
+	Registry metrics.Registry
+}
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -2,42 +2,27 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/arbutusring/arbutusring/internal/controlrpc"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
-	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 )
 
 const (
-	// maxBody bounds a request, in bytes. The largest is a configuration:
-	// 10,000 groups of about 200 bytes.
-	maxBody = 8 << 20
 	// callTimeout bounds a request to control; an election takes about 1 s.
 	callTimeout = 8 * time.Second
 	// headerTimeout bounds a client that sends its request slowly.
 	headerTimeout = 5 * time.Second
+	// bodyTimeout bounds the time to read a whole request.
+	bodyTimeout = 30 * time.Second
+	// idleTimeout bounds a connection without requests.
+	idleTimeout = 2 * time.Minute
 )
 
-// Handlers are what a process offers. A nil field is answered with 404.
-type Handlers struct {
-	Announce func(ctx context.Context, args *controlrpc.AnnounceArgs) (*controlrpc.AnnounceReply, error)
-	Apply    func(ctx context.Context, args *controlrpc.ApplyArgs) (*controlrpc.ApplyReply, error)
-	Get      func(ctx context.Context, args *controlrpc.GetArgs) (*controlrpc.GetReply, error)
-	Drain    func(ctx context.Context, args *controlrpc.DrainArgs) (*controlrpc.DrainReply, error)
-	Failover func(ctx context.Context, args *controlrpc.FailoverArgs) (*controlrpc.FailoverReply, error)
-	Health   func(ctx context.Context, kind, selector string) (any, error)
-	Dump     func() any
-	Ready    func() bool
-	Registry metrics.Registry
-}
-
 // Server serves Handlers over HTTP.
 type Server struct {
 	http http.Server
@@ -58,7 +43,7 @@
 	mux.HandleFunc("POST /v1/apply", change(h.Apply))
 	mux.HandleFunc("POST /v1/drain", change(h.Drain))
 	mux.HandleFunc("POST /v1/failover", change(h.Failover))
-	s.http = http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	s.http = http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, IdleTimeout: idleTimeout}
 	return s
 }
 
@@ -82,10 +67,6 @@
 	writeJSON(w, http.StatusOK, readiness{Ready: true})
 }
 
-type readiness struct {
-	Ready bool `json:"ready"`
-}
-
 func (s *Server) health(w http.ResponseWriter, r *http.Request) {
 	if s.h.Health == nil {
 		http.NotFound(w, r)
@@ -125,6 +106,10 @@
 	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
 	defer cancel()
 	reply, err := s.h.Get(ctx, new(controlrpc.GetArgs))
+	if errkind.Of(err) == errkind.OutcomeUnknown {
+		// A read changes nothing, so a lost answer leaves nothing in doubt.
+		err = errkind.Wrap(errkind.NotLeader, err, "reading the state")
+	}
 	if err != nil {
 		writeError(w, err)
 		return
@@ -150,57 +135,3 @@
 	}
 	writeJSON(w, http.StatusOK, AnnounceAnswer{Answer: reply.Answer})
 }
-
-// change serves a request to control whose arguments are the body.
-func change[A, R any](call func(context.Context, *A) (*R, error)) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
-		if call == nil {
-			http.NotFound(w, r)
-			return
-		}
-		args := new(A)
-		if !readJSON(w, r, args) {
-			return
-		}
-		ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
-		defer cancel()
-		reply, err := call(ctx, args)
-		if err != nil {
-			writeError(w, err)
-			return
-		}
-		writeJSON(w, http.StatusOK, reply)
-	}
-}
-
-func readJSON(w http.ResponseWriter, r *http.Request, v any) bool {
-	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody))
-	dec.DisallowUnknownFields()
-	err := dec.Decode(v)
-	if err == nil && dec.Decode(new(struct{})) != io.EOF {
-		err = errors.New("there is more than one JSON value")
-	}
-	if err != nil {
-		writeError(w, errkind.Wrap(errkind.BadRequest, err, "body of the request"))
-		return false
-	}
-	return true
-}
-
-func writeError(w http.ResponseWriter, err error) {
-	status := http.StatusServiceUnavailable
-	if errkind.Of(err) == errkind.BadRequest {
-		status = http.StatusBadRequest
-	}
-	writeJSON(w, status, controlrpc.Answer{Kind: errkind.Of(err), Detail: err.Error()})
-}
-
-func writeJSON(w http.ResponseWriter, status int, v any) {
-	data, err := json.Marshal(v)
-	if err != nil {
-		status, data = http.StatusInternalServerError, []byte(`{"kind":"internal"}`)
-	}
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_, _ = w.Write(append(data, '\n'))
-}
