--- a/cmd/arbutusring/command_line.go
+++ b/cmd/arbutusring/command_line.go
@@ -35,12 +35,13 @@
 	timeout      time.Duration
 	changeID     string
 	operator     string
-	baseVersion  uint64
+	baseVersion  int64 // -1 for the version in force
 	wait         bool
 	undo         bool
 	kind         string
 	selector     string
 	positional   string
+	files        []string
 	dev          devFlags
 	load         loadFlags
 }
@@ -51,6 +52,7 @@
 	help string
 	add  func(sub *flaggy.Subcommand)
 	run  func(ctx context.Context) error
+	list bool // takes a list of files
 }
 
 func newCommandLine(args []string, stdout, stderr io.Writer) *commandLine {
@@ -63,76 +65,62 @@
 		output:   outputText,
 		timeout:  10 * time.Second,
 		dev:      defaultDevFlags(),
-		load:     defaultLoadFlags(),
+		// A change without a base version is based on the version in force.
+		baseVersion: -1,
+		load:        defaultLoadFlags(),
 	}
 }
 
 func (c *commandLine) commands() []command {
 	return []command{
-		{"dev", "run a whole installation in one process on loopback", c.addDev, c.runDev},
-		{"entry", "run the process of an entry host", c.addProcess, c.runEntry},
-		{"control", "run the process of a control host", c.addProcess, c.runControl},
-		{"load", "run callers of several traffic ranks and print a report", c.addLoad, c.runLoad},
-		{"validate", "check settings and configuration files: validate FILE ...", c.addOutput, c.runValidate},
-		{"apply", "put a configuration into force: apply FILE", c.addApply, c.runApply},
-		{"get", "show the configuration, groups, leases and hosts", c.addGet, c.runGet},
-		{"health", "show what is up, degraded, down or unknown", c.addHealth, c.runHealth},
-		{"drain", "take a host or backend server out of service: drain ID", c.addDrain, c.runDrain},
-		{"failover", "ask for a new primary: failover GROUP", c.addFailover, c.runFailover},
-		{"dump", "show the state of one process", c.addOperator, c.runDump},
+		{"dev", "run a whole installation in one process on loopback", c.addDev, c.runDev, false},
+		{"entry", "run the process of an entry host", c.addProcess, c.runEntry, false},
+		{"control", "run the process of a control host", c.addProcess, c.runControl, false},
+		{"load", "run callers of several traffic ranks and print a report", c.addLoad, c.runLoad, false},
+		{"validate", "check settings and configuration files: validate FILE ...", c.addOutput, c.runValidate, true},
+		{"apply", "put a configuration into force: apply FILE", c.addApply, c.runApply, false},
+		{"get", "show the configuration, groups, leases and hosts", c.addGet, c.runGet, false},
+		{"health", "show what is up, degraded, down or unknown", c.addHealth, c.runHealth, false},
+		{"drain", "take a host or backend server out of service: drain ID", c.addDrain, c.runDrain, false},
+		{"failover", "ask for a new primary: failover GROUP", c.addFailover, c.runFailover, false},
+		{"dump", "show the state of one process", c.addOperator, c.runDump, false},
 	}
 }
 
-// run parses the arguments and runs the command.
+// run parses the arguments and runs the command. The parser ends the process
+// only after --help.
 func (c *commandLine) run(ctx context.Context) error {
-	args, files := splitFiles(c.args)
 	parser := flaggy.NewParser("arbutusring")
 	parser.Description = "database proxy for PostgreSQL with session consistency"
 	parser.ShowHelpOnUnexpected = false
-	var chosen []*flaggy.Subcommand
+	parser.ShowVersionWithVersionFlag = false
+	parser.ShowCompletion = false
+	var subs []*flaggy.Subcommand
 	all := c.commands()
 	for _, cmd := range all {
 		sub := flaggy.NewSubcommand(cmd.name)
 		sub.Description = cmd.help
 		cmd.add(sub)
 		parser.AttachSubcommand(sub, 1)
-		chosen = append(chosen, sub)
+		subs = append(subs, sub)
 	}
-	if err := parser.ParseArgs(args); err != nil {
+	args, err := checkArguments(c.args, all, subs)
+	if err != nil {
+		return usageError{fmt.Errorf("%w; see --help", err)}
+	}
+	if err := parser.ParseArgs(args.rest); err != nil {
 		return usageError{err}
 	}
 	if c.output != outputText && c.output != outputJSON {
 		return usageError{fmt.Errorf("--output %q is neither text nor json", c.output)}
 	}
-	for i, sub := range chosen {
+	c.files = args.files
+	for i, sub := range subs {
 		if sub.Used {
-			c.dev.files = files
 			return all[i].run(ctx)
 		}
 	}
-	parser.ShowHelp()
-	return usageError{errors.New("no command was given")}
-}
-
-// splitFiles takes the files of `validate` out of the arguments, because the
-// argument parser supports no list of positional values.
-func splitFiles(args []string) (rest, files []string) {
-	if len(args) == 0 || args[0] != "validate" {
-		return args, nil
-	}
-	rest = append(rest, args[0])
-	for i := 1; i < len(args); i++ {
-		switch {
-		case args[i] == "--output" && i+1 < len(args):
-			rest = append(rest, args[i], args[i+1])
-			i++
-		case len(args[i]) > 0 && args[i][0] == '-':
-			rest = append(rest, args[i])
-		default:
-			files = append(files, args[i])
-		}
-	}
-	return rest, files
+	return usageError{errors.New("no command was given; see --help")}
 }
 
 func (c *commandLine) addOutput(sub *flaggy.Subcommand) {
--- a/cmd/arbutusring/main.go
+++ b/cmd/arbutusring/main.go
@@ -25,7 +25,8 @@
 //	2  wrong arguments, settings or configuration
 //	3  refused, for example because another change was accepted first
 //	4  outcome unknown: the change may have been accepted; repeat the command
-//	   with the same --change-id
+//	   with the same --change-id, and for apply the same --base-version and
+//	   --operator
 //	5  no process could be reached
 package main
 
--- a/cmd/arbutusring/run_operator.go
+++ b/cmd/arbutusring/run_operator.go
@@ -26,7 +26,7 @@
 
 func (c *commandLine) addApply(sub *flaggy.Subcommand) {
 	c.addChange(sub)
-	sub.UInt64(&c.baseVersion, "", "base-version", "version that the change was made from; default the version in force")
+	sub.Int64(&c.baseVersion, "", "base-version", "version that the change was made from; -1 for the version in force")
 	sub.Bool(&c.wait, "w", "wait", "wait until every live entry host has it in force")
 	sub.AddPositionalValue(&c.positional, "FILE", 1, true, "configuration (TOML)")
 }
@@ -73,16 +73,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	if c.baseVersion == 0 && c.changeID == "" {
-		current, err := c.client().State(ctx)
-		if err != nil {
-			return err
-		}
-		c.baseVersion = current.State.ConfigVersion
+	base, err := c.base(ctx)
+	if err != nil {
+		return err
 	}
 	c.fillChange()
+	fmt.Fprintf(c.stderr, "after a lost answer, repeat with --change-id %s --base-version %d --operator %s\n", c.changeID, base, c.operator)
 	reply, err := c.client().Apply(ctx, &controlrpc.ApplyArgs{
-		ChangeID: c.changeID, BaseVersion: c.baseVersion, Operator: c.operator, Text: string(text),
+		ChangeID: c.changeID, BaseVersion: base, Operator: c.operator, Text: string(text),
 	})
 	if err != nil {
 		return err
@@ -96,6 +94,26 @@
 	return nil
 }
 
+// base returns the version that the change is made from. A resend must name
+// the version of the first try: with the version in force it would be another
+// change, which could overwrite one that was accepted in between.
+func (c *commandLine) base(ctx context.Context) (uint64, error) {
+	if c.baseVersion >= 0 {
+		return uint64(c.baseVersion), nil
+	}
+	if c.changeID != "" {
+		return 0, usageError{errors.New("apply: --change-id needs --base-version")}
+	}
+	current, err := c.client().State(ctx)
+	if err != nil {
+		return 0, err
+	}
+	if current.Kind != errkind.OK {
+		return 0, errkind.New(current.Kind, "%s", current.Detail)
+	}
+	return current.State.ConfigVersion, nil
+}
+
 func (c *commandLine) printApply(reply *controlrpc.ApplyReply) error {
 	if c.output == outputJSON {
 		if err := c.printJSON(reply); err != nil {
--- a/cmd/arbutusring/run_process.go
+++ b/cmd/arbutusring/run_process.go
@@ -77,7 +77,6 @@
 type devFlags struct {
 	callers  [2]string
 	logLevel string
-	files    []string
 }
 
 func defaultDevFlags() devFlags {
--- a/cmd/arbutusring/run_validate.go
+++ b/cmd/arbutusring/run_validate.go
@@ -22,12 +22,12 @@
 // runValidate checks files without starting anything. What a file is follows
 // from its sections.
 func (c *commandLine) runValidate(context.Context) error {
-	if len(c.dev.files) == 0 {
+	if len(c.files) == 0 {
 		return usageError{errors.New("validate needs at least one file")}
 	}
 	var group errs.Group
-	results := make([]checked, 0, len(c.dev.files))
-	for _, file := range c.dev.files {
+	results := make([]checked, 0, len(c.files))
+	for _, file := range c.files {
 		kind, err := validateFile(file)
 		result := checked{File: file, Kind: kind}
 		if err != nil {
--- a/internal/health/evaluate.go
+++ b/internal/health/evaluate.go
@@ -18,7 +18,7 @@
 	if err != nil {
 		return nil, err
 	}
-	var answers []Answer
+	answers := []Answer{} // not nil, which JSON would show as null
 	add := func(a Answer) {
 		if (q.Kind == "" || q.Kind == a.Kind) && sel.Matches(a.Name, a.Labels) {
 			answers = append(answers, a)
