process: bound the hand-over of control leadership; drained hosts are not ready

A control leader without a reachable voter waited for the whole stop timeout at a planned stop. A host that an operator had drained still took new callers from the load balancer.

--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -209,8 +209,12 @@
 	}
 }
 
-// handOver transfers leadership, unless this host is the only voter.
+// handOver transfers leadership, unless this host is the only voter. When no
+// other voter answers, waiting for the whole time of the planned stop would
+// not help.
 func handOver(ctx context.Context, node *consensus.Node) error {
+	ctx, cancel := context.WithTimeout(ctx, handoverLimit)
+	defer cancel()
 	for _, m := range node.Members() {
 		if !m.Learner && m.ID != node.Self().ID {
 			return node.TransferLeadership(ctx)
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -150,11 +150,17 @@
 		Failover: p.control.Failover,
 		Health:   p.health,
 		Dump:     func() any { return p.Dump() },
-		Ready:    p.entry.Ready,
+		Ready:    p.ready,
 		Registry: p.registry,
 	}
 }
 
+// ready reports whether the load balancer should send callers here. A host
+// that an operator has drained keeps the callers that it has.
+func (p *Entry) ready() bool {
+	return p.entry.Ready() && !p.follower.state.Load().Draining[p.host.ID]
+}
+
 // health answers a question about health; see package health.
 func (p *Entry) health(ctx context.Context, kind, selector string) (any, error) {
 	c := health.Collector{
--- a/internal/process/follower.go
+++ b/internal/process/follower.go
@@ -24,7 +24,9 @@
 	// watchPause keeps a failing long poll from spinning.
 	watchPause = 50 * time.Millisecond
 	// handoverLimit bounds the wait of a planned stop for control to move the
-	// leases; nothing runs under them any more, so they may also run out.
+	// leases, and of a control leader to hand over. Nothing runs under the
+	// leases any more, so they may also run out; the other control hosts may
+	// also elect a leader themselves.
 	handoverLimit = 2 * time.Second
 	// suspectPoll is how often the unreachable servers are looked at.
 	suspectPoll = 25 * time.Millisecond
