--- a/internal/health/evaluate.go
+++ b/internal/health/evaluate.go
@@ -139,14 +139,17 @@
 func (in *Inputs) rank(r policy.TrafficRank) Answer {
 	a := Answer{Kind: KindRank, Name: r.Name, Labels: r.Labels, Status: Up}
 	a.Facts.SuccessRate = 1
-	queued, full, known, silent := 0, 0, 0, 0
+	queued, full, known, silent, unreachable := 0, 0, 0, 0, 0
 	for id := range in.State.Servers {
 		obs, ok := in.After.Servers[id]
-		if !ok {
+		if !ok || (obs.Status.Reachable && obs.Status.HeardAge >= maxAge) {
 			silent++
 			continue
 		}
 		known++
+		if !obs.Status.Reachable {
+			unreachable++
+		}
 		queued += obs.Status.Load.Queued[r.Name]
 		if slices.Contains(obs.Status.Load.Full, r.Name) {
 			full++
@@ -155,12 +158,19 @@
 	}
 	a.Facts.Queued = map[string]int{r.Name: queued}
 	switch {
+	case in.Seen == nil:
+		// Entries refuse all work soon after control is lost.
+		a.set(Unknown, "control did not answer")
 	case known == 0:
 		a.set(Unknown, "no owner reported")
+	case unreachable == known && silent == 0:
+		a.set(Down, "no backend server answers")
 	case full > 0:
 		a.set(Degraded, fmt.Sprintf("the queue is full at %d of %d backend servers", full, known))
 	case silent > 0:
 		a.set(Unknown, fmt.Sprintf("no fresh report about %d of %d backend servers", silent, known+silent))
+	case unreachable > 0:
+		a.set(Degraded, fmt.Sprintf("%d of %d backend servers do not answer", unreachable, known))
 	}
 	return a
 }
