--- a/internal/health/evaluate.go
+++ b/internal/health/evaluate.go
@@ -140,7 +140,10 @@
 	a := Answer{Kind: KindRank, Name: r.Name, Labels: r.Labels, Status: Up}
 	a.Facts.SuccessRate = 1
 	queued, full, known, silent, unreachable := 0, 0, 0, 0, 0
-	for id := range in.State.Servers {
+	for id, server := range in.State.Servers {
+		if !slices.Contains(in.State.Groups[server.Group].Members, id) {
+			continue // was replaced, or is a spare
+		}
 		obs, ok := in.After.Servers[id]
 		if !ok || (obs.Status.Reachable && obs.Status.HeardAge >= maxAge) {
 			silent++
--- a/internal/health/health_test.go
+++ b/internal/health/health_test.go
@@ -181,6 +181,7 @@
 		{"control silent", "urgent", noControl, health.Unknown, "control did not answer"},
 		{"stale fact", "urgent", alter(stale, "s2"), health.Unknown, "1 of 3 backend servers"},
 		{"server unreachable", "urgent", alter(unreachable, "s2"), health.Degraded, "1 of 3 backend servers do not answer"},
+		{"replaced server unreachable", "urgent", func(in *health.Inputs) { alter(unreachable, "s3")(in); announced(in) }, health.Up, ""},
 		{"all servers unreachable", "urgent", alter(unreachable, "s1", "s2", "s3"), health.Down, "no backend server answers"},
 		{"servers unreachable or silent", "urgent", func(in *health.Inputs) { alter(unreachable, "s1", "s2")(in); silent("s3")(in) }, health.Unknown, "1 of 3 backend servers"},
 		{"healthy", "west", healthy, health.Up, ""},
