--- a/internal/health/evaluate.go
+++ b/internal/health/evaluate.go
@@ -18,7 +18,7 @@
 	if err != nil {
 		return nil, err
 	}
-	var answers []Answer
+	answers := []Answer{} // not nil, which JSON would show as null
 	add := func(a Answer) {
 		if (q.Kind == "" || q.Kind == a.Kind) && sel.Matches(a.Name, a.Labels) {
 			answers = append(answers, a)
@@ -95,7 +95,8 @@
 	return a
 }
 
-// pool judges a proxy pool by the heartbeats of its hosts.
+// pool judges a proxy pool by the heartbeats of its hosts. Without any live
+// host it is unknown, like its silent hosts.
 func (in *Inputs) pool(p policy.ProxyPool) Answer {
 	a := Answer{Kind: KindPool, Name: p.Name, Labels: p.Labels, Status: Up}
 	sel, err := policy.ParseSelector(p.Hosts)
@@ -103,13 +104,18 @@
 		a.set(Unknown, err.Error())
 		return a
 	}
+	silent := 0
 	for id, h := range in.State.Hosts {
 		if !sel.Matches(id, hostLabels(h)) {
 			continue
 		}
 		a.Facts.HostsDeclared++
 		seen := in.Seen[id]
-		if seen.Live && !h.Draining && !in.State.Draining[id] {
+		if !seen.Live {
+			silent++
+			continue
+		}
+		if !h.Draining && !in.State.Draining[id] {
 			a.Facts.HostsLive++
 			a.AgeMS = max(a.AgeMS, seen.Age.Milliseconds())
 		}
@@ -119,8 +125,10 @@
 		a.set(Unknown, "control did not answer")
 	case a.Facts.HostsDeclared == 0:
 		a.set(Unknown, "no host matches the selector of the pool")
+	case a.Facts.HostsLive == 0 && silent > 0:
+		a.set(Unknown, fmt.Sprintf("no heartbeat of %d of %d hosts, the others are draining", silent, a.Facts.HostsDeclared))
 	case a.Facts.HostsLive == 0:
-		a.set(Down, "no host of the pool is live")
+		a.set(Down, "all hosts of the pool are draining")
 	case a.Facts.HostsLive < a.Facts.HostsDeclared:
 		a.set(Degraded, fmt.Sprintf("%d of %d hosts are live", a.Facts.HostsLive, a.Facts.HostsDeclared))
 	}
@@ -131,14 +139,20 @@
 func (in *Inputs) rank(r policy.TrafficRank) Answer {
 	a := Answer{Kind: KindRank, Name: r.Name, Labels: r.Labels, Status: Up}
 	a.Facts.SuccessRate = 1
-	queued, full, known, silent := 0, 0, 0, 0
-	for id := range in.State.Servers {
+	queued, full, known, silent, unreachable := 0, 0, 0, 0, 0
+	for id, server := range in.State.Servers {
+		if !slices.Contains(in.State.Groups[server.Group].Members, id) {
+			continue // was replaced, or is a spare
+		}
 		obs, ok := in.After.Servers[id]
-		if !ok {
+		if !ok || (obs.Status.Reachable && obs.Status.HeardAge >= maxAge) {
 			silent++
 			continue
 		}
 		known++
+		if !obs.Status.Reachable {
+			unreachable++
+		}
 		queued += obs.Status.Load.Queued[r.Name]
 		if slices.Contains(obs.Status.Load.Full, r.Name) {
 			full++
@@ -147,12 +161,19 @@
 	}
 	a.Facts.Queued = map[string]int{r.Name: queued}
 	switch {
+	case in.Seen == nil:
+		// Entries refuse all work soon after control is lost.
+		a.set(Unknown, "control did not answer")
 	case known == 0:
 		a.set(Unknown, "no owner reported")
+	case unreachable == known && silent == 0:
+		a.set(Down, "no backend server answers")
 	case full > 0:
 		a.set(Degraded, fmt.Sprintf("the queue is full at %d of %d backend servers", full, known))
 	case silent > 0:
 		a.set(Unknown, fmt.Sprintf("no fresh report about %d of %d backend servers", silent, known+silent))
+	case unreachable > 0:
+		a.set(Degraded, fmt.Sprintf("%d of %d backend servers do not answer", unreachable, known))
 	}
 	return a
 }
@@ -192,15 +213,18 @@
 		if known {
 			st := obs.Status
 			sf = ServerFacts{
-				Server: id, Owner: obs.Host, Primary: st.Primary, Known: true,
+				Server: id, Owner: obs.Host, Primary: st.Primary,
+				Known:     !st.Reachable || st.HeardAge < maxAge,
 				Reachable: st.Reachable && st.HeardAge < maxAge,
 				AgeMS:     st.HeardAge.Milliseconds(),
 				LagLSN:    newest - st.Applied.LSN,
 			}
-			before := in.Before.Servers[id].Status
-			ok += delta(st.Successes, before.Successes)
-			failed += delta(st.Failures, before.Failures)
-			refused += delta(st.Refused, before.Refused)
+			// Counters of two owners, or without an earlier sample, give no rate.
+			if before, sampled := in.Before.Servers[id]; sampled && before.Host == obs.Host {
+				ok += delta(st.Successes, before.Status.Successes)
+				failed += delta(st.Failures, before.Status.Failures)
+				refused += delta(st.Refused, before.Status.Refused)
+			}
 			for rank, n := range st.Load.Queued {
 				f.Queued[rank] += n
 			}
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -150,11 +150,17 @@
 		Failover: p.control.Failover,
 		Health:   p.health,
 		Dump:     func() any { return p.Dump() },
-		Ready:    p.entry.Ready,
+		Ready:    p.ready,
 		Registry: p.registry,
 	}
 }
 
+// ready reports whether the load balancer should send callers here. A host
+// that an operator has drained keeps the callers that it has.
+func (p *Entry) ready() bool {
+	return p.entry.Ready() && !p.follower.state.Load().Draining[p.host.ID]
+}
+
 // health answers a question about health; see package health.
 func (p *Entry) health(ctx context.Context, kind, selector string) (any, error) {
 	c := health.Collector{
@@ -252,26 +258,3 @@
 	}
 	return conn, nil
 }
-
-// listeners are the listeners of a process besides that of its callers.
-type listeners struct {
-	peers, operators net.Listener
-}
-
-func listen(cfg settings.Listen) (listeners, error) {
-	peers, err := net.Listen("tcp", cfg.Peers)
-	if err != nil {
-		return listeners{}, Error.New("listen.peers: %v", err)
-	}
-	operators, err := net.Listen("tcp", cfg.Operators)
-	if err != nil {
-		_ = peers.Close()
-		return listeners{}, Error.New("listen.operators: %v", err)
-	}
-	return listeners{peers: peers, operators: operators}, nil
-}
-
-func (l listeners) close() {
-	_ = l.peers.Close()
-	_ = l.operators.Close()
-}
