--- /dev/null
+++ b/internal/process/base.go
@@ -0,0 +1,92 @@
+package process
+
+import (
+	"context"
+
+	"github.com/arbutusring/arbutusring/internal/operator"
+	"github.com/arbutusring/arbutusring/internal/peer"
+	"github.com/arbutusring/arbutusring/pkg/settings"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"github.com/zeebo/errs"
+)
+
+// base is what both kinds of process have: listeners for the project's own
+// processes and for operators, connections to other hosts, and goroutines.
+type base struct {
+	cfg      settings.Settings
+	log      zerolog.Logger
+	registry metrics.Registry
+	pool     *peer.Pool
+	peers    *peer.Server
+	http     *operator.Server // nil until the process has started
+	lns      listeners
+	tasks    tasks
+}
+
+// newBase opens the listeners.
+func newBase(cfg settings.Settings, log zerolog.Logger, dial DialFunc) (*base, error) {
+	lns, err := listen(cfg.Listen)
+	if err != nil {
+		return nil, err
+	}
+	return &base{
+		cfg: cfg, log: log, lns: lns,
+		registry: metrics.NewRegistry(),
+		pool:     peer.NewPool(peer.PoolOptions{Dial: dial}),
+		peers:    peer.NewServer(peer.ServerOptions{}),
+	}, nil
+}
+
+// part returns the logger of one part of the process.
+func (b *base) part(name string) zerolog.Logger { return b.log.With().Str("part", name).Logger() }
+
+// serve starts both services.
+func (b *base) serve(h operator.Handlers) {
+	h.Registry = b.registry
+	b.http = operator.NewServer(h, b.log)
+	b.tasks.start(b.runPeers)
+	b.tasks.start(b.runOperators)
+}
+
+func (b *base) runPeers(context.Context) {
+	if err := b.peers.Serve(b.lns.peers); err != nil {
+		b.log.Error().Err(err).Msg("peer listener failed")
+	}
+}
+
+func (b *base) runOperators(context.Context) {
+	if err := b.http.Serve(b.lns.operators); err != nil {
+		b.log.Error().Err(err).Msg("operator listener failed")
+	}
+}
+
+// shutdown answers the requests in progress and stops both services.
+func (b *base) shutdown(ctx context.Context) error {
+	var group errs.Group
+	if b.http != nil {
+		group.Add(b.http.Shutdown(ctx))
+	}
+	group.Add(b.peers.Shutdown(ctx))
+	return group.Err()
+}
+
+// close ends everything at once.
+func (b *base) close() {
+	b.lns.close()
+	b.tasks.stop()
+	b.pool.Close()
+}
+
+// PeerAddress returns the address for the project's own processes.
+func (b *base) PeerAddress() string { return b.lns.peers.Addr().String() }
+
+// OperatorAddress returns the address of the operator interface.
+func (b *base) OperatorAddress() string { return b.lns.operators.Addr().String() }
+
+// ended returns a context that has ended, for stopping without waiting.
+func ended() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ctx
+}
--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -11,9 +11,7 @@
 	"github.com/arbutusring/arbutusring/internal/controlrpc"
 	"github.com/arbutusring/arbutusring/internal/operator"
 	"github.com/arbutusring/arbutusring/internal/ownerrpc"
-	"github.com/arbutusring/arbutusring/internal/peer"
 	"github.com/arbutusring/arbutusring/pkg/settings"
-	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 	"github.com/zeebo/errs"
 )
@@ -27,25 +25,19 @@
 
 // Control is a running control process.
 type Control struct {
-	opts     ControlOptions
-	registry metrics.Registry
-	pool     *peer.Pool
-	peers    *peer.Server
-	http     *operator.Server
-	control  *control.Control
-	node     *consensus.Node
-	sender   *sender
-	lns      listeners
-	tasks    tasks
+	*base
+	control *control.Control
+	node    *consensus.Node
+	sender  *sender
 }
 
 // StartControl opens the data folder and the listeners and starts the process.
 func StartControl(opts ControlOptions) (*Control, error) {
-	lns, err := listen(opts.Settings.Listen)
+	b, err := newBase(opts.Settings, opts.Logger, opts.Dial)
 	if err != nil {
 		return nil, err
 	}
-	p := &Control{opts: opts, lns: lns, registry: metrics.NewRegistry(), pool: peer.NewPool(peer.PoolOptions{Dial: opts.Dial})}
+	p := &Control{base: b}
 	if err := p.start(); err != nil {
 		p.abort()
 		return nil, err
@@ -56,34 +48,34 @@
 func (p *Control) start() error {
 	owners := ownerrpc.Client{Call: p.pool.Call}
 	p.control = control.New(control.Options{
+		Metrics: p.registry,
 		Members: members(),
 		Revoke:  owners.Revoke,
-		Logger:  p.opts.Logger.With().Str("part", "control").Logger(),
+		Logger:  p.part("control"),
 	})
 	p.sender = newSender(p.pool.Call)
 	node, err := consensus.Start(consensus.Options{
-		ID:        p.opts.Settings.Host.ID,
+		ID:        p.cfg.Host.ID,
 		Address:   p.lns.peers.Addr().String(),
-		Dir:       p.opts.Settings.Control.DataFolder,
-		Bootstrap: bootstrapMembers(p.opts.Settings.Control),
-		Join:      !p.opts.Settings.Control.Bootstrap,
+		Dir:       p.cfg.Control.DataFolder,
+		Bootstrap: bootstrapMembers(p.cfg.Control),
+		Join:      !p.cfg.Control.Bootstrap,
 		Send:      p.sender.send,
 		Apply:     p.control.Apply,
 		Snapshot:  p.control.Snapshot,
 		Restore:   p.control.Restore,
 		OnLeader:  p.control.OnLeader,
-		Logger:    p.opts.Logger.With().Str("part", "consensus").Logger(),
+		Logger:    p.part("consensus"),
 	})
 	if err != nil {
 		return err
 	}
 	p.node = node
 	p.control.Start(controlLog(node))
-	return p.serve()
+	return p.startServices()
 }
 
-func (p *Control) serve() error {
-	p.peers = peer.NewServer(peer.ServerOptions{})
+func (p *Control) startServices() error {
 	if err := p.peers.Register("Control", p.control.Service()); err != nil {
 		return err
 	}
@@ -91,7 +83,7 @@
 		return err
 	}
 	client := &controlrpc.Client{Addresses: p.addresses(), Call: p.pool.Call}
-	p.http = operator.NewServer(operator.Handlers{
+	p.serve(operator.Handlers{
 		Announce: client.Announce,
 		Apply:    client.Apply,
 		Get:      client.Get,
@@ -99,32 +91,17 @@
 		Failover: client.Failover,
 		Dump:     func() any { return p.Dump() },
 		Ready:    func() bool { _, known := p.node.Leader(); return known },
-		Registry: p.registry,
-	}, p.opts.Logger)
-	p.tasks.start(p.runPeers)
-	p.tasks.start(p.runOperators)
+	})
 	p.tasks.start(p.loopMembership)
-	p.opts.Logger.Info().Str("host", p.opts.Settings.Host.ID).Str("peers", p.PeerAddress()).
+	p.log.Info().Str("host", p.cfg.Host.ID).Str("peers", p.PeerAddress()).
 		Str("operators", p.OperatorAddress()).Msg("control process started")
 	return nil
 }
 
-func (p *Control) runPeers(context.Context) {
-	if err := p.peers.Serve(p.lns.peers); err != nil {
-		p.opts.Logger.Error().Err(err).Msg("peer listener failed")
-	}
-}
-
-func (p *Control) runOperators(context.Context) {
-	if err := p.http.Serve(p.lns.operators); err != nil {
-		p.opts.Logger.Error().Err(err).Msg("operator listener failed")
-	}
-}
-
 // addresses returns the peer addresses of the control hosts, this one first.
 func (p *Control) addresses() []string {
 	all := []string{p.PeerAddress()}
-	for _, a := range p.opts.Settings.Control.Addresses {
+	for _, a := range p.cfg.Control.Addresses {
 		if !slices.Contains(all, a) {
 			all = append(all, a)
 		}
@@ -132,12 +109,6 @@
 	return all
 }
 
-// PeerAddress returns the address for the project's own processes.
-func (p *Control) PeerAddress() string { return p.lns.peers.Addr().String() }
-
-// OperatorAddress returns the address of the operator interface.
-func (p *Control) OperatorAddress() string { return p.lns.operators.Addr().String() }
-
 // Done is closed when the replicated log has stopped, for example because a
 // write to the data folder failed.
 func (p *Control) Done() <-chan struct{} { return p.node.Done() }
@@ -158,29 +129,23 @@
 func (p *Control) Stop(ctx context.Context) error {
 	var group errs.Group
 	group.Add(p.control.Stop(ctx))
-	group.Add(p.http.Shutdown(ctx))
-	group.Add(p.peers.Shutdown(ctx))
+	group.Add(p.shutdown(ctx))
 	group.Add(p.node.Stop(ctx))
 	p.abort()
-	p.opts.Logger.Info().AnErr("unfinished", group.Err()).Msg("control process stopped")
+	p.log.Info().AnErr("unfinished", group.Err()).Msg("control process stopped")
 	return Error.Wrap(group.Err())
 }
 
 // Abort ends the process at once, as a crash does.
 func (p *Control) Abort() {
-	ctx, cancel := context.WithCancel(context.Background())
-	cancel()
-	_ = p.peers.Shutdown(ctx)
-	_ = p.http.Shutdown(ctx)
-	_ = p.control.Stop(ctx)
+	_ = p.shutdown(ended())
+	_ = p.control.Stop(ended())
 	_ = p.node.Stop(context.Background())
 	p.abort()
 }
 
 func (p *Control) abort() {
-	p.lns.close()
-	p.tasks.stop()
-	p.pool.Close()
+	p.close()
 	if p.sender != nil {
 		p.sender.close()
 	}
@@ -224,7 +189,9 @@
 }
 
 // members connects control to backend servers: one short connection for each
-// call, because control calls a server only when its primary changes.
+// call, on one of the two connections that owners leave unused. Control calls
+// a server when its primary changes and every few seconds to repeat whom to
+// follow.
 func members() control.Members {
 	return control.Members{
 		Status: func(ctx context.Context, address string) (control.MemberStatus, error) {
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -30,9 +30,7 @@
 	"github.com/arbutusring/arbutusring/internal/operator"
 	"github.com/arbutusring/arbutusring/internal/owner"
 	"github.com/arbutusring/arbutusring/internal/ownerrpc"
-	"github.com/arbutusring/arbutusring/internal/peer"
 	"github.com/arbutusring/arbutusring/pkg/settings"
-	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 	"github.com/zeebo/errs"
 )
@@ -55,43 +53,36 @@
 
 // Entry is a running entry process: its caller side and its owner side.
 type Entry struct {
-	opts     EntryOptions
+	*base
 	host     controlrpc.Host
-	registry metrics.Registry
-	pool     *peer.Pool
-	peers    *peer.Server
 	callers  *caller.Server
-	http     *operator.Server
 	control  *controlrpc.Client
 	entry    *entry.Entry
 	owner    *owner.Owner
 	follower *follower
-	lns      listeners
-	tasks    tasks
 }
 
 // StartEntry opens the listeners and starts the process. Port 0 in the
 // settings lets the system choose; Addresses tells the result.
 func StartEntry(opts EntryOptions) (*Entry, error) {
-	lns, err := listen(opts.Settings.Listen)
+	b, err := newBase(opts.Settings, opts.Logger, opts.Dial)
 	if err != nil {
 		return nil, err
 	}
-	p := &Entry{opts: opts, lns: lns, registry: metrics.NewRegistry(), pool: peer.NewPool(peer.PoolOptions{Dial: opts.Dial})}
-	p.host = newHost(opts.Settings.Host, lns)
+	p := &Entry{base: b, host: newHost(opts.Settings.Host, b.lns)}
 	p.control = &controlrpc.Client{Addresses: opts.Settings.Control.Addresses, Call: p.pool.Call}
 	p.owner = owner.New(owner.Options{
 		Host:           p.host.ID,
 		Incarnation:    p.host.Incarnation,
 		Connect:        connectBackend,
-		Logger:         opts.Logger.With().Str("part", "owner").Logger(),
+		Logger:         p.part("owner"),
 		Registry:       p.registry,
 		MaxAnswerBytes: opts.Settings.Entry.MaxAnswerBytes,
 	})
 	p.entry = entry.New(entry.Options{
 		Host:     p.host,
 		Owners:   ownerrpc.Client{Call: p.pool.Call},
-		Logger:   opts.Logger.With().Str("part", "entry").Logger(),
+		Logger:   p.part("entry"),
 		Registry: p.registry,
 	})
 	p.follower = newFollower(p)
@@ -103,44 +94,29 @@
 }
 
 func (p *Entry) start() error {
-	p.peers = peer.NewServer(peer.ServerOptions{})
 	if err := p.peers.Register("Owner", p.owner.Service()); err != nil {
 		return err
 	}
 	p.callers = caller.New(caller.Options{
-		Address:        p.opts.Settings.Listen.Callers,
+		Address:        p.cfg.Listen.Callers,
 		Handler:        p.entry.Handler(),
-		Logger:         p.opts.Logger.With().Str("part", "caller").Logger(),
-		MaxConnections: p.opts.Settings.Entry.MaxConnections,
-		MaxCycleBytes:  p.opts.Settings.Entry.MaxCycleBytes,
+		Logger:         p.part("caller"),
+		MaxConnections: p.cfg.Entry.MaxConnections,
+		MaxCycleBytes:  p.cfg.Entry.MaxCycleBytes,
 	})
 	if err := p.callers.Start(); err != nil {
 		return err
 	}
-	p.http = operator.NewServer(p.handlers(), p.opts.Logger)
+	p.serve(p.handlers())
 	p.tasks.start(p.owner.Run)
 	p.tasks.start(p.follower.loopHeartbeat)
 	p.tasks.start(p.follower.loopWatch)
 	p.tasks.start(p.follower.loopSuspects)
-	p.tasks.start(p.runPeers)
-	p.tasks.start(p.runOperators)
-	p.opts.Logger.Info().Str("host", p.host.ID).Stringer("callers", p.callers.Addr()).
+	p.log.Info().Str("host", p.host.ID).Stringer("callers", p.callers.Addr()).
 		Str("peers", p.host.Address).Str("operators", p.host.OperatorAddress).Msg("entry process started")
 	return nil
 }
 
-func (p *Entry) runPeers(context.Context) {
-	if err := p.peers.Serve(p.lns.peers); err != nil {
-		p.opts.Logger.Error().Err(err).Msg("peer listener failed")
-	}
-}
-
-func (p *Entry) runOperators(context.Context) {
-	if err := p.http.Serve(p.lns.operators); err != nil {
-		p.opts.Logger.Error().Err(err).Msg("operator listener failed")
-	}
-}
-
 func (p *Entry) handlers() operator.Handlers {
 	return operator.Handlers{
 		Announce: p.control.Announce,
@@ -174,9 +150,6 @@
 // CallerAddress returns the address that callers connect to.
 func (p *Entry) CallerAddress() string { return p.callers.Addr().String() }
 
-// OperatorAddress returns the address of the operator interface.
-func (p *Entry) OperatorAddress() string { return p.host.OperatorAddress }
-
 // EntryDump is the state of an entry process.
 type EntryDump struct {
 	Host          controlrpc.Host        `json:"host"`
@@ -213,10 +186,9 @@
 	group.Add(p.callers.Shutdown(ctx), <-drained)
 	group.Add(p.owner.Drain(ctx))
 	p.follower.drain(ctx)
-	group.Add(p.http.Shutdown(ctx))
-	group.Add(p.peers.Shutdown(ctx))
+	group.Add(p.shutdown(ctx))
 	p.abort()
-	p.opts.Logger.Info().AnErr("unfinished", group.Err()).Msg("entry process stopped")
+	p.log.Info().AnErr("unfinished", group.Err()).Msg("entry process stopped")
 	return Error.Wrap(group.Err())
 }
 
@@ -225,18 +197,13 @@
 // Abort ends the process at once, as a crash does.
 func (p *Entry) Abort() {
 	_ = p.callers.Close()
-	ctx, cancel := context.WithCancel(context.Background())
-	cancel()
-	_ = p.peers.Shutdown(ctx)
-	_ = p.http.Shutdown(ctx)
+	_ = p.shutdown(ended())
 	p.abort()
 }
 
 func (p *Entry) abort() {
-	p.lns.close()
-	p.tasks.stop()
+	p.close()
 	p.entry.Close()
-	p.pool.Close()
 }
 
 func newHost(cfg settings.Host, lns listeners) controlrpc.Host {
--- a/internal/process/follower.go
+++ b/internal/process/follower.go
@@ -80,7 +80,7 @@
 		Suspects:      f.p.owner.Suspects(),
 	})
 	if err != nil || reply.Kind != errkind.OK {
-		f.p.opts.Logger.Debug().Err(err).Msg("heartbeat was not answered")
+		f.p.log.Debug().Err(err).Msg("heartbeat was not answered")
 		return
 	}
 	f.p.owner.SetLeases(sentAt, reply)
@@ -134,7 +134,7 @@
 func (f *follower) take(state *controlrpc.State, sentAt time.Time) bool {
 	cfg, err := policy.Parse("configuration", state.ConfigText)
 	if err != nil {
-		f.p.opts.Logger.Error().Err(err).Uint64("version", state.ConfigVersion).Msg("configuration can't be read")
+		f.p.log.Error().Err(err).Uint64("version", state.ConfigVersion).Msg("configuration can't be read")
 		return false
 	}
 	f.p.owner.SetState(*state, cfg)
--- a/internal/process/membership.go
+++ b/internal/process/membership.go
@@ -57,6 +57,6 @@
 	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
 	defer cancel()
 	err := p.node.ChangeMembers(ctx, c)
-	p.opts.Logger.Info().Err(err).Str("change", string(c.Kind)).Str("member", c.Member.ID).
+	p.log.Info().Err(err).Str("change", string(c.Kind)).Str("member", c.Member.ID).
 		Str("incarnation", c.Member.Incarnation).Msg("membership of control")
 }
