--- a/internal/faulttest/installation.go
+++ b/internal/faulttest/installation.go
@@ -77,6 +77,8 @@
 	opts    Options
 	ip      string
 
+	reserved []net.Listener // until all addresses have been chosen
+
 	controlPeers []string
 	controlOps   []string
 	entryPeers   []string
@@ -111,7 +113,9 @@
 	if opts.RegionLatency > 0 {
 		in.Network.Latency = in.latency
 	}
-	if err := in.reserve(); err != nil {
+	err := in.reserve()
+	in.release()
+	if err != nil {
 		return nil, err
 	}
 	if err := in.startAll(ctx); err != nil {
@@ -174,11 +178,20 @@
 			return err
 		}
 		*list = append(*list, ln.Addr().String())
-		defer func() { _ = ln.Close() }()
+		in.reserved = append(in.reserved, ln)
 	}
 	return nil
 }
 
+// release frees the reserved addresses, once all have been chosen and so
+// differ from each other.
+func (in *Installation) release() {
+	for _, ln := range in.reserved {
+		_ = ln.Close()
+	}
+	in.reserved = nil
+}
+
 // listenBelowEphemeral listens on a random port that no outgoing connection
 // uses as its own: otherwise a port that a stopped process has freed may be
 // taken before the process starts again.
