--- a/internal/faulttest/history.go
+++ b/internal/faulttest/history.go
@@ -27,6 +27,7 @@
 	Start    time.Duration     // since the start of the run, one clock for all sessions
 	End      time.Duration
 	Outcome  Outcome
+	Begun    bool   // a transaction that got past BEGIN
 	Resolved bool   // has a request id and was resent until it was acknowledged
 	Detail   string // of the error
 }
--- a/internal/faulttest/installation.go
+++ b/internal/faulttest/installation.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -10,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/arbutusring/arbutusring/internal/consensus"
 	"github.com/arbutusring/arbutusring/internal/controlrpc"
 	"github.com/arbutusring/arbutusring/internal/operator"
 	"github.com/arbutusring/arbutusring/internal/ownerrpc"
@@ -142,31 +144,35 @@
 }
 
 // reserve chooses all addresses, so that a restarted process keeps its own.
+// They are on a loopback IP of the installation's own. On 127.0.0.1 the system
+// could take the port of a process that is not running for an outgoing
+// connection.
 func (in *Installation) reserve() error {
+	ip := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
 	for i := range in.controls {
-		if err := reserve(&in.controlPeers, &in.controlOps); err != nil {
+		if err := reserve(ip, &in.controlPeers, &in.controlOps); err != nil {
 			return err
 		}
 		in.Network.Register(in.controlPeers[i], controlID(i))
 	}
 	for i := range in.entries {
-		if err := reserve(&in.entryPeers, &in.entryOps, &in.entryCallers); err != nil {
+		if err := reserve(ip, &in.entryPeers, &in.entryOps, &in.entryCallers); err != nil {
 			return err
 		}
 		in.Network.Register(in.entryPeers[i], entryID(i))
 	}
 	for range in.servers {
-		if err := reserve(&in.serverAddrs); err != nil {
+		if err := reserve(ip, &in.serverAddrs); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// reserve appends a free loopback address to each list.
-func reserve(lists ...*[]string) error {
+// reserve appends a free address on an IP to each list.
+func reserve(ip string, lists ...*[]string) error {
 	for _, list := range lists {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		ln, err := net.Listen("tcp", ip+":0")
 		if err != nil {
 			return Error.Wrap(err)
 		}
@@ -189,6 +195,15 @@
 func entryID(i int) string   { return fmt.Sprintf("entry-%d", i) }
 func serverID(i int) string  { return fmt.Sprintf("server-%d", i) }
 
+// ControlID returns the host id of a control process.
+func ControlID(i int) string { return controlID(i) }
+
+// EntryID returns the host id of an entry.
+func EntryID(i int) string { return entryID(i) }
+
+// ServerID returns the id of a backend server.
+func ServerID(i int) string { return serverID(i) }
+
 // StartControl starts a control process on its data folder.
 func (in *Installation) StartControl(i int) error {
 	folder := in.controlFolder(i)
@@ -478,6 +493,65 @@
 	return all
 }
 
+// StopControl stops a control process as planned.
+func (in *Installation) StopControl(ctx context.Context, i int) error {
+	in.mu.Lock()
+	p := in.controls[i]
+	in.controls[i] = nil
+	in.mu.Unlock()
+	if p == nil {
+		return nil
+	}
+	return p.Stop(ctx)
+}
+
+// StopServer stops a backend server as planned: it announces its departure.
+func (in *Installation) StopServer(ctx context.Context, i int) error {
+	in.mu.Lock()
+	s := in.servers[i]
+	in.servers[i] = nil
+	in.mu.Unlock()
+	if s == nil {
+		return nil
+	}
+	return s.Stop(ctx)
+}
+
+// ControlStatuses returns the status of the log of every running control
+// process by its number.
+func (in *Installation) ControlStatuses() map[int]consensus.Status {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	all := make(map[int]consensus.Status)
+	for i, p := range in.controls {
+		if p != nil {
+			all[i] = p.Dump().Log
+		}
+	}
+	return all
+}
+
+// Leader returns the number of the control process that leads with a valid
+// read lease, or false.
+func (in *Installation) Leader() (int, bool) {
+	for i, st := range in.ControlStatuses() {
+		if st.Role == consensus.Leader && st.LeaseValid {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+// Entry returns a running entry process, or nil.
+func (in *Installation) Entry(i int) *process.Entry {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.entries[i]
+}
+
+// ControlOperator returns the operator address of a control process.
+func (in *Installation) ControlOperator(i int) string { return in.controlOps[i] }
+
 // EntryOperator returns the operator address of an entry.
 func (in *Installation) EntryOperator(i int) string { return in.entryOps[i] }
 
--- a/internal/faulttest/run.go
+++ b/internal/faulttest/run.go
@@ -113,14 +113,22 @@
 }
 
 func (in *Installation) tryReadAll(ctx context.Context, keys int) (map[string]string, error) {
-	conn, err := pgx.Connect(ctx, in.CallerDSN(0))
+	names := make([]string, keys)
+	for i := range names {
+		names[i] = fmt.Sprintf("key-%d", i)
+	}
+	return readKeys(ctx, in.CallerDSN(0), names)
+}
+
+// readKeys reads keys at the primary, by locking reads.
+func readKeys(ctx context.Context, dsn string, keys []string) (map[string]string, error) {
+	conn, err := pgx.Connect(ctx, dsn)
 	if err != nil {
 		return nil, err
 	}
 	defer func() { _ = conn.Close(ctx) }()
 	final := make(map[string]string)
-	for i := range keys {
-		key := fmt.Sprintf("key-%d", i)
+	for _, key := range keys {
 		var v string
 		if err := conn.QueryRow(ctx, "SELECT v FROM kv WHERE k = $1 FOR UPDATE", key).Scan(&v); err != nil {
 			return nil, err
--- a/internal/faulttest/session.go
+++ b/internal/faulttest/session.go
@@ -117,7 +117,7 @@
 // finish records an operation and remembers the token.
 func (w *worker) finish(op Op, err error) {
 	op.Session, op.End = w.id, time.Since(w.began)
-	op.Outcome, op.Detail = classify(err)
+	op.Outcome, op.Detail = Classify(err)
 	w.history.Add(op)
 	if w.conn != nil {
 		if t := w.conn.PgConn().ParameterStatus(tokenParameter); t != "" {
@@ -129,9 +129,9 @@
 	}
 }
 
-// classify tells what the error says about the outcome. Without an answer the
+// Classify tells what the error says about the outcome. Without an answer the
 // outcome is unknown.
-func classify(err error) (Outcome, string) {
+func Classify(err error) (Outcome, string) {
 	if err == nil {
 		return Acked, ""
 	}
