--- a/internal/faulttest/faults.go
+++ b/internal/faulttest/faults.go
@@ -13,10 +13,9 @@
 
 // Injector provokes faults in an order that its random source decides.
 type Injector struct {
-	in      *Installation
-	rng     *rand.Rand
-	version uint64
-	Log     []string // what was provoked, in order
+	in  *Installation
+	rng *rand.Rand
+	Log []string // what was provoked, in order
 }
 
 // fault is one kind of fault. It returns the repair, which may be nil.
