--- /dev/null
+++ b/cmd/arbutusring/pause_test.go
@@ -0,0 +1,54 @@
+package main_test
+
+import (
+	"context"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/arbutusring/arbutusring/internal/faulttest"
+	"github.com/arbutusring/arbutusring/internal/operator"
+	"github.com/matryer/is"
+)
+
+// TestPausedOwnerLosesNothing guards against an owner that was paused for
+// longer than its lease and then acknowledges under it: every acknowledged
+// write, through the paused and through the other entries, is there once.
+func TestPausedOwnerLosesNothing(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts nine processes")
+	}
+	is := is.New(t)
+	in := newInstallation(t, 3, 3)
+	in.until("first write", func(ctx context.Context) error {
+		_, err := in.write(ctx, 1, "k", "v")
+		return err
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	primary := in.primary()
+	reply, err := operator.Client{Address: in.operators[1]}.State(ctx)
+	is.NoErr(err)
+	owner := reply.State.Leases[primary].Host
+	var sessions []faulttest.LoadSession
+	for _, kind := range []faulttest.OpKind{faulttest.OpAppend, faulttest.OpIdempotent} {
+		for _, c := range in.callers {
+			sessions = append(sessions, faulttest.LoadSession{DSN: "postgres://caller@" + c + "/orders?sslmode=disable", Kind: kind})
+		}
+	}
+	load, err := faulttest.StartLoad(ctx, "pause", sessions)
+	is.NoErr(err)
+	time.Sleep(time.Second)
+	is.NoErr(in.procs[owner].Process.Signal(syscall.SIGSTOP))
+	time.Sleep(4 * time.Second)
+	is.NoErr(in.procs[owner].Process.Signal(syscall.SIGCONT))
+	time.Sleep(time.Second)
+	ops := load.Stop()
+	final, err := load.Final(ctx, sessions[0].DSN)
+	is.NoErr(err)
+	for _, f := range faulttest.Check(ops, final) {
+		t.Error(f)
+	}
+	gap, _ := faulttest.LongestGap(ops)
+	t.Logf("%s was paused; %d operations, longest gap in writes %s", owner, len(ops), gap)
+}
