--- a/cmd/arbutusring/pause_test.go
+++ b/cmd/arbutusring/owner_test.go
@@ -15,6 +15,28 @@
 // longer than its lease and then acknowledges under it: every acknowledged
 // write, through the paused and through the other entries, is there once.
 func TestPausedOwnerLosesNothing(t *testing.T) {
+	disturbOwner(t, func(in *installation, owner string) {
+		is := is.New(t)
+		is.NoErr(in.procs[owner].Process.Signal(syscall.SIGSTOP))
+		time.Sleep(4 * time.Second)
+		is.NoErr(in.procs[owner].Process.Signal(syscall.SIGCONT))
+	})
+}
+
+// TestKilledOwnerTellsNoWrongOutcome guards against a write that is refused as
+// not run although it committed, when its owner is killed with commits in
+// progress.
+func TestKilledOwnerTellsNoWrongOutcome(t *testing.T) {
+	disturbOwner(t, func(in *installation, owner string) {
+		in.kill(owner)
+		time.Sleep(4 * time.Second)
+	})
+}
+
+// disturbOwner disturbs the owner of the primary while sessions write through
+// all entries, and checks the history.
+func disturbOwner(t *testing.T, disturb func(in *installation, owner string)) {
+	t.Helper()
 	if testing.Short() {
 		t.Skip("starts nine processes")
 	}
@@ -36,19 +58,21 @@
 			sessions = append(sessions, faulttest.LoadSession{DSN: "postgres://caller@" + c + "/orders?sslmode=disable", Kind: kind})
 		}
 	}
+	survivor := sessions[0].DSN
+	if owner == "entry-0" {
+		survivor = sessions[1].DSN
+	}
 	load, err := faulttest.StartLoad(ctx, "pause", sessions)
 	is.NoErr(err)
 	time.Sleep(time.Second)
-	is.NoErr(in.procs[owner].Process.Signal(syscall.SIGSTOP))
-	time.Sleep(4 * time.Second)
-	is.NoErr(in.procs[owner].Process.Signal(syscall.SIGCONT))
+	disturb(in, owner)
 	time.Sleep(time.Second)
 	ops := load.Stop()
-	final, err := load.Final(ctx, sessions[0].DSN)
+	final, err := load.Final(ctx, survivor)
 	is.NoErr(err)
 	for _, f := range faulttest.Check(ops, final) {
 		t.Error(f)
 	}
 	gap, _ := faulttest.LongestGap(ops)
-	t.Logf("%s was paused; %d operations, longest gap in writes %s", owner, len(ops), gap)
+	t.Logf("owner %s; %d operations, longest gap in writes %s", owner, len(ops), gap)
 }
