Planned stops: a departing primary serves until it is replaced; a stopping owner answers late requests

Cause, from TestDepartures: (1) primary_announced, red in 3 of 3 runs with 5 unknown outcomes each: the stand-in closed its idle connections at once, so that the owner could not read the progress of the replicas for commits in progress, and a close with unread data destroyed the 57P01 message, which the owner read as a bare EOF. (2) owner_of_the_primary_stopped, 1 of 5 runs: a request that was sent on the state before met closed connections. Change: a departing primary serves until it is fenced (at most 5 s) and reads what the client has sent before it closes; an entry process answers other hosts for 500 ms after it has given up its leases.

--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -41,6 +41,11 @@
 // backendUser is the PostgreSQL user of connections to backend servers.
 const backendUser = "arbutusring"
 
+// stopLinger is the time for which a stopping process still answers other
+// hosts after it has given up its leases: requests that were sent on the state
+// before are refused as not run, and outcomes can be asked for.
+const stopLinger = 500 * time.Millisecond
+
 // EntryOptions configure an entry process.
 type EntryOptions struct {
 	Settings settings.Settings
@@ -186,6 +191,7 @@
 	group.Add(p.callers.Shutdown(ctx), <-drained)
 	group.Add(p.owner.Drain(ctx))
 	p.follower.drain(ctx)
+	pause(ctx, stopLinger)
 	group.Add(p.shutdown(ctx))
 	p.abort()
 	p.log.Info().AnErr("unfinished", group.Err()).Msg("entry process stopped")
--- a/internal/standin/conn.go
+++ b/internal/standin/conn.go
@@ -5,7 +5,9 @@
 	"crypto/rand"
 	"encoding/binary"
 	"errors"
+	"io"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -210,12 +212,28 @@
 	}
 }
 
-// shutdown tells the client that the server stops.
+// shutdown tells the client that the server stops. It discards what the client
+// sends meanwhile: closing a connection with unread data resets it, and the
+// client could lose the message.
 func (c *conn) shutdown() error {
 	c.backend.Send(errorResponse(sqlErrorf(codeShutdown, "terminating connection due to administrator command"), "FATAL"))
-	return c.backend.Flush()
+	if err := c.backend.Flush(); err != nil {
+		return err
+	}
+	if err := c.stream.SetReadDeadline(time.Now().Add(shutdownLinger)); err != nil {
+		return err
+	}
+	_, err := io.Copy(io.Discard, c.stream)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil
+	}
+	return err
 }
 
+// shutdownLinger is the time that a client has to read the last message and to
+// close.
+const shutdownLinger = 200 * time.Millisecond
+
 // ready ends a cycle.
 func (c *conn) ready() error {
 	c.backend.Send(&pgproto3.ReadyForQuery{TxStatus: c.txStatus()})
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -27,10 +27,11 @@
 	wg       sync.WaitGroup // every goroutine of the server
 	ended    sync.Once
 
-	mu       sync.Mutex // guards the fields below
-	conns    map[*conn]struct{}
-	nextPID  uint32
-	stopping bool
+	mu        sync.Mutex // guards the fields below
+	conns     map[*conn]struct{}
+	nextPID   uint32
+	departing bool // announced; connections are still served
+	stopping  bool
 }
 
 // New opens the data folder, if there is one, and returns a server that has
@@ -131,7 +132,7 @@
 func (s *Server) Announcement() controlrpc.Server {
 	st := s.node.status()
 	s.mu.Lock()
-	departing := s.stopping
+	departing := s.departing || s.stopping
 	s.mu.Unlock()
 	return controlrpc.Server{
 		ID: st.meta.ID, Group: s.opts.Group, Address: s.Address(), DataCentre: s.opts.DataCentre, Labels: s.opts.Labels,
@@ -220,6 +221,10 @@
 	}
 }
 
+// handoverTimeout limits the wait of a departing primary. A planned change of
+// the primary takes well below a second.
+const handoverTimeout = 5 * time.Second
+
 // isStopping reports whether Stop has been called.
 func (s *Server) isStopping() bool {
 	s.mu.Lock()
@@ -227,12 +232,13 @@
 	return s.stopping
 }
 
-// Stop shuts the server down: it announces its departure, accepts no new
-// connections, closes connections as soon as they have no open transaction,
+// Stop shuts the server down: it announces its departure, as a primary waits
+// until another server has taken over, accepts no new connections, closes connections as soon as they have no open transaction,
 // and returns when all are closed and connected replicas have received the end
 // of the log. When ctx ends first, it closes the rest and returns the error of
 // ctx. A replica that does not proceed delays the end by replicationTimeout.
 func (s *Server) Stop(ctx context.Context) error {
+	s.depart(ctx)
 	s.mu.Lock()
 	s.stopping = true
 	conns := make([]*conn, 0, len(s.conns))
@@ -241,10 +247,6 @@
 	}
 	s.mu.Unlock()
 	_ = s.listener.Close()
-	if len(s.opts.AnnounceTo) > 0 {
-		a := &announcer{srv: s}
-		a.announce(ctx)
-	}
 	for _, c := range conns {
 		c.interruptIdle()
 	}
@@ -260,6 +262,26 @@
 	return nil
 }
 
+// depart announces the departure. A primary goes on until it is fenced, for at
+// most handoverTimeout: commits in progress are confirmed through its
+// connections, and their outcome would be unknown without them.
+func (s *Server) depart(ctx context.Context) {
+	if len(s.opts.AnnounceTo) == 0 {
+		return
+	}
+	s.mu.Lock()
+	s.departing = true
+	s.mu.Unlock()
+	a := &announcer{srv: s}
+	a.announce(ctx)
+	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
+	defer cancel()
+	replaced := func() bool { primary, _ := s.Primary(); return !primary }
+	if err := poll(ctx, replaced); err != nil {
+		s.opts.Log.Warn().Msg("stopping although no other server has taken over as the primary")
+	}
+}
+
 // clients returns the number of client connections.
 func (s *Server) clients() int {
 	s.mu.Lock()
