Share the scan loop of failover and followers; parse a configuration once per text

Found in the read-through: Failover.run and Followers.run were the same loop, now scanUntilEnd; an entry process parsed the whole configuration at each change of the state, although most changes leave the text as it is (54 ms at 10,000 groups, docs/CAPACITY.md). Behaviour is unchanged. go test -race of control, process and cmd/arbutusring passed.

--- a/internal/control/failover.go
+++ b/internal/control/failover.go
@@ -104,21 +104,7 @@
 
 // run works until ctx ends, which is the end of the leadership.
 func (f *Failover) run(ctx context.Context) {
-	tick := time.NewTicker(f.opts.Tick)
-	defer tick.Stop()
-	var group sync.WaitGroup
-	defer group.Wait()
-	for {
-		changed := f.machine.Changed()
-		f.scan(ctx, &group)
-		select {
-		case <-ctx.Done():
-			return
-		case <-changed:
-		case <-f.wake:
-		case <-tick.C:
-		}
-	}
+	scanUntilEnd(ctx, f.machine, f.wake, f.opts.Tick, f.scan)
 }
 
 // scan starts the attempts that are due, as far as there are free slots.
--- a/internal/control/followers.go
+++ b/internal/control/followers.go
@@ -76,21 +76,7 @@
 
 // run works until ctx ends, which is the end of the leadership.
 func (f *Followers) run(ctx context.Context) {
-	tick := time.NewTicker(planEvery)
-	defer tick.Stop()
-	var group sync.WaitGroup
-	defer group.Wait()
-	for {
-		changed := f.machine.Changed()
-		f.scan(ctx, &group)
-		select {
-		case <-ctx.Done():
-			return
-		case <-changed:
-		case <-f.wake:
-		case <-tick.C:
-		}
-	}
+	scanUntilEnd(ctx, f.machine, f.wake, planEvery, f.scan)
 }
 
 // due is a call that may start now.
--- /dev/null
+++ b/internal/control/scan.go
@@ -0,0 +1,28 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// scanUntilEnd calls scan at once, after each change of the state, when wake
+// delivers, and at every interval, until ctx ends. It then waits for the
+// goroutines that scan has started in the group.
+func scanUntilEnd(ctx context.Context, machine *Machine, wake <-chan struct{}, every time.Duration, scan func(context.Context, *sync.WaitGroup)) {
+	tick := time.NewTicker(every)
+	defer tick.Stop()
+	var group sync.WaitGroup
+	defer group.Wait()
+	for {
+		changed := machine.Changed()
+		scan(ctx, &group)
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-wake:
+		case <-tick.C:
+		}
+	}
+}
--- a/internal/process/follower.go
+++ b/internal/process/follower.go
@@ -41,6 +41,9 @@
 	state    atomic.Pointer[controlrpc.State] // in force here, never nil
 	draining atomic.Bool
 	wake     chan struct{} // asks for a heartbeat at once
+
+	cfg  *policy.Config // of text; both are used by loopWatch only
+	text string
 }
 
 func newFollower(p *Entry) *follower {
@@ -132,7 +135,7 @@
 // leaves the state in force unchanged: the entry then runs out of confirmations
 // and refuses work, which is better than guessing.
 func (f *follower) take(state *controlrpc.State, sentAt time.Time) bool {
-	cfg, err := policy.Parse("configuration", state.ConfigText)
+	cfg, err := f.parse(state.ConfigText)
 	if err != nil {
 		f.p.log.Error().Err(err).Uint64("version", state.ConfigVersion).Msg("configuration can't be read")
 		return false
@@ -145,6 +148,20 @@
 	return true
 }
 
+// parse returns the configuration of a text. Most changes of the state leave
+// the text as it is, and reading one of 10,000 groups takes 54 ms.
+func (f *follower) parse(text string) (*policy.Config, error) {
+	if f.cfg != nil && text == f.text {
+		return f.cfg, nil
+	}
+	cfg, err := policy.Parse("configuration", text)
+	if err != nil {
+		return nil, err
+	}
+	f.cfg, f.text = cfg, text
+	return cfg, nil
+}
+
 // drain tells control that this host gives up its leases, and waits until it
 // holds none, which does not happen when there is no other host.
 func (f *follower) drain(ctx context.Context) {
