entry: an error after an unresolved attempt leaves the outcome unknown

Cause: runWrite returned the server's error to a second attempt as the final answer, although an earlier attempt of the same request had no known outcome. The earlier attempt could hold the row lock that the second one failed on, and commit later: the caller was told 'not run' for a write that took effect.

Ruled out: the owner's outcome store (the second attempt runs at another incarnation, which knows nothing of the first).

Before: TestErrorAfterLostAttempt answers 55P03, not_run, with the write in the log. After: 08007, unknown.

--- a/internal/entry/faults_test.go
+++ b/internal/entry/faults_test.go
@@ -11,6 +11,7 @@
 	"github.com/arbutusring/arbutusring/internal/entry"
 	"github.com/arbutusring/arbutusring/internal/ownerrpc"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
+	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 )
@@ -85,6 +86,34 @@
 	})
 }
 
+// TestErrorAfterLostAttempt guards against a false not_run: the answer of the
+// first attempt is lost, the write takes effect, and the server refuses the
+// second attempt, for example because the first one still holds the row lock.
+func TestErrorAfterLostAttempt(t *testing.T) {
+	for _, setting := range []string{"repeatable = on", "request_id = 'r1'"} {
+		bubble(t, "", func(t *testing.T, is *is.I, f *fake, ent *entry.Entry) {
+			var sent int
+			f.incarnation = "2" // the owner knows nothing of the first attempt
+			f.exec = func(_ context.Context, args *ownerrpc.ExecArgs) (fault, *ownerrpc.ExecReply) {
+				sent++
+				if sent == 1 {
+					return faultLoseAnswer, nil
+				}
+				refusal, _ := (&pgproto3.ErrorResponse{Severity: "ERROR", Code: "55P03", Message: "lock timeout"}).Encode(nil)
+				return faultNone, &ownerrpc.ExecReply{TxStatus: 'I', Messages: append(refusal, 'Z', 0, 0, 0, 5, 'I')}
+			}
+			d := open(t, ent)
+			defer d.close()
+			d.must("set arbutusring." + setting)
+			a := d.query("insert into kv values ('a', '1')")
+			is.True(sent > 1)
+			is.Equal(a.code, "08007")
+			is.Equal(a.outcome, "unknown")
+			is.Equal(f.count("insert"), 1)
+		})
+	}
+}
+
 // TestUnreachableOwner guards against waiting beyond the deadline, and against
 // an unknown outcome of a statement that was never sent.
 func TestUnreachableOwner(t *testing.T) {
--- a/internal/entry/runread.go
+++ b/internal/entry/runread.go
@@ -200,17 +200,23 @@
 
 // refusedReadOnly reports whether the answer is the error of a replica that
 // was asked to write. Such a statement did not run.
-func refusedReadOnly(messages []byte) bool {
+func refusedReadOnly(messages []byte) bool { return sqlState(messages) == stateReadOnly }
+
+// sqlState returns the SQLSTATE of the first error of an answer, or "".
+func sqlState(messages []byte) string {
 	for rest := messages; len(rest) > 0; {
 		m, next, ok := nextMessage(rest)
 		if !ok {
-			return false
+			return ""
 		}
 		if m[0] == 'E' {
 			var msg pgproto3.ErrorResponse
-			return msg.Decode(m[5:]) == nil && msg.Code == stateReadOnly
+			if msg.Decode(m[5:]) != nil {
+				return ""
+			}
+			return msg.Code
 		}
 		rest = next
 	}
-	return false
+	return ""
 }
--- a/internal/entry/runwrite.go
+++ b/internal/entry/runwrite.go
@@ -30,6 +30,11 @@
 			s.entry.metrics.budgetEmpty.Inc(1)
 		default:
 			reply, err := s.attemptWrite(ctx, r, t, gv.term, &action)
+			if err == nil && r.mayHaveRun() && sqlState(reply.Messages) != "" {
+				// The refusal concerns this attempt only. An earlier one may hold
+				// the very lock that this one failed on, and commit later.
+				return reply, t, gv.term, errkind.New(errkind.OutcomeUnknown, "an earlier attempt may have run; a later one was refused with %s", sqlState(reply.Messages))
+			}
 			if err == nil || action == GiveUp {
 				return reply, t, gv.term, err
 			}
