--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -124,7 +124,7 @@
 		c.waitingBytes += len(cycle.Messages)
 	}
 	if !c.running && (len(c.waiting) > 0 || c.fatal != nil) {
-		c.srv.workers.submit(c)
+		c.srv.workers.Submit(c)
 	}
 }
 
@@ -165,7 +165,7 @@
 				return
 			}
 			c.startup, c.negotiate, c.phase = msg, negotiate, phaseOpening
-			c.srv.workers.submit(c)
+			c.srv.workers.Submit(c)
 		}
 		c.framer.drop(len(packet) + 4)
 	}
@@ -196,10 +196,10 @@
 	}
 }
 
-// work runs on a worker. It runs the waiting cycles until none is left, until
+// Work runs on a worker. It runs the waiting cycles until none is left, until
 // an answer has to be sent first, or until other connections wait for a
 // worker.
-func (c *conn) work() {
+func (c *conn) Work() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.running {
@@ -208,7 +208,7 @@
 	c.running = true
 	defer func() { c.running = false }()
 	for c.step() {
-		if c.srv.workers.crowded() && c.srv.workers.submit(c) {
+		if c.srv.workers.Crowded() && c.srv.workers.Submit(c) {
 			return
 		}
 	}
@@ -295,7 +295,7 @@
 // onWritten runs with the lock of nbio.Conn held, so it must not take c.mu.
 func (c *conn) onWritten(n int) {
 	if c.unsent.Add(-int64(n)) == 0 && c.parked.CompareAndSwap(true, false) {
-		c.srv.workers.submit(c)
+		c.srv.workers.Submit(c)
 	}
 }
 
@@ -465,6 +465,6 @@
 	c.mu.Unlock()
 	c.srv.registry.remove(c)
 	if submit {
-		c.srv.workers.submit(c)
+		c.srv.workers.Submit(c)
 	}
 }
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/arbutusring/arbutusring/internal/workpool"
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
 	"github.com/zeebo/errs"
@@ -28,7 +29,7 @@
 	opts     Options
 	engine   *nbio.Engine
 	listener net.Listener
-	workers  *workers
+	workers  *workpool.Pool[*conn]
 	registry registry
 	buffers  sync.Pool // *[]byte of readChunk bytes
 	ctx      context.Context
@@ -42,7 +43,7 @@
 // New returns a server that is not started.
 func New(opts Options) *Server {
 	opts.setDefaults()
-	s := &Server{opts: opts, workers: newWorkers(opts.MaxWorkers)}
+	s := &Server{opts: opts, workers: workpool.New[*conn](opts.MaxWorkers)}
 	s.registry.conns = make(map[uint32]*conn)
 	s.buffers.New = func() any {
 		b := make([]byte, readChunk)
@@ -182,6 +183,6 @@
 		c.endNow()
 	}
 	s.engine.Stop()
-	s.workers.close()
+	s.workers.Close()
 	s.cancels.Wait()
 }
--- a/internal/owner/execution.go
+++ b/internal/owner/execution.go
@@ -6,6 +6,7 @@
 
 	"github.com/arbutusring/arbutusring/internal/controlrpc"
 	"github.com/arbutusring/arbutusring/internal/ownerrpc"
+	"github.com/arbutusring/arbutusring/internal/schedule"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
 	"github.com/arbutusring/arbutusring/pkg/logpos"
 )
@@ -214,22 +215,22 @@
 }
 
 // prepare obtains a slot and a connection.
-func (x *execution) prepare(ctx context.Context) (*pooledConn, Slot, error) {
+func (x *execution) prepare(ctx context.Context) (*pooledConn, schedule.Slot, error) {
 	s := x.server
 	if err := x.precheck(ctx); err != nil {
-		return nil, Slot{}, err
+		return nil, schedule.Slot{}, err
 	}
 	start := time.Now()
 	rank := s.view.Load().rank(x.args.Rank)
 	slot, err := s.sched.Acquire(ctx, rank, x.deadline)
 	if err != nil {
-		return nil, Slot{}, err
+		return nil, schedule.Slot{}, err
 	}
 	since(x.owner.meters.slotWait(rank), start)
 	c, err := s.pool.get(ctx)
 	if err != nil {
 		s.sched.Release(slot)
-		return nil, Slot{}, err
+		return nil, schedule.Slot{}, err
 	}
 	return c, slot, nil
 }
@@ -274,7 +275,7 @@
 	return res
 }
 
-func (x *execution) release(slot Slot) { x.server.sched.Release(slot) }
+func (x *execution) release(slot schedule.Slot) { x.server.sched.Release(slot) }
 
 // answer turns a result into the reply. It waits for the majority if the
 // cycle may have committed a write.
--- a/internal/owner/server.go
+++ b/internal/owner/server.go
@@ -8,6 +8,7 @@
 
 	"github.com/arbutusring/arbutusring/internal/controlrpc"
 	"github.com/arbutusring/arbutusring/internal/ownerrpc"
+	"github.com/arbutusring/arbutusring/internal/schedule"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
 	"github.com/rs/zerolog"
 )
@@ -23,7 +24,7 @@
 	log     zerolog.Logger
 	leases  *leaseTable
 	entries *entryTable
-	sched   *Scheduler
+	sched   *schedule.Scheduler
 	pool    *pool
 	monitor *monitor
 	permits *permits
@@ -51,7 +52,7 @@
 		txs: map[sessionKey]*transaction{},
 	}
 	connect := func(ctx context.Context) (Conn, error) { return o.opts.Connect(ctx, s.address, s.group) }
-	s.sched = NewScheduler(SchedulerOptions{Slots: v.slots(), Ranks: v.ranks, Window: s.limits.FloorWindow})
+	s.sched = schedule.New(schedule.Options{Slots: v.slots(), Ranks: v.ranks, Window: s.limits.FloorWindow})
 	s.pool = newPool(connect, v.connections(), s.limits.Opening, s.limits.ConnectTimeout)
 	s.permits = newPermits(v.transactions())
 	leased := func() bool { return s.leased() || o.opts.Disabled.LeaseAtAnswer }
--- a/internal/owner/serverview.go
+++ b/internal/owner/serverview.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/arbutusring/arbutusring/internal/controlrpc"
+	"github.com/arbutusring/arbutusring/internal/schedule"
 	"github.com/arbutusring/arbutusring/pkg/policy"
 )
 
@@ -17,7 +18,7 @@
 type serverView struct {
 	spec          controlrpc.Server
 	members       []string
-	ranks         []RankSpec // in order
+	ranks         []schedule.RankSpec // in order
 	higher        map[string]int
 	effective     map[string]policy.Effective // by rank
 	defaultRank   string
--- a/internal/owner/viewbuilder.go
+++ b/internal/owner/viewbuilder.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/arbutusring/arbutusring/internal/controlrpc"
+	"github.com/arbutusring/arbutusring/internal/schedule"
 	"github.com/arbutusring/arbutusring/pkg/policy"
 )
 
@@ -41,7 +42,7 @@
 		if opts.Disabled.Floors {
 			floor = 0
 		}
-		v.ranks = append(v.ranks, RankSpec{Name: r.Name, Floor: floor, QueueLimit: eff.QueueLimit})
+		v.ranks = append(v.ranks, schedule.RankSpec{Name: r.Name, Floor: floor, QueueLimit: eff.QueueLimit})
 		v.higher[r.Name] = i
 		v.effective[r.Name] = eff
 		if r.Default {
--- a/internal/owner/scheduleroptions.go
+++ b/internal/schedule/options.go
@@ -1,9 +1,9 @@
-package owner
+package schedule
 
 import "time"
 
-// SchedulerOptions configure a Scheduler.
-type SchedulerOptions struct {
+// Options configure a Scheduler.
+type Options struct {
 	Slots  int
 	Ranks  []RankSpec    // the first is served first
 	Window time.Duration // over which the floors hold
--- a/internal/owner/rankqueue.go
+++ b/internal/schedule/rankqueue.go
@@ -1,4 +1,4 @@
-package owner
+package schedule
 
 import (
 	"math"
--- a/internal/owner/rankspec.go
+++ b/internal/schedule/rankspec.go
@@ -1,4 +1,4 @@
-package owner
+package schedule
 
 // RankSpec is what a Scheduler needs to know of a traffic rank.
 type RankSpec struct {
--- a/internal/owner/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -1,4 +1,13 @@
-package owner
+// Package schedule hands out the slots of one backend server to statements of
+// several traffic ranks: strict order of the ranks with guaranteed minimum
+// shares, bounded queues, and refusal at once of what could not start in time.
+//
+// # Usage
+//
+//	s := schedule.New(schedule.Options{Slots: 3, Ranks: ranks})
+//	slot, err := s.Acquire(ctx, "urgent", deadline) // an error: not run
+//	defer s.Release(slot)
+package schedule
 
 import (
 	"context"
@@ -32,8 +41,8 @@
 	closed    error
 }
 
-// NewScheduler returns a scheduler with free slots.
-func NewScheduler(opts SchedulerOptions) *Scheduler {
+// New returns a scheduler with free slots.
+func New(opts Options) *Scheduler {
 	if opts.Now == nil {
 		opts.Now = time.Now
 	}
--- a/internal/owner/scheduler_test.go
+++ b/internal/schedule/scheduler_test.go
@@ -1,4 +1,4 @@
-package owner_test
+package schedule_test
 
 import (
 	"context"
@@ -7,14 +7,14 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/arbutusring/arbutusring/internal/owner"
+	"github.com/arbutusring/arbutusring/internal/schedule"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 )
 
-func ranks(urgent, normal, bulk float64) []owner.RankSpec {
-	return []owner.RankSpec{
+func ranks(urgent, normal, bulk float64) []schedule.RankSpec {
+	return []schedule.RankSpec{
 		{Name: "urgent", Floor: urgent, QueueLimit: 100}, {Name: "normal", Floor: normal, QueueLimit: 100}, {Name: "bulk", Floor: bulk, QueueLimit: 100},
 	}
 }
@@ -55,7 +55,7 @@
 }
 
 func simulate(slots int, jobs []*job) (fault string) {
-	s := owner.NewScheduler(owner.SchedulerOptions{Slots: slots, Ranks: ranks(0, 0, 0)})
+	s := schedule.New(schedule.Options{Slots: slots, Ranks: ranks(0, 0, 0)})
 	begin := time.Now()
 	for _, j := range jobs {
 		go func() {
@@ -143,7 +143,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		ctx := context.Background()
-		s := owner.NewScheduler(owner.SchedulerOptions{Slots: 1, Ranks: ranks(0, 0, 0)})
+		s := schedule.New(schedule.Options{Slots: 1, Ranks: ranks(0, 0, 0)})
 		slot, err := s.Acquire(ctx, "bulk", time.Now().Add(time.Second))
 		is.NoErr(err)
 		time.Sleep(100 * time.Millisecond)
