consensus: leases run out while a host is suspended

The monotonic clock stands still during a suspension, so a leader that wakes up would take its read lease for valid. clock.Now adds the suspended time. No measurement; consensus, control and controlrpc tests pass.

--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/arbutusring/arbutusring/internal/clock"
 	"github.com/arbutusring/arbutusring/internal/wal"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
 )
@@ -97,7 +98,7 @@
 		Self: n.self, Election: opts.ElectionTimeout, Heartbeat: opts.HeartbeatInterval,
 		Random: rand.Int64N, Bootstrap: opts.Bootstrap, Join: opts.Join,
 		HardState: contents.HardState, Snapshot: contents.Snapshot, Entries: contents.Entries,
-	}, time.Now())
+	}, clock.Now())
 	if err != nil {
 		return nil, err
 	}
--- a/internal/consensus/node_loop.go
+++ b/internal/consensus/node_loop.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/arbutusring/arbutusring/internal/clock"
 	"github.com/arbutusring/arbutusring/internal/wal"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
 )
@@ -26,7 +27,7 @@
 		case w := <-n.waits:
 			n.waiters = append(n.waiters, w)
 		case f := <-n.calls:
-			f(time.Now())
+			f(clock.Now())
 		case r := <-n.writer.out:
 			if err := n.snapshotWritten(r); err != nil {
 				n.end(err)
@@ -35,12 +36,12 @@
 		case <-timer.C:
 		}
 		n.drain()
-		n.machine.Tick(time.Now())
+		n.machine.Tick(clock.Now())
 		if err := n.complete(); err != nil {
 			n.end(err)
 			return
 		}
-		timer.Reset(time.Until(n.machine.Wake()))
+		timer.Reset(n.machine.Wake().Sub(clock.Now()))
 	}
 }
 
@@ -68,7 +69,7 @@
 			Msg("the data folder is empty, but the other host is initialised or was asked by another incarnation; " +
 				"this host must be added as a learner")
 	}
-	n.machine.Step(time.Now(), m)
+	n.machine.Step(clock.Now(), m)
 }
 
 // take puts a proposal into the log.
@@ -79,7 +80,7 @@
 	var index uint64
 	var err error
 	if p.change != nil {
-		index, p.term, err = n.machine.ProposeChange(time.Now(), *p.change)
+		index, p.term, err = n.machine.ProposeChange(clock.Now(), *p.change)
 	} else {
 		var ok bool
 		if index, p.term, ok = n.machine.Propose(p.command); !ok {
@@ -98,7 +99,7 @@
 // machine has given up is not seen as valid once another host can know of it.
 func (n *Node) complete() error {
 	start := time.Now()
-	out := n.machine.Output(start)
+	out := n.machine.Output(clock.Now())
 	if err := n.write(out); err != nil {
 		return err
 	}
@@ -165,7 +166,7 @@
 
 // publish makes the state of the machine visible to the methods of the node.
 func (n *Node) publish(failed error) {
-	m, now := n.machine, time.Now()
+	m, now := n.machine, clock.Now()
 	v := &view{
 		role: m.role, term: m.term, leader: m.leader, leaseUntil: m.LeaseUntil(now),
 		started: m.TermStarted(), members: m.members(), commit: m.commit, applied: n.applied,
@@ -262,7 +263,7 @@
 	} else {
 		n.opts.Logger.Info().Str("id", n.self.ID).Msg("replicated log stopped")
 	}
-	n.machine.becomeFollower(time.Now(), n.machine.term)
+	n.machine.becomeFollower(clock.Now(), n.machine.term)
 	n.publish(failed)
 	n.failPending()
 	close(n.writer.in)
--- a/internal/consensus/view.go
+++ b/internal/consensus/view.go
@@ -1,6 +1,10 @@
 package consensus
 
-import "time"
+import (
+	"time"
+
+	"github.com/arbutusring/arbutusring/internal/clock"
+)
 
 // view is what a Node publishes of its machine after each cycle of its loop.
 // It is never changed after it was published.
@@ -19,5 +23,5 @@
 
 // leaseValid reports whether the read lease covers this instant.
 func (v *view) leaseValid() bool {
-	return v.role == Leader && time.Now().Before(v.leaseUntil)
+	return v.role == Leader && clock.Now().Before(v.leaseUntil)
 }
--- a/internal/controlrpc/client.go
+++ b/internal/controlrpc/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -36,18 +37,18 @@
 // error is errkind.OutcomeUnknown if an attempt may have been carried out,
 // and errkind.NotLeader if none was.
 //
-// Addresses and Call are set before the first call. Methods are safe for
-// concurrent use if Call is.
+// Addresses and Call are set before the first call; later only SetAddresses
+// changes the addresses. Methods are safe for concurrent use if Call is.
 type Client struct {
-	Addresses []string // rpc addresses of the control hosts, at least one
+	Addresses []string // rpc addresses of the control hosts, at least one; guarded by mu after the first call
 	Call      func(ctx context.Context, address, method string, args, reply any) error
 
 	mu     sync.Mutex
 	leader string // address that answered last, or the last hint; guarded by mu
 }
 
-// answered is implemented by every reply through its embedded Answer.
-type answered interface {
+// Answered is implemented by every reply through its embedded Answer.
+type Answered interface {
 	answer() *Answer
 }
 
@@ -58,7 +59,7 @@
 // it called Heartbeat.
 func (c *Client) Heartbeat(ctx context.Context, args *HeartbeatArgs) (*HeartbeatReply, error) {
 	var reply *HeartbeatReply
-	err := c.do(ctx, "Control.Heartbeat", args, heartbeatAttempt, func() answered {
+	err := c.Do(ctx, "Control.Heartbeat", args, heartbeatAttempt, func() Answered {
 		reply = new(HeartbeatReply)
 		return reply
 	})
@@ -68,7 +69,7 @@
 // Watch waits for a state newer than args.Since, for at most args.Wait.
 func (c *Client) Watch(ctx context.Context, args *WatchArgs) (*WatchReply, error) {
 	var reply *WatchReply
-	err := c.do(ctx, "Control.Watch", args, args.Wait+watchSlack, func() answered {
+	err := c.Do(ctx, "Control.Watch", args, args.Wait+watchSlack, func() Answered {
 		reply = new(WatchReply)
 		return reply
 	})
@@ -78,7 +79,7 @@
 // Announce passes on the announcement of a backend server.
 func (c *Client) Announce(ctx context.Context, args *AnnounceArgs) (*AnnounceReply, error) {
 	var reply *AnnounceReply
-	err := c.do(ctx, "Control.Announce", args, announceAttempt, func() answered {
+	err := c.Do(ctx, "Control.Announce", args, announceAttempt, func() Answered {
 		reply = new(AnnounceReply)
 		return reply
 	})
@@ -89,7 +90,7 @@
 // id, so the reply is the first answer to the change.
 func (c *Client) Apply(ctx context.Context, args *ApplyArgs) (*ApplyReply, error) {
 	var reply *ApplyReply
-	err := c.do(ctx, "Control.Apply", args, changeAttempt, func() answered {
+	err := c.Do(ctx, "Control.Apply", args, changeAttempt, func() Answered {
 		reply = new(ApplyReply)
 		return reply
 	})
@@ -99,7 +100,7 @@
 // Get asks for the state as of now.
 func (c *Client) Get(ctx context.Context, args *GetArgs) (*GetReply, error) {
 	var reply *GetReply
-	err := c.do(ctx, "Control.Get", args, changeAttempt, func() answered {
+	err := c.Do(ctx, "Control.Get", args, changeAttempt, func() Answered {
 		reply = new(GetReply)
 		return reply
 	})
@@ -109,7 +110,7 @@
 // Drain takes a host or a backend server out of service, or back in.
 func (c *Client) Drain(ctx context.Context, args *DrainArgs) (*DrainReply, error) {
 	var reply *DrainReply
-	err := c.do(ctx, "Control.Drain", args, changeAttempt, func() answered {
+	err := c.Do(ctx, "Control.Drain", args, changeAttempt, func() Answered {
 		reply = new(DrainReply)
 		return reply
 	})
@@ -119,18 +120,26 @@
 // Failover asks for a new primary of a group.
 func (c *Client) Failover(ctx context.Context, args *FailoverArgs) (*FailoverReply, error) {
 	var reply *FailoverReply
-	err := c.do(ctx, "Control.Failover", args, changeAttempt, func() answered {
+	err := c.Do(ctx, "Control.Failover", args, changeAttempt, func() Answered {
 		reply = new(FailoverReply)
 		return reply
 	})
 	return reply, err
 }
 
-// do calls method at one address after the other until a leader answers or
+// SetAddresses replaces the addresses of the control hosts, which change when
+// a control host is replaced by one at another address.
+func (c *Client) SetAddresses(addresses []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.Addresses = slices.Clone(addresses)
+}
+
+// Do calls method at one address after the other until a leader answers or
 // ctx ends. Each attempt decodes into a fresh reply, because fields of an
 // earlier answer would otherwise show through.
-func (c *Client) do(ctx context.Context, method string, args any, limit time.Duration, fresh func() answered) error {
-	if len(c.Addresses) == 0 {
+func (c *Client) Do(ctx context.Context, method string, args any, limit time.Duration, fresh func() Answered) error {
+	if len(c.order()) == 0 {
 		return errkind.New(errkind.BadRequest, "%s: no control address is configured", method)
 	}
 	sent := false // an attempt may have been carried out
@@ -169,7 +178,7 @@
 	}
 }
 
-func (c *Client) attempt(ctx context.Context, address, method string, args any, reply answered, limit time.Duration) error {
+func (c *Client) attempt(ctx context.Context, address, method string, args any, reply Answered, limit time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	return c.Call(ctx, address, method, args, reply)
@@ -185,15 +194,15 @@
 // others in random order, so that clients without a leader spread out.
 func (c *Client) order() []string {
 	c.mu.Lock()
-	leader := c.leader
+	leader, addresses := c.leader, c.Addresses
 	c.mu.Unlock()
-	out := make([]string, 0, len(c.Addresses)+1)
+	out := make([]string, 0, len(addresses)+1)
 	if leader != "" {
 		out = append(out, leader)
 	}
-	for _, i := range rand.Perm(len(c.Addresses)) {
-		if c.Addresses[i] != leader {
-			out = append(out, c.Addresses[i])
+	for _, i := range rand.Perm(len(addresses)) {
+		if addresses[i] != leader {
+			out = append(out, addresses[i])
 		}
 	}
 	return out
--- /dev/null
+++ b/pkg/database/database.go
@@ -0,0 +1,92 @@
+// Package database describes the databases that callers may name when they
+// connect, and the groups of backend servers behind them. Operators number
+// each configuration; the highest number is in force.
+//
+// # Usage
+//
+//	cfg, err := platform.ParseConfig(document) // any codec that fills a Config
+//	db, ok := cfg.Databases["orders"]
+//	group := cfg.Groups[db.Group]
+package database
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of every error of this package.
+var Error = errs.Class("database")
+
+// Consistency says which commits a read has to see.
+type Consistency uint8
+
+// The kinds of consistency.
+const (
+	Primary Consistency = iota + 1 // every acknowledged commit
+	Bounded                        // commits older than Database.MaxStaleness
+	Session                        // as Bounded, and every commit of the session
+)
+
+// String returns the name that logs use.
+func (c Consistency) String() string {
+	switch c {
+	case Primary:
+		return "primary"
+	case Bounded:
+		return "bounded"
+	case Session:
+		return "session"
+	}
+	return fmt.Sprintf("consistency(%d)", uint8(c))
+}
+
+// Database is one name that callers connect to.
+type Database struct {
+	Name             string
+	Group            string
+	Consistency      Consistency
+	MaxStaleness     time.Duration // Bounded and Session only
+	Rank             int           // 0 is the most urgent
+	StatementTimeout time.Duration // of one statement
+	LatencyTarget    time.Duration // of a whole operation
+}
+
+// Group is a set of backend servers with one primary.
+type Group struct {
+	Name           string
+	MaxConnections int // that one server accepts from all hosts together
+	SyncReplicas   int // replicas that have received a commit before it is acknowledged
+}
+
+// Config is one numbered configuration. It is not changed after it was made.
+type Config struct {
+	Version         uint64
+	Databases       map[string]Database
+	Groups          map[string]Group
+	TransactionIdle time.Duration // an open transaction without a statement for this time may be ended; 0 for no limit
+}
+
+// Check returns an error if the configuration must not be put into force.
+func (c *Config) Check() error {
+	if c.Version == 0 {
+		return Error.New("the version is missing")
+	}
+	for name, db := range c.Databases {
+		switch {
+		case name == "" || db.Name != name:
+			return Error.New("a database has no name")
+		case db.Consistency < Primary || db.Consistency > Session:
+			return Error.New("database %q has no known consistency", name)
+		case db.StatementTimeout <= 0:
+			return Error.New("database %q has no statement timeout", name)
+		case db.MaxStaleness < 0 || db.LatencyTarget < 0:
+			return Error.New("database %q has a negative duration", name)
+		}
+		if _, ok := c.Groups[db.Group]; !ok {
+			return Error.New("database %q names group %q, which is not declared", name, db.Group)
+		}
+	}
+	return nil
+}
