--- /dev/null
+++ b/internal/directory/machine.go
@@ -0,0 +1,154 @@
+package directory
+
+import (
+	"maps"
+	"sync"
+
+	"github.com/arbutusring/arbutusring/internal/directoryrpc"
+	"github.com/arbutusring/arbutusring/internal/msgpack"
+	"github.com/arbutusring/arbutusring/pkg/errkind"
+)
+
+// Machine is the replicated state. Apply, Snapshot and Restore are called by
+// the log, one at a time; State and Changed by anyone. Apply depends on
+// nothing but the state and its arguments.
+type Machine struct {
+	mu      sync.Mutex
+	state   directoryrpc.State // its maps are replaced, never changed
+	changed chan struct{}      // closed at the next change
+}
+
+// NewMachine returns the state before the first log entry.
+func NewMachine() *Machine {
+	return &Machine{changed: make(chan struct{}), state: directoryrpc.State{
+		Servers: map[string]directoryrpc.Server{}, Groups: map[string]directoryrpc.Group{},
+	}}
+}
+
+// State returns the current state, which is never changed.
+func (m *Machine) State() directoryrpc.State {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state
+}
+
+// Changed returns a channel that is closed at the next change. A reader takes
+// the channel before the State, so that it misses no change.
+func (m *Machine) Changed() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.changed
+}
+
+// Apply carries out one log entry and returns the encoded result.
+func (m *Machine) Apply(index uint64, entry []byte) []byte {
+	var c Command
+	if err := msgpack.Decode(entry, &c, "a log entry"); err != nil {
+		// Every host refuses the entry alike, so the states stay equal.
+		return msgpack.Encode(result{Kind: errkind.BadRequest, Detail: err.Error()})
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r, changed := m.apply(c)
+	if changed {
+		m.publish(index)
+	}
+	return msgpack.Encode(r)
+}
+
+func (m *Machine) apply(c Command) (result, bool) {
+	switch {
+	case c.Put != nil:
+		return m.put(c.Put)
+	case c.Announce != nil:
+		return m.announce(c.Announce.Server)
+	case c.Remove != nil:
+		return m.remove(c.Remove)
+	case c.Group != nil:
+		return m.setGroup(c.Group)
+	}
+	return result{Kind: errkind.BadRequest, Detail: "unknown command"}, false
+}
+
+func (m *Machine) put(c *PutConfig) (result, bool) {
+	if c.Version <= m.state.ConfigVersion {
+		return result{}, false
+	}
+	m.state.ConfigVersion, m.state.Document = c.Version, c.Document
+	return result{}, true
+}
+
+// announce stores a server. An address belongs to one server at a time, so an
+// older one at the same address is gone, and a late announcement of it names
+// a server that no longer exists.
+func (m *Machine) announce(s directoryrpc.Server) (result, bool) {
+	old, known := m.state.Servers[s.ID]
+	if known && !s.Newer(old) {
+		return result{}, false
+	}
+	servers := maps.Clone(m.state.Servers)
+	for id, other := range servers {
+		if id == s.ID || other.Address != s.Address {
+			continue
+		}
+		if other.Born > s.Born {
+			return result{}, false
+		}
+		delete(servers, id)
+	}
+	servers[s.ID] = s
+	m.state.Servers = servers
+	return result{}, !known || !s.Same(old)
+}
+
+func (m *Machine) remove(c *RemoveServer) (result, bool) {
+	old, known := m.state.Servers[c.ID]
+	if !known || c.Born != 0 && old.Born > c.Born {
+		return result{}, false
+	}
+	servers := maps.Clone(m.state.Servers)
+	delete(servers, c.ID)
+	m.state.Servers = servers
+	return result{}, true
+}
+
+func (m *Machine) setGroup(c *SetGroup) (result, bool) {
+	old := m.state.Groups[c.Group.Name]
+	if old.Generation != c.Expect {
+		return result{Kind: errkind.Conflict, Detail: "the group has changed meanwhile"}, false
+	}
+	groups := maps.Clone(m.state.Groups)
+	c.Group.Generation = old.Generation + 1
+	groups[c.Group.Name] = c.Group
+	m.state.Groups = groups
+	return result{}, true
+}
+
+// publish makes a change visible. The caller holds mu.
+func (m *Machine) publish(index uint64) {
+	m.state.Version = max(m.state.Version, index)
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// Snapshot returns the whole state.
+func (m *Machine) Snapshot() []byte { return msgpack.Encode(m.State()) }
+
+// Restore replaces the state by a snapshot. It is unchanged on error.
+func (m *Machine) Restore(snapshot []byte) error {
+	var s directoryrpc.State
+	if err := msgpack.Decode(snapshot, &s, "a snapshot"); err != nil {
+		return err
+	}
+	if s.Servers == nil {
+		s.Servers = map[string]directoryrpc.Server{}
+	}
+	if s.Groups == nil {
+		s.Groups = map[string]directoryrpc.Group{}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.state = s
+	m.publish(s.Version)
+	return nil
+}
--- /dev/null
+++ b/internal/directory/options.go
@@ -0,0 +1,87 @@
+package directory
+
+import (
+	"context"
+	"time"
+
+	"github.com/arbutusring/arbutusring/internal/directoryrpc"
+	"github.com/arbutusring/arbutusring/internal/eventlog"
+	"github.com/arbutusring/arbutusring/internal/statement"
+	"github.com/rcrowley/go-metrics"
+)
+
+const (
+	// defaultTTL outlasts an election (1.6 s at most) and the search for the
+	// new leader, so that the loss of a control host interrupts nothing.
+	defaultTTL = 4 * time.Second
+	// defaultDrift is the largest relative difference of two clock rates.
+	defaultDrift = 0.1
+	// defaultFailAfter is how long a primary must have failed. It is longer
+	// than a burst of lost packets on one connection.
+	defaultFailAfter = 400 * time.Millisecond
+	// defaultPartialAfter is how long some hosts must have failed to reach a
+	// primary that others reach, before it is moved without loss.
+	defaultPartialAfter = time.Second
+	// defaultCatchUp bounds the wait of a planned change for the successor.
+	defaultCatchUp = 1500 * time.Millisecond
+)
+
+// Options are the settings of a Directory. Members, Promote, SyncReplicas and
+// Control must be set.
+type Options struct {
+	Host    string // name of this host, as the outside service learns it
+	Members Members
+	// Promote makes a backend server the primary of its group. An error of
+	// kind errkind.Conflict means that the server does not run; after any
+	// other error the server may still become the primary.
+	Promote func(ctx context.Context, p Promotion) error
+	// SyncReplicas returns how many replicas of a group have received a commit
+	// before it is acknowledged, by the configuration in force.
+	SyncReplicas func(s directoryrpc.State, group string) int
+
+	// Control returns the rpc addresses of the control hosts.
+	Control func() []string
+
+	Events   *eventlog.Log
+	Registry metrics.Registry // nil for none
+
+	TTL          time.Duration // of a lease
+	Drift        float64
+	FailAfter    time.Duration
+	PartialAfter time.Duration
+	CatchUp      time.Duration
+}
+
+// Members calls backend servers.
+type Members struct {
+	Status func(ctx context.Context, s directoryrpc.Server) (statement.ServerStatus, error)
+	// Demote tells a server that term is led by another one.
+	Demote func(ctx context.Context, s directoryrpc.Server, term uint64) error
+}
+
+// Promotion names the server to promote and who asks for it.
+type Promotion struct {
+	Group  string
+	Server string
+	Holder string // host that leads
+	Token  uint64 // grows with each leader
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.TTL, defaultTTL)
+	setDefault(&o.Drift, defaultDrift)
+	setDefault(&o.FailAfter, defaultFailAfter)
+	setDefault(&o.PartialAfter, defaultPartialAfter)
+	setDefault(&o.CatchUp, defaultCatchUp)
+	if o.Registry == nil {
+		o.Registry = metrics.NewRegistry()
+	}
+	return o
+}
+
+func setDefault[T comparable](v *T, def T) {
+	var zero T
+	if *v == zero {
+		*v = def
+	}
+}
--- /dev/null
+++ b/internal/directory/service.go
@@ -0,0 +1,153 @@
+package directory
+
+import (
+	"context"
+	"time"
+
+	"github.com/arbutusring/arbutusring/internal/controlrpc"
+	"github.com/arbutusring/arbutusring/internal/directoryrpc"
+	"github.com/arbutusring/arbutusring/pkg/errkind"
+)
+
+// longestWait bounds a long poll, because net/rpc does not tell that the
+// caller has gone.
+const longestWait = 5 * time.Second
+
+// Service has the net/rpc methods that directoryrpc.Client calls. It answers
+// only while this host is the leader with a valid read lease; otherwise the
+// answer is errkind.NotLeader, which means that nothing was done. The methods
+// return no Go error.
+type Service struct {
+	d *Directory
+}
+
+// begin returns the leadership, or fills in the answer for another host.
+func (s *Service) begin(answer *controlrpc.Answer) *leadership {
+	l, _, kind, address := s.d.leader()
+	*answer = controlrpc.Answer{Kind: kind, Leader: address}
+	return l
+}
+
+// confirm checks after everything was read that this host still leads.
+func (l *leadership) confirm(answer *controlrpc.Answer) bool {
+	if l.ctx.Err() != nil || !l.log.LeaseValid() {
+		*answer = controlrpc.Answer{Kind: errkind.NotLeader, Detail: "the read lease has run out"}
+		return false
+	}
+	return true
+}
+
+// Sync renews the lease of a host and waits for a newer state.
+func (s *Service) Sync(args *directoryrpc.SyncArgs, reply *directoryrpc.SyncReply) error {
+	l := s.begin(&reply.Answer)
+	if l == nil {
+		return nil
+	}
+	if args.Host.ID == "" || args.Host.Incarnation == "" {
+		reply.Answer = controlrpc.Answer{Kind: errkind.BadRequest, Detail: "id and incarnation must not be empty"}
+		return nil
+	}
+	l.sessions.heard(args)
+	if args.Leaving {
+		return nil
+	}
+	timer := time.NewTimer(min(max(args.Wait, 0), longestWait))
+	defer timer.Stop()
+	state := s.d.machine.State()
+wait:
+	for state.Version <= args.Version {
+		changed := s.d.machine.Changed()
+		if state = s.d.machine.State(); state.Version > args.Version {
+			break
+		}
+		select {
+		case <-changed:
+		case <-l.ctx.Done():
+			break wait
+		case <-timer.C:
+			break wait
+		}
+	}
+	// The grant is recorded before the lease of the leader is checked: a
+	// grant that is recorded but not sent only delays a change of a primary.
+	l.sessions.grant(args.Host)
+	if !l.confirm(&reply.Answer) {
+		return nil
+	}
+	reply.TTL, reply.Hosts = l.opts.TTL, l.sessions.live()
+	if state.Version > args.Version {
+		reply.Changed, reply.State = true, state
+		if args.ConfigVersion == state.ConfigVersion {
+			reply.State.Document = nil
+		}
+	}
+	reply.Control = s.d.opts.Control()
+	return nil
+}
+
+// Announce stores what a backend server says about itself, if it is news.
+func (s *Service) Announce(args *directoryrpc.AnnounceArgs, reply *directoryrpc.AnnounceReply) error {
+	l := s.begin(&reply.Answer)
+	if l == nil {
+		return nil
+	}
+	srv := args.Server
+	old, known := s.d.machine.State().Servers[srv.ID]
+	switch {
+	case args.Gone && !known, !args.Gone && known && (srv.Same(old) || !srv.Newer(old)):
+		l.confirm(&reply.Answer)
+		return nil
+	case args.Gone:
+		s.propose(l, &reply.Answer, Command{Remove: &RemoveServer{ID: srv.ID, Born: srv.Born}})
+	default:
+		s.propose(l, &reply.Answer, Command{Announce: &PutServer{Server: srv}})
+	}
+	l.opts.Events.Event("server_announced").Str("server", srv.ID).Str("group", srv.Group).Str("address", srv.Address).
+		Str("role", string(srv.Role)).Bool("draining", srv.Draining).Bool("gone", args.Gone).Int64("born", srv.Born).
+		Uint64("sequence", srv.Sequence).Bool("known", known).Str("outcome", string(reply.Kind)).Msg("a backend server has changed")
+	return nil
+}
+
+// Put puts a configuration into force if its version is the highest.
+func (s *Service) Put(args *directoryrpc.PutArgs, reply *directoryrpc.PutReply) error {
+	l := s.begin(&reply.Answer)
+	if l == nil {
+		return nil
+	}
+	if now := s.d.machine.State().ConfigVersion; args.Version <= now {
+		if l.confirm(&reply.Answer) {
+			reply.Version = now
+		}
+		return nil
+	}
+	s.propose(l, &reply.Answer, Command{Put: &PutConfig{Version: args.Version, Document: args.Document}})
+	reply.Version = s.d.machine.State().ConfigVersion
+	l.opts.Events.Event("config_put").Uint64("config_version", args.Version).Uint64("in_force", reply.Version).
+		Int("bytes", len(args.Document)).Str("outcome", string(reply.Kind)).Msg("a configuration was sent")
+	return nil
+}
+
+// Get returns the newest acknowledged configuration.
+func (s *Service) Get(_ *directoryrpc.GetArgs, reply *directoryrpc.GetReply) error {
+	l := s.begin(&reply.Answer)
+	if l == nil {
+		return nil
+	}
+	state := s.d.machine.State()
+	if l.confirm(&reply.Answer) {
+		reply.Version, reply.Document = state.ConfigVersion, state.Document
+	}
+	return nil
+}
+
+func (s *Service) propose(l *leadership, answer *controlrpc.Answer, c Command) {
+	ctx, cancel := context.WithTimeout(l.ctx, proposeLimit)
+	defer cancel()
+	if err := propose(ctx, l.log, c); err != nil {
+		kind := errkind.Of(err)
+		if kind == errkind.DeadlineExceeded {
+			kind = errkind.NotLeader // it was not proposed; the client tries again
+		}
+		*answer = controlrpc.Answer{Kind: kind, Detail: err.Error()}
+	}
+}
--- a/internal/entry/dump.go
+++ b/internal/entry/dump.go
@@ -73,7 +73,7 @@
 	e.mu.Unlock()
 	if g != nil {
 		g.mu.Lock()
-		dg.Sessions, dg.Samples = g.sessions, len(g.samples.list)
+		dg.Sessions, dg.Samples = g.sessions, g.samples.Len()
 		g.mu.Unlock()
 	}
 	now := time.Now()
--- a/internal/entry/group.go
+++ b/internal/entry/group.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/arbutusring/arbutusring/internal/staleness"
 )
 
 // group is what the entry keeps about one database group beyond the views.
@@ -12,7 +14,7 @@
 	mu         sync.Mutex
 	sessions   int
 	lastStale  time.Time // last read that accepted staleness
-	samples    samples
+	samples    staleness.Samples
 	running    *flight // the request that started last, while it runs
 	pending    *flight // the request that starts next
 	lastFlight time.Time
--- a/internal/entry/positions.go
+++ b/internal/entry/positions.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/arbutusring/arbutusring/internal/ownerrpc"
+	"github.com/arbutusring/arbutusring/internal/staleness"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
 	"github.com/arbutusring/arbutusring/pkg/logpos"
 )
@@ -23,9 +24,9 @@
 // have read the position before a write that the session has to see.
 func (e *Entry) position(ctx context.Context, g *group, w wanted) (logpos.Position, error) {
 	g.mu.Lock()
-	if s, ok := g.samples.newest(); ok && w.accepts(s.seq, s.at) {
+	if s, ok := g.samples.Newest(); ok && w.accepts(s.Seq, s.At) {
 		g.mu.Unlock()
-		return s.pos, nil
+		return s.Pos, nil
 	}
 	f := g.running
 	if f == nil || !w.accepts(f.seq, f.started) {
@@ -76,7 +77,7 @@
 		g.running = nil
 	}
 	if f.err == nil {
-		g.samples.add(sample{seq: f.seq, at: f.started, pos: f.pos})
+		g.samples.Add(staleness.Sample{Seq: f.seq, At: f.started, Pos: f.pos})
 	}
 	g.mu.Unlock()
 	close(f.done)
--- a/internal/entry/runread.go
+++ b/internal/entry/runread.go
@@ -126,10 +126,10 @@
 		now := time.Now()
 		s.group.mu.Lock()
 		s.group.lastStale = now
-		found, ok := s.group.samples.oldestSince(now.Add(-accepted))
+		found, ok := s.group.samples.OldestSince(now.Add(-accepted))
 		s.group.mu.Unlock()
 		if ok {
-			return s.token.Max(found.pos), nil
+			return s.token.Max(found.Pos), nil
 		}
 		pos, err := e.position(ctx, s.group, wanted{since: now.Add(-accepted)})
 		return s.token.Max(pos), err
