platform: gateway and directory processes on the users' platform

Cause: the product had no way to serve groups whose backend servers announce their roles and are promoted from outside. Entry hosts connect to servers directly under one lease each; the directory names the primaries. Ruled out: rendering the line protocol as PostgreSQL messages through owners; the contracts differ in commit, fencing and session values.

--- a/cmd/arbutusring/command_line.go
+++ b/cmd/arbutusring/command_line.go
@@ -76,6 +76,8 @@
 		{"dev", "run a whole installation in one process on loopback", c.addDev, c.runDev, false},
 		{"entry", "run the process of an entry host", c.addProcess, c.runEntry, false},
 		{"control", "run the process of a control host", c.addProcess, c.runControl, false},
+		{"gateway", "run the process of an entry host for announced groups", c.addProcess, c.runGateway, false},
+		{"directory", "run the process of a control host for announced groups", c.addProcess, c.runDirectory, false},
 		{"load", "run callers of several traffic ranks and print a report", c.addLoad, c.runLoad, false},
 		{"validate", "check settings and configuration files: validate FILE ...", c.addOutput, c.runValidate, true},
 		{"apply", "put a configuration into force: apply FILE", c.addApply, c.runApply, false},
--- a/cmd/arbutusring/main.go
+++ b/cmd/arbutusring/main.go
@@ -6,6 +6,8 @@
 //	arbutusring dev                          a whole installation in one process
 //	arbutusring entry    --settings FILE     the process of an entry host
 //	arbutusring control  --settings FILE     the process of a control host
+//	arbutusring gateway   --settings FILE    an entry host of groups that announce their roles
+//	arbutusring directory --settings FILE    a control host of such groups
 //	arbutusring load     --dsn DSN ...       callers of several ranks and a report
 //	arbutusring validate FILE ...            checks settings and configurations
 //	arbutusring apply    FILE                puts a configuration into force
--- /dev/null
+++ b/internal/gateway/dump.go
@@ -0,0 +1,43 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/arbutusring/arbutusring/internal/clock"
+)
+
+// MemberDump is what the host knows of one backend server.
+type MemberDump struct {
+	Server     string        `json:"server"`
+	Group      string        `json:"group"`
+	Applied    string        `json:"applied"`
+	Service    time.Duration `json:"service"`     // smoothed, in ns
+	FailingFor time.Duration `json:"failing_for"` // in ns; 0 if it answers
+	Open       int           `json:"open_connections"`
+	Idle       int           `json:"idle_connections"`
+	Busy       int           `json:"busy_slots"`
+}
+
+// Dump is the state of a Gateway.
+type Dump struct {
+	LeaseLeft time.Duration `json:"lease_left"` // in ns
+	Hosts     int           `json:"hosts"`
+	Sessions  int           `json:"sessions"`
+	Members   []MemberDump  `json:"members"`
+}
+
+// Dump returns the state of the gateway.
+func (g *Gateway) Dump() Dump {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	d := Dump{LeaseLeft: g.leaseLeft(), Hosts: g.hosts, Sessions: len(g.sessions)}
+	for id, m := range g.members {
+		md := MemberDump{Server: id, Group: m.server.Group, FailingFor: m.failingFor(clock.Now()), Busy: m.sched.Busy()}
+		md.Open, md.Idle = m.pool.size()
+		m.mu.Lock()
+		md.Applied, md.Service = m.applied.String(), m.service
+		m.mu.Unlock()
+		d.Members = append(d.Members, md)
+	}
+	return d
+}
--- /dev/null
+++ b/internal/gateway/member.go
@@ -0,0 +1,254 @@
+package gateway
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/arbutusring/arbutusring/internal/clock"
+	"github.com/arbutusring/arbutusring/internal/directoryrpc"
+	"github.com/arbutusring/arbutusring/internal/schedule"
+	"github.com/arbutusring/arbutusring/pkg/database"
+	"github.com/arbutusring/arbutusring/pkg/errkind"
+	"github.com/arbutusring/arbutusring/pkg/logpos"
+)
+
+const (
+	// reservedConnections of each server stay unused for the directory.
+	reservedConnections = 2
+	// borrowed is how many times its equal share of the connections a host may
+	// open while the others leave them unused.
+	borrowed = 2
+	// queueLimit is the statements of one rank that wait for one server. The
+	// expected wait refuses long before; this bounds memory.
+	queueLimit = 500
+	// lowestShare is the part of the slots that each rank but the first gets at
+	// least, so that a flood of urgent work does not stop the others.
+	lowestShare = 0.1
+	// firstAvoid and longestAvoid bound the time for which a server that failed
+	// gets no work while others can do it.
+	firstAvoid   = 50 * time.Millisecond
+	longestAvoid = time.Second
+	// drainPrimary is how long a primary that leaves still takes work while its
+	// successor is chosen. The servers' contract allows 7 s.
+	drainPrimary = 4 * time.Second
+	// firstLag and longestLag bound the time for which a replica that lacked a
+	// position is left out.
+	firstLag   = 20 * time.Millisecond
+	longestLag = 500 * time.Millisecond
+	// weight of one observation in the smoothed times.
+	weight = 8
+	// floorWindow is the time over which the shares of ranks hold.
+	floorWindow = time.Second
+)
+
+// member is what this host knows of one backend server, and its connections.
+type member struct {
+	server directoryrpc.Server
+	trip   time.Duration // assumed round trip
+	charge time.Duration // for leaving the region
+	sched  *schedule.Scheduler
+	pool   *pool
+
+	mu       sync.Mutex
+	service  time.Duration // smoothed time from sending to the answer
+	applied  logpos.Position
+	answered time.Time // last answer; zero if there was none
+	failing  time.Time // since when nothing but failures; zero if it answers
+	failures int       // in a row
+	avoid    time.Time
+	lags     int // in a row
+	lagging  time.Time
+	probing  bool
+	leaving  time.Time // when its departure became known; zero if it stays
+}
+
+func newMember(opts Options, s directoryrpc.Server) *member {
+	m := &member{server: s}
+	m.setDraining(s.Draining)
+	m.trip, m.charge = opts.Place.distance(s.DataCentre)
+	m.pool = newPool(func(ctx context.Context) (Conn, error) { return opts.Connect(ctx, s) })
+	m.sched = schedule.New(schedule.Options{Slots: max(1, s.Slots), Ranks: ranks(nil), Window: floorWindow})
+	return m
+}
+
+// rankName is the name of a rank in the scheduler.
+func rankName(rank int) string { return strconv.Itoa(rank) }
+
+// ranks returns the ranks of a configuration in order.
+func ranks(cfg *database.Config) []schedule.RankSpec {
+	highest := 0
+	if cfg != nil {
+		for _, db := range cfg.Databases {
+			highest = max(highest, db.Rank)
+		}
+	}
+	var out []schedule.RankSpec
+	for r := 0; r <= highest; r++ {
+		spec := schedule.RankSpec{Name: rankName(r), QueueLimit: queueLimit}
+		if r > 0 {
+			spec.Floor = lowestShare
+		}
+		out = append(out, spec)
+	}
+	return out
+}
+
+// configure applies a configuration and the number of hosts that share the
+// connections of the server.
+func (m *member) configure(specs []schedule.RankSpec, group database.Group, hosts int) {
+	m.sched.Configure(max(1, m.server.Slots), specs)
+	usable := max(1, group.MaxConnections-reservedConnections)
+	share := max(1, usable/max(1, hosts))
+	m.pool.setLimits(min(usable, borrowed*share), share)
+}
+
+// setDraining records whether the server is leaving service.
+func (m *member) setDraining(draining bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case !draining:
+		m.leaving = time.Time{}
+	case m.leaving.IsZero():
+		m.leaving = clock.Now()
+	}
+}
+
+// drainingFor returns the time since the departure became known; 0 if the
+// server stays.
+func (m *member) drainingFor() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.leaving.IsZero() {
+		return 0
+	}
+	return max(clock.Now().Sub(m.leaving), 1)
+}
+
+// succeeded records an answer that took d.
+func (m *member) succeeded(d time.Duration, pos logpos.Position) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.service == 0 {
+		m.service = d
+	}
+	m.service += (d - m.service) / weight
+	m.answered, m.failing, m.avoid, m.failures = clock.Now(), time.Time{}, time.Time{}, 0
+	if pos != (logpos.Position{}) {
+		m.applied = pos
+	}
+}
+
+// caughtUp records that a replica had the position that a read required.
+func (m *member) caughtUp() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lags, m.lagging = 0, time.Time{}
+}
+
+// failed records that the server could not be reached or did not answer. It
+// reports whether this is the first failure in a row.
+func (m *member) failed() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := clock.Now()
+	if m.failing.IsZero() {
+		m.failing = now
+	}
+	m.avoid = now.Add(min(firstAvoid<<min(m.failures, 8), longestAvoid))
+	m.failures++
+	return m.failures == 1
+}
+
+// behind records that a replica lacked a required position.
+func (m *member) behind() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lagging = clock.Now().Add(min(firstLag<<min(m.lags, 8), longestLag))
+	m.lags++
+}
+
+// standing is the class in which a server is chosen for a read.
+type standing uint8
+
+const (
+	standingGood standing = iota
+	standingBehind
+	standingAvoided
+)
+
+// judge returns the class of the server and the expected time of a statement.
+func (m *member) judge(now time.Time) (standing, time.Duration) {
+	queued, _, slot := m.sched.Load()
+	waiting := 0
+	for _, n := range queued {
+		waiting += n
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	cost := max(m.service, m.trip) + m.charge
+	cost += slot * time.Duration(waiting) / time.Duration(max(1, m.server.Slots))
+	switch {
+	case now.Before(m.avoid):
+		return standingAvoided, cost
+	case now.Before(m.lagging):
+		return standingBehind, cost
+	}
+	return standingGood, cost
+}
+
+// failingFor returns since when the server has failed; 0 if it answers.
+func (m *member) failingFor(now time.Time) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.failing.IsZero() {
+		return 0
+	}
+	return max(now.Sub(m.failing), 1)
+}
+
+// answeredAgo returns the time since the last answer; 0 if there was none.
+func (m *member) answeredAgo(now time.Time) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.answered.IsZero() {
+		return 0
+	}
+	return max(now.Sub(m.answered), 1)
+}
+
+// probe tries to connect to a server that fails, unless an attempt is under way.
+func (m *member) probe() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.failing.IsZero() || m.probing {
+		return false
+	}
+	m.probing = true
+	return true
+}
+
+// runProbe opens a connection, which is kept if that succeeds.
+func (m *member) runProbe(ctx context.Context) {
+	conn, err := m.pool.probe(ctx)
+	m.mu.Lock()
+	m.probing = false
+	m.mu.Unlock()
+	switch {
+	case err == nil:
+		m.succeeded(m.smoothed(), logpos.Position{})
+		m.pool.put(conn)
+	case errkind.Of(err) == errkind.NoMember:
+		m.succeeded(m.smoothed(), logpos.Position{}) // it answers, though with a refusal
+	default:
+		m.failed()
+	}
+}
+
+func (m *member) smoothed() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return max(m.service, m.trip)
+}
--- a/internal/operator/handlers.go
+++ b/internal/operator/handlers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 
 	"github.com/arbutusring/arbutusring/internal/controlrpc"
 	"github.com/rcrowley/go-metrics"
@@ -18,4 +19,6 @@
 	Dump     func() any
 	Ready    func() bool
 	Registry metrics.Registry
+	// Routes are served besides, by pattern of http.ServeMux.
+	Routes map[string]http.HandlerFunc
 }
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/arbutusring/arbutusring/internal/controlrpc"
@@ -43,6 +46,10 @@
 	mux.HandleFunc("POST /v1/apply", change(h.Apply))
 	mux.HandleFunc("POST /v1/drain", change(h.Drain))
 	mux.HandleFunc("POST /v1/failover", change(h.Failover))
+	mux.HandleFunc("GET /metrics", s.metricsText)
+	for pattern, handler := range h.Routes {
+		mux.HandleFunc(pattern, handler)
+	}
 	s.http = http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, IdleTimeout: idleTimeout}
 	return s
 }
@@ -98,6 +105,21 @@
 	writeJSON(w, http.StatusOK, s.h.Registry)
 }
 
+// metricsText serves one line for each value of each metric.
+func (s *Server) metricsText(w http.ResponseWriter, r *http.Request) {
+	if s.h.Registry == nil {
+		http.NotFound(w, r)
+		return
+	}
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	all := s.h.Registry.GetAll()
+	for _, name := range slices.Sorted(maps.Keys(all)) {
+		for _, field := range slices.Sorted(maps.Keys(all[name])) {
+			fmt.Fprintf(w, "%s.%s %v\n", name, field, all[name][field])
+		}
+	}
+}
+
 func (s *Server) state(w http.ResponseWriter, r *http.Request) {
 	if s.h.Get == nil {
 		http.NotFound(w, r)
--- a/internal/process/base.go
+++ b/internal/process/base.go
@@ -24,15 +24,18 @@
 	tasks    tasks
 }
 
-// newBase opens the listeners.
-func newBase(cfg settings.Settings, log zerolog.Logger, dial DialFunc) (*base, error) {
+// newBase opens the listeners. A nil registry stands for a private one.
+func newBase(cfg settings.Settings, log zerolog.Logger, dial DialFunc, registry metrics.Registry) (*base, error) {
+	if registry == nil {
+		registry = metrics.NewRegistry()
+	}
 	lns, err := listen(cfg.Listen)
 	if err != nil {
 		return nil, err
 	}
 	return &base{
 		cfg: cfg, log: log, lns: lns,
-		registry: metrics.NewRegistry(),
+		registry: registry,
 		pool:     peer.NewPool(peer.PoolOptions{Dial: dial}),
 		peers:    peer.NewServer(peer.ServerOptions{}),
 	}, nil
@@ -45,7 +48,9 @@
 func (b *base) serve(h operator.Handlers) {
 	h.Registry = b.registry
 	b.http = operator.NewServer(h, b.log)
-	b.tasks.start(b.runPeers)
+	if b.lns.peers != nil {
+		b.tasks.start(b.runPeers)
+	}
 	b.tasks.start(b.runOperators)
 }
 
--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -33,7 +33,7 @@
 
 // StartControl opens the data folder and the listeners and starts the process.
 func StartControl(opts ControlOptions) (*Control, error) {
-	b, err := newBase(opts.Settings, opts.Logger, opts.Dial)
+	b, err := newBase(opts.Settings, opts.Logger, opts.Dial, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -92,7 +92,7 @@
 		Dump:     func() any { return p.Dump() },
 		Ready:    func() bool { _, known := p.node.Leader(); return known },
 	})
-	p.tasks.start(p.loopMembership)
+	p.tasks.start((&membership{node: p.node, log: p.log}).loop)
 	p.log.Info().Str("host", p.cfg.Host.ID).Str("peers", p.PeerAddress()).
 		Str("operators", p.OperatorAddress()).Msg("control process started")
 	return nil
@@ -153,7 +153,7 @@
 
 func bootstrapMembers(cfg settings.Control) []consensus.Member {
 	var all []consensus.Member
-	for id, address := range cfg.Members {
+	for id, address := range cfg.PeerMembers() {
 		all = append(all, consensus.Member{ID: id, Address: address})
 	}
 	slices.SortFunc(all, func(a, b consensus.Member) int { return strings.Compare(a.ID, b.ID) })
--- /dev/null
+++ b/internal/process/directory.go
@@ -0,0 +1,235 @@
+package process
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/arbutusring/arbutusring/internal/consensus"
+	"github.com/arbutusring/arbutusring/internal/directory"
+	"github.com/arbutusring/arbutusring/internal/directoryrpc"
+	"github.com/arbutusring/arbutusring/internal/eventlog"
+	"github.com/arbutusring/arbutusring/internal/operator"
+	"github.com/arbutusring/arbutusring/pkg/errkind"
+	"github.com/arbutusring/arbutusring/pkg/settings"
+	"github.com/rcrowley/go-metrics"
+	"github.com/zeebo/errs"
+)
+
+const (
+	// directoryHeartbeat and directoryElection are longer than the defaults of
+	// the log: control bytes between regions are dear, a disk may take 125 ms to
+	// sync, and leases outlast an election.
+	directoryHeartbeat = 200 * time.Millisecond
+	directoryElection  = 800 * time.Millisecond
+	// callLimit bounds a call of a backend server or operator, who repeats it at
+	// another host after a second.
+	callLimit = 900 * time.Millisecond
+	// stoppedVoter is how long a surplus control host must have been silent
+	// before it is taken out of the membership.
+	stoppedVoter = 2 * time.Second
+)
+
+// DirectoryOptions configure a directory process.
+type DirectoryOptions struct {
+	Settings settings.Settings
+	Adapter  Adapter
+	Events   *eventlog.Log
+	Dial     DialFunc         // to other hosts; nil for TCP
+	Registry metrics.Registry // nil for a private one
+}
+
+// Directory is a running directory process.
+type Directory struct {
+	*base
+	opts      DirectoryOptions
+	directory *directory.Directory
+	node      *consensus.Node
+	sender    *sender
+	client    *directoryrpc.Client
+
+	mu    sync.Mutex
+	seeds []string
+}
+
+// StartDirectory opens the data folder and the listeners and starts the
+// process.
+func StartDirectory(opts DirectoryOptions) (*Directory, error) {
+	b, err := newBase(opts.Settings, opts.Events.Logger(), opts.Dial, opts.Registry)
+	if err != nil {
+		return nil, err
+	}
+	p := &Directory{base: b, opts: opts, seeds: opts.Settings.Control.PeerAddresses()}
+	if err := p.start(); err != nil {
+		p.abort()
+		return nil, err
+	}
+	return p, nil
+}
+
+func (p *Directory) start() error {
+	p.directory = directory.New(directory.Options{
+		Host:         p.cfg.Host.Name,
+		Members:      p.opts.Adapter.Members,
+		Promote:      p.opts.Adapter.Promote(p.cfg.Promotion.Address),
+		SyncReplicas: p.syncReplicas,
+		Control:      p.addresses,
+		Events:       p.opts.Events,
+		Registry:     p.registry,
+	})
+	p.sender = newSender(p.pool.Call)
+	node, err := consensus.Start(consensus.Options{
+		ID:                p.cfg.Host.ID,
+		Address:           p.lns.peers.Addr().String(),
+		Dir:               p.cfg.Control.DataFolder,
+		Bootstrap:         bootstrapMembers(p.cfg.Control),
+		Join:              !p.cfg.Control.Bootstrap,
+		Send:              p.sender.send,
+		Apply:             p.directory.Apply,
+		Snapshot:          p.directory.Snapshot,
+		Restore:           p.directory.Restore,
+		OnLeader:          p.directory.OnLeader,
+		HeartbeatInterval: directoryHeartbeat,
+		ElectionTimeout:   directoryElection,
+		Logger:            p.part("consensus"),
+	})
+	if err != nil {
+		return err
+	}
+	p.node = node
+	p.directory.Start(controlLog(node))
+	if err := p.peers.Register("Directory", p.directory.Service()); err != nil {
+		return err
+	}
+	if err := p.peers.Register("Consensus", &consensusService{step: p.node.Step}); err != nil {
+		return err
+	}
+	p.client = directoryrpc.NewClient(p.addresses(), p.pool.Call)
+	p.serve(operator.Handlers{
+		Dump:   func() any { return p.Dump() },
+		Ready:  func() bool { _, known := p.node.Leader(); return known },
+		Routes: p.opts.Adapter.ControlRoutes(ControlPlane{Announce: p.announce, Put: p.put, Get: p.get}),
+	})
+	p.tasks.start((&membership{node: p.node, log: p.log, voters: len(p.cfg.Control.Members), replace: stoppedVoter}).loop)
+	p.opts.Events.Event("started").Str("peers", p.PeerAddress()).Bool("bootstrap", p.cfg.Control.Bootstrap).
+		Strs("control", p.seeds).Msg("directory process started")
+	return nil
+}
+
+// addresses returns the peer addresses of the control hosts, this one first.
+func (p *Directory) addresses() []string {
+	all := []string{p.PeerAddress()}
+	if p.node != nil {
+		for _, m := range p.node.Members() {
+			all = append(all, m.Address)
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return merge(all, p.seeds)
+}
+
+// syncReplicas reads the number from the configuration in force.
+func (p *Directory) syncReplicas(s directoryrpc.State, group string) int {
+	document, err := directoryrpc.Decompress(s.Document)
+	if err != nil || len(document) == 0 {
+		return 0
+	}
+	cfg, err := p.opts.Adapter.ParseConfig(document)
+	if err != nil {
+		p.log.Error().Err(err).Uint64("config_version", s.ConfigVersion).Msg("configuration can't be read")
+		return 0
+	}
+	return cfg.Groups[group].SyncReplicas
+}
+
+// announce answers at once if the log holds the same already. Only changes
+// pass to the leader.
+func (p *Directory) announce(ctx context.Context, s directoryrpc.Server, gone bool) error {
+	if known, ok := p.directory.State().Servers[s.ID]; ok && !gone && s.Same(known) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	p.client.SetAddresses(p.addresses())
+	reply, err := p.client.Announce(ctx, &directoryrpc.AnnounceArgs{Server: s, Gone: gone})
+	if err != nil {
+		return err
+	}
+	return kindError(reply.Kind, reply.Detail)
+}
+
+func (p *Directory) put(ctx context.Context, version uint64, document []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	p.client.SetAddresses(p.addresses())
+	reply, err := p.client.Put(ctx, &directoryrpc.PutArgs{Version: version, Document: directoryrpc.Compress(document)})
+	if err != nil {
+		return err
+	}
+	return kindError(reply.Kind, reply.Detail)
+}
+
+func (p *Directory) get(ctx context.Context) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	p.client.SetAddresses(p.addresses())
+	reply, err := p.client.Get(ctx, &directoryrpc.GetArgs{})
+	if err != nil {
+		return nil, err
+	}
+	if err := kindError(reply.Kind, reply.Detail); err != nil || reply.Version == 0 {
+		return nil, err
+	}
+	return directoryrpc.Decompress(reply.Document)
+}
+
+func kindError(kind errkind.Kind, detail string) error {
+	if kind == errkind.OK {
+		return nil
+	}
+	return errkind.New(kind, "%s", detail)
+}
+
+// Reload applies changed settings: the addresses of the control hosts.
+func (p *Directory) Reload(cfg settings.Settings) {
+	p.mu.Lock()
+	p.seeds = slices.Clone(cfg.Control.PeerAddresses())
+	p.mu.Unlock()
+	p.opts.Events.Event("reloaded").Strs("control", p.addresses()).Msg("settings were read again")
+}
+
+// DirectoryDump is the state of a directory process.
+type DirectoryDump struct {
+	Log   consensus.Status   `json:"log"`
+	State directoryrpc.State `json:"state"`
+}
+
+// Dump returns the state of the process.
+func (p *Directory) Dump() DirectoryDump {
+	return DirectoryDump{Log: p.node.Status(), State: p.directory.State()}
+}
+
+// Done is closed when the replicated log has stopped, for example because a
+// write to the data folder failed.
+func (p *Directory) Done() <-chan struct{} { return p.node.Done() }
+
+// Stop is the planned stop.
+func (p *Directory) Stop(ctx context.Context) error {
+	p.opts.Events.Event("stopping").Bool("leads", p.node.IsLeader()).Msg("planned stop")
+	var group errs.Group
+	group.Add(p.directory.Stop(ctx))
+	group.Add(p.shutdown(ctx))
+	group.Add(p.node.Stop(ctx))
+	p.abort()
+	p.opts.Events.Event("stopped").Err(group.Err()).Msg("directory process stopped")
+	return Error.Wrap(group.Err())
+}
+
+func (p *Directory) abort() {
+	p.close()
+	if p.sender != nil {
+		p.sender.close()
+	}
+}
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -70,7 +70,7 @@
 // StartEntry opens the listeners and starts the process. Port 0 in the
 // settings lets the system choose; Addresses tells the result.
 func StartEntry(opts EntryOptions) (*Entry, error) {
-	b, err := newBase(opts.Settings, opts.Logger, opts.Dial)
+	b, err := newBase(opts.Settings, opts.Logger, opts.Dial, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/process/listeners.go
+++ b/internal/process/listeners.go
@@ -8,23 +8,28 @@
 
 // listeners are the listeners of a process besides that of its callers.
 type listeners struct {
-	peers, operators net.Listener
+	peers, operators net.Listener // peers is nil in processes that no other process calls
 }
 
 func listen(cfg settings.Listen) (listeners, error) {
-	peers, err := net.Listen("tcp", cfg.Peers)
-	if err != nil {
-		return listeners{}, Error.New("listen.peers: %v", err)
+	var l listeners
+	var err error
+	if cfg.Peers != "" {
+		if l.peers, err = net.Listen("tcp", cfg.Peers); err != nil {
+			return listeners{}, Error.New("listen.peers: %v", err)
+		}
 	}
-	operators, err := net.Listen("tcp", cfg.Operators)
-	if err != nil {
-		_ = peers.Close()
+	if l.operators, err = net.Listen("tcp", cfg.Operators); err != nil {
+		l.close()
 		return listeners{}, Error.New("listen.operators: %v", err)
 	}
-	return listeners{peers: peers, operators: operators}, nil
+	return l, nil
 }
 
 func (l listeners) close() {
-	_ = l.peers.Close()
-	_ = l.operators.Close()
+	for _, ln := range []net.Listener{l.peers, l.operators} {
+		if ln != nil {
+			_ = ln.Close()
+		}
+	}
 }
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -83,7 +83,9 @@
 	c.present("host.id", s.Host.ID)
 	c.present("host.data_centre", s.Host.DataCentre)
 	c.present("host.region", s.Host.Region)
-	c.listen("listen.peers", s.Listen.Peers)
+	if role != RoleGateway {
+		c.listen("listen.peers", s.Listen.Peers)
+	}
 	c.listen("listen.operators", s.Listen.Operators)
 	if len(s.Control.Addresses) == 0 {
 		c.fail("control.addresses", "is missing")
@@ -102,6 +104,12 @@
 		s.checkEntry(c)
 	case RoleControl:
 		s.checkControl(c)
+	case RoleGateway:
+		s.checkEntry(c)
+	case RoleDirectory:
+		s.checkControl(c)
+		c.present("host.name", s.Host.Name)
+		c.address("promotion.address", s.Promotion.Address)
 	default:
 		return Error.New("unknown role %q", role)
 	}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -12,7 +12,9 @@
 package settings
 
 import (
+	"net"
 	"os"
+	"strconv"
 
 	"github.com/arbutusring/arbutusring/pkg/tomlstrict"
 	"github.com/zeebo/errs"
@@ -28,6 +30,11 @@
 const (
 	RoleEntry   Role = "entry"
 	RoleControl Role = "control"
+
+	// RoleGateway and RoleDirectory are their counterparts for groups whose
+	// backend servers announce their roles.
+	RoleGateway   Role = "gateway"
+	RoleDirectory Role = "directory"
 )
 
 // Settings are the settings of one process.
@@ -37,14 +44,18 @@
 	Control Control `toml:"control"`
 	Entry   Entry   `toml:"entry"`
 	Log     Log     `toml:"log"`
+
+	Promotion Promotion `toml:"promotion"`
 }
 
 // Host says where the process runs.
 type Host struct {
-	ID         string            `toml:"id"` // unique among the hosts of its role
+	ID         string            `toml:"id"`   // unique among the hosts of its role
+	Name       string            `toml:"name"` // directory only: as outside services know the host
 	DataCentre string            `toml:"data_centre"`
 	Region     string            `toml:"region"`
 	Labels     map[string]string `toml:"labels"`
+	Regions    map[string]string `toml:"regions"` // gateway only: region by data centre
 }
 
 // Listen holds the addresses that the process listens on, each as ip:port.
@@ -60,6 +71,12 @@
 	DataFolder string            `toml:"data_folder"` // control only
 	Bootstrap  bool              `toml:"bootstrap"`   // control only: first start of a new installation
 	Members    map[string]string `toml:"members"`     // control only: id to peer address of the first members
+	PeerPort   int               `toml:"peer_port"`   // replaces the port of addresses and members; 0 keeps it
+}
+
+// Promotion concerns the outside service that promotes backend servers.
+type Promotion struct {
+	Address string `toml:"address"` // directory only: ip:port
 }
 
 // Entry holds the limits of an entry process.
@@ -75,6 +92,32 @@
 	Level string `toml:"level"` // debug, info, warn or error
 }
 
+// PeerAddresses returns the peer addresses of the control hosts.
+func (c Control) PeerAddresses() []string {
+	out := make([]string, 0, len(c.Addresses))
+	for _, a := range c.Addresses {
+		out = append(out, c.peer(a))
+	}
+	return out
+}
+
+// PeerMembers returns the peer addresses of the first members by id.
+func (c Control) PeerMembers() map[string]string {
+	out := make(map[string]string, len(c.Members))
+	for id, a := range c.Members {
+		out[id] = c.peer(a)
+	}
+	return out
+}
+
+func (c Control) peer(address string) string {
+	host, _, err := net.SplitHostPort(address)
+	if c.PeerPort == 0 || err != nil {
+		return address
+	}
+	return net.JoinHostPort(host, strconv.Itoa(c.PeerPort))
+}
+
 // Load reads and checks the settings of a process that is about to start on
 // this host.
 func Load(file string, role Role) (Settings, error) {
@@ -83,7 +126,7 @@
 		return Settings{}, Error.Wrap(err)
 	}
 	cfg, err := Parse(file, string(text), role)
-	if err != nil || role != RoleControl {
+	if err != nil || role != RoleControl && role != RoleDirectory {
 		return cfg, err
 	}
 	folder := tomlstrict.Locate(string(text)).At(file, "control.data_folder")
