Shorter leases and elections, faster detection of a silent primary, callers wait for a lease after a start

Cause: the worst seconds lay between the loss of a primary or of all processes and the next lease: an election of 0.8 to 1.6 s, a new leader that waits 4.4 s for leases it does not know, 0.8 s until a silent server was noticed, and callers that used up their retries on hosts that had just started. Ruled out: queueing (queued_ms is near 0 in those seconds).

--- a/internal/directory/options.go
+++ b/internal/directory/options.go
@@ -11,9 +11,10 @@
 )
 
 const (
-	// defaultTTL outlasts an election (1.6 s at most) and the search for the
-	// new leader, so that the loss of a control host interrupts nothing.
-	defaultTTL = 4 * time.Second
+	// defaultTTL outlasts an election (0.8 s at most) and the search for the
+	// new leader, so that the loss of a control host interrupts nothing. A new
+	// leader waits as long before it changes a primary.
+	defaultTTL = 2200 * time.Millisecond
 	// defaultDrift is the largest relative difference of two clock rates.
 	defaultDrift = 0.1
 	// defaultFailAfter is how long a primary must have failed. It is longer
--- a/internal/directory/switchover.go
+++ b/internal/directory/switchover.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/arbutusring/arbutusring/internal/directoryrpc"
@@ -42,10 +41,11 @@
 	started time.Time
 }
 
-// candidate is a server that answered a status call.
+// candidate is a server and its answer to a status call.
 type candidate struct {
 	server directoryrpc.Server
 	status statement.ServerStatus
+	err    error
 }
 
 func (w *switchover) run() {
@@ -170,33 +170,40 @@
 	w.event("switch_given_up", g).Err(err).Msg("no server has everything; the primary stays")
 }
 
-// ask returns the status of every server of the group that answers.
+// ask returns the status of every server of the group that answers. A primary
+// that is taken for lost is not waited for.
 func (w *switchover) ask(s directoryrpc.State, g directoryrpc.Group) []candidate {
-	var (
-		mu    sync.Mutex
-		group sync.WaitGroup
-		found []candidate
-	)
+	ctx, cancel := context.WithTimeout(w.lead.ctx, probeTimeout)
+	defer cancel()
+	answers := make(chan candidate, len(s.Servers))
+	awaited := 0
 	for _, srv := range s.Servers {
 		if srv.Group != g.Name {
 			continue
 		}
-		group.Go(func() {
-			ctx, cancel := context.WithTimeout(w.lead.ctx, probeTimeout)
-			defer cancel()
-			st, err := w.lead.opts.Members.Status(ctx, srv)
-			if err != nil {
-				return // a server that does not answer is no candidate
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			found = append(found, candidate{srv, st})
-		})
+		if srv.ID != g.Primary || !w.cause.forced() {
+			awaited++
+		}
+		w.lead.group.Go(func() { w.runAsk(ctx, srv, answers) })
+	}
+	var found []candidate
+	for awaited > 0 {
+		c := <-answers
+		if c.err == nil {
+			found = append(found, c)
+		}
+		if c.server.ID != g.Primary || !w.cause.forced() {
+			awaited--
+		}
 	}
-	group.Wait()
 	return found
 }
 
+func (w *switchover) runAsk(ctx context.Context, srv directoryrpc.Server, answers chan<- candidate) {
+	st, err := w.lead.opts.Members.Status(ctx, srv)
+	answers <- candidate{srv, st, err}
+}
+
 // best returns the most advanced server that may lead. Where commits wait for
 // replicas, so many servers must have answered that one of them has
 // everything that was acknowledged.
--- a/internal/directory/watch.go
+++ b/internal/directory/watch.go
@@ -11,10 +11,11 @@
 )
 
 const (
-	// probeTimeout bounds a status call. A busy server answers within 200 ms.
-	probeTimeout = 500 * time.Millisecond
+	// probeTimeout bounds a status call. A busy server in another region answers
+	// within 300 ms.
+	probeTimeout = 400 * time.Millisecond
 	// probeEvery is the pause between two status calls to a suspected primary.
-	probeEvery = 200 * time.Millisecond
+	probeEvery = 100 * time.Millisecond
 	// roleGrace is how long a primary may announce itself as a replica before
 	// another one is chosen; an announcement may be on its way.
 	roleGrace = time.Second
@@ -79,9 +80,12 @@
 // judgeReports weighs what hosts see. A primary that nobody reaches is lost; a
 // primary that some reach is moved to where all can reach it, without loss.
 func (w *watch) judgeReports(l *leadership, g directoryrpc.Group, primary directoryrpc.Server) cause {
-	var failing, partial, answered int
+	var suspected, failing, partial, answered int
 	views := l.sessions.views(g.Name, g.Generation)
 	for _, r := range views {
+		if r.Failing > 0 {
+			suspected++
+		}
 		switch {
 		case r.Failing >= l.opts.FailAfter:
 			failing++
@@ -92,15 +96,17 @@
 			answered++
 		}
 	}
-	if failing == 0 {
+	if suspected == 0 {
 		return causeNone
 	}
 	w.probe(l, primary)
 	w.mu.Lock()
 	silent := w.failures >= 2 && time.Since(w.silent) >= l.opts.FailAfter
+	// Most hosts and the leader see the same failure.
+	agreed := w.failures >= 1 && 2*suspected > len(views)
 	w.mu.Unlock()
 	switch {
-	case silent && answered == 0:
+	case failing > 0 && (silent && answered == 0 || agreed):
 		return causeLost
 	case partial > 0 && failing > 0:
 		return causePartial
--- a/internal/directoryrpc/client.go
+++ b/internal/directoryrpc/client.go
@@ -9,10 +9,10 @@
 
 const (
 	// syncSlack is added to the wait of a long poll, for the round trip.
-	syncSlack = 500 * time.Millisecond
+	syncSlack = 300 * time.Millisecond
 	// attempt bounds a call at one address, so that a silent control host
 	// leaves time for the others.
-	attempt = 700 * time.Millisecond
+	attempt = 500 * time.Millisecond
 	// putAttempt is longer, because the log is written to disk.
 	putAttempt = 1500 * time.Millisecond
 )
--- a/internal/gateway/bound.go
+++ b/internal/gateway/bound.go
@@ -75,7 +75,9 @@
 	r.ID, r.After = "", rt.after
 	o.attempts++
 	sent, begun := clock.Now(), time.Now()
+	rt.member.sending()
 	a, err := l.do(o.wallDeadline(), r)
+	rt.member.ended(err == nil)
 	if err != nil {
 		o.failed(rt, err)
 		return errkind.Wrap(errkind.ConnectFailed, err, "server %s did not begin the transaction", rt.member.server.ID)
@@ -114,11 +116,13 @@
 	}
 	o.attempts++
 	sent, begun := clock.Now(), time.Now()
+	t.member.sending()
 	a, err := t.link.do(o.wallDeadline(), o.request)
 	for ; err == nil && o.busy(a); a, err = t.link.do(o.wallDeadline(), o.request) {
 		o.sleep(retryPause)
 		o.attempts++
 	}
+	t.member.ended(err == nil)
 	if err != nil {
 		return o.lostInTransaction(err)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,8 +15,11 @@
 	"github.com/rcrowley/go-metrics"
 )
 
+// trimEvery is the number of rounds between two looks at idle connections.
+const trimEvery = 5
+
 // upkeep is the pause between two rounds of work on the connections.
-const upkeep = 200 * time.Millisecond
+const upkeep = 100 * time.Millisecond
 
 // Gateway routes the statements of its sessions. Methods are safe for
 // concurrent use.
@@ -248,7 +251,7 @@
 func (g *Gateway) loopUpkeep() {
 	ticker := time.NewTicker(upkeep)
 	defer ticker.Stop()
-	for {
+	for round := 0; ; round++ {
 		select {
 		case <-g.ctx.Done():
 			return
@@ -259,9 +262,11 @@
 		sessions := slices.Collect(maps.Keys(g.sessions))
 		g.mu.Unlock()
 		for _, m := range members {
-			m.pool.trim()
+			if round%trimEvery == 0 {
+				m.pool.trim()
+			}
 			if m.probe() {
-				g.tasks.Go(func() { m.runProbe(g.ctx) })
+				g.tasks.Go(func() { m.runProbe(g.ctx, g.raise) })
 			}
 		}
 		if limit := g.view.Load().cfg.TransactionIdle; limit > 0 {
@@ -272,14 +277,43 @@
 	}
 }
 
-// Open starts a session for a database.
-func (g *Gateway) Open(name string) (*Session, error) {
-	v := g.view.Load()
-	if _, ok := v.cfg.Databases[name]; !ok {
-		if !g.leased() || v.cfg.Version == 0 {
+// electionTime is how long control may be without a leader. A host without a
+// lease waits as long before it refuses callers: at that moment no other host
+// serves them better.
+const electionTime = 1700 * time.Millisecond
+
+// cutOff reports whether this host has been without a lease for longer than an
+// election takes, so that callers should turn to another one.
+func (g *Gateway) cutOff() bool { return g.leaseLeft() < -electionTime }
+
+// awaitLease waits until the host has a lease and a configuration, and reports
+// whether it has.
+func (g *Gateway) awaitLease(ctx context.Context) bool {
+	for !g.leased() || g.view.Load().cfg.Version == 0 {
+		if g.cutOff() || ctx.Err() != nil || g.ctx.Err() != nil {
+			return false
+		}
+		timer := time.NewTimer(retryPause)
+		select {
+		case <-g.view.Load().changed:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+	return true
+}
+
+// Open starts a session for a database. A host that has just started waits for
+// its lease.
+func (g *Gateway) Open(ctx context.Context, name string) (*Session, error) {
+	if _, ok := g.view.Load().cfg.Databases[name]; !ok {
+		if !g.awaitLease(ctx) {
 			return nil, errkind.New(errkind.ConfigStale, "this host can't be sure of its configuration")
 		}
-		return nil, errkind.New(errkind.UnknownGroup, "database %q is not declared in version %d", name, v.cfg.Version)
+		if v := g.view.Load(); !v.declares(name) {
+			return nil, errkind.New(errkind.UnknownGroup, "database %q is not declared in version %d", name, v.cfg.Version)
+		}
 	}
 	s := &Session{gateway: g, name: name, values: make(map[string]string), prepared: make(map[string]*shape)}
 	g.mu.Lock()
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -30,6 +30,11 @@
 	// gets no work while others can do it.
 	firstAvoid   = 50 * time.Millisecond
 	longestAvoid = time.Second
+	// silence is how long a server may leave all statements unanswered before a
+	// fresh connection is tried. Usual statements take less than 150 ms.
+	silence = 250 * time.Millisecond
+	// probeTimeout bounds that trial.
+	probeTimeout = 400 * time.Millisecond
 	// drainPrimary is how long a primary that leaves still takes work while its
 	// successor is chosen. The servers' contract allows 7 s.
 	drainPrimary = 4 * time.Second
@@ -61,6 +66,8 @@
 	lags     int // in a row
 	lagging  time.Time
 	probing  bool
+	inflight int       // statements without an answer yet
+	progress time.Time // last answer, or the first of them was sent
 	leaving  time.Time // when its departure became known; zero if it stays
 }
 
@@ -127,6 +134,26 @@
 	return max(clock.Now().Sub(m.leaving), 1)
 }
 
+// sending records that a statement is about to be sent.
+func (m *member) sending() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.inflight == 0 {
+		m.progress = clock.Now()
+	}
+	m.inflight++
+}
+
+// ended records that a statement was answered or given up.
+func (m *member) ended(answered bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.inflight--
+	if answered {
+		m.progress = clock.Now()
+	}
+}
+
 // succeeded records an answer that took d.
 func (m *member) succeeded(d time.Duration, pos logpos.Position) {
 	m.mu.Lock()
@@ -156,6 +183,9 @@
 	now := clock.Now()
 	if m.failing.IsZero() {
 		m.failing = now
+		if m.inflight > 0 && m.progress.Before(now) {
+			m.failing = m.progress
+		}
 	}
 	m.avoid = now.Add(min(firstAvoid<<min(m.failures, 8), longestAvoid))
 	m.failures++
@@ -219,11 +249,13 @@
 	return max(now.Sub(m.answered), 1)
 }
 
-// probe tries to connect to a server that fails, unless an attempt is under way.
+// probe reports whether a connection should be tried: the server fails, or it
+// has not answered any of the statements in progress for a while.
 func (m *member) probe() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.failing.IsZero() || m.probing {
+	silent := m.inflight > 0 && clock.Now().Sub(m.progress) > silence
+	if m.failing.IsZero() && !silent || m.probing {
 		return false
 	}
 	m.probing = true
@@ -231,24 +263,30 @@
 }
 
 // runProbe opens a connection, which is kept if that succeeds.
-func (m *member) runProbe(ctx context.Context) {
+func (m *member) runProbe(ctx context.Context, raise func()) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
 	conn, err := m.pool.probe(ctx)
 	m.mu.Lock()
 	m.probing = false
 	m.mu.Unlock()
 	switch {
 	case err == nil:
-		m.succeeded(m.smoothed(), logpos.Position{})
+		m.reached()
 		m.pool.put(conn)
 	case errkind.Of(err) == errkind.NoMember:
-		m.succeeded(m.smoothed(), logpos.Position{}) // it answers, though with a refusal
+		m.reached() // it answers, though with a refusal
 	default:
 		m.failed()
+		raise()
 	}
 }
 
-func (m *member) smoothed() time.Duration {
+// reached records that the server accepts connections. Statements on older
+// connections may still be without an answer.
+func (m *member) reached() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return max(m.service, m.trip)
+	m.failing, m.avoid, m.failures = time.Time{}, time.Time{}, 0
+	m.answered, m.progress = clock.Now(), clock.Now()
 }
--- a/internal/gateway/operation.go
+++ b/internal/gateway/operation.go
@@ -120,7 +120,7 @@
 // caller, this one can't.
 func (o *operation) hopeless(err error) bool {
 	if errkind.Of(err) == errkind.ConfigStale {
-		return true
+		return o.gateway.cutOff()
 	}
 	gv := o.gateway.view.Load().groups[o.db.Group]
 	return gv != nil && gv.primary != nil && !gv.switching && gv.primary.failingFor(clock.Now()) > lostPrimary &&
@@ -267,7 +267,9 @@
 	}
 	o.attempts++
 	sent, begun := clock.Now(), time.Now()
+	rt.member.sending()
 	a, err = l.do(o.patience(rt), r)
+	rt.member.ended(err == nil)
 	took := time.Since(begun)
 	finish()
 	rt.member.sched.Release(slot)
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -18,9 +18,9 @@
 	opening = 2
 	// keepIdle is how long a connection beyond the share of this host is kept.
 	keepIdle = 2 * time.Second
-	// fullPause is how long no connection is opened after the server refused
-	// one for its limit.
-	fullPause = 300 * time.Millisecond
+	// fullPause is how long this host keeps to its share of the connections
+	// after the server refused one for its limit.
+	fullPause = 2 * time.Second
 )
 
 // pool holds the connections of this host to one server. Connections are idle,
@@ -82,7 +82,11 @@
 }
 
 func (p *pool) mayOpen() bool {
-	return p.open < p.limit && p.dialling < opening && (p.open == 0 || time.Now().After(p.fullUntil))
+	limit := p.limit
+	if time.Now().Before(p.fullUntil) {
+		limit = p.share
+	}
+	return p.open < limit && p.dialling < opening
 }
 
 func (p *pool) accept(ctx context.Context, l *link) (*link, error) {
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -15,6 +15,12 @@
 	changed chan struct{} // closed when the next view is in force
 }
 
+// declares reports whether the configuration has a database of that name.
+func (v *view) declares(name string) bool {
+	_, ok := v.cfg.Databases[name]
+	return ok
+}
+
 // groupView is a database group within a view.
 type groupView struct {
 	group      *group
--- a/internal/process/directory.go
+++ b/internal/process/directory.go
@@ -19,10 +19,10 @@
 
 const (
 	// directoryHeartbeat and directoryElection are longer than the defaults of
-	// the log: control bytes between regions are dear, a disk may take 125 ms to
-	// sync, and leases outlast an election.
-	directoryHeartbeat = 200 * time.Millisecond
-	directoryElection  = 800 * time.Millisecond
+	// the log: control bytes between regions are dear, and a slow disk takes
+	// 125 ms to sync.
+	directoryHeartbeat = 100 * time.Millisecond
+	directoryElection  = 400 * time.Millisecond
 	// callLimit bounds a call of a backend server or operator, who repeats it at
 	// another host after a second.
 	callLimit = 900 * time.Millisecond
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -18,11 +18,11 @@
 )
 
 const (
-	// syncWait is how long control holds a request without news. A lease of 4 s
-	// is then renewed early enough for three lost requests.
-	syncWait = time.Second
+	// syncWait is how long control holds a request without news. With it, at
+	// least 1.7 s of a lease of 2.2 s are left when control is lost.
+	syncWait = 500 * time.Millisecond
 	// syncLimit bounds a request with its repetitions at other control hosts.
-	syncLimit = 2500 * time.Millisecond
+	syncLimit = 1500 * time.Millisecond
 	// syncPause keeps failing requests from spinning.
 	syncPause = 50 * time.Millisecond
 	// alarmPause is the least time between two requests that report a failing
