process: the drain test waits until control knows the host

Cause: TestDrainedHostIsNotReady failed in 1 of 12 runs, three at a time. The drain was answered 'there is no host or server "entry-2"' because the host was ready before control had registered it, and the test ignored the refusal. Ruled out: a lost state (the reply shows the refusal). The test now asserts that the drain is accepted, and the answer to its undo.

--- a/internal/process/stop_test.go
+++ b/internal/process/stop_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"net"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/arbutusring/arbutusring/internal/controlrpc"
 	"github.com/arbutusring/arbutusring/internal/operator"
 	"github.com/arbutusring/arbutusring/internal/process"
+	"github.com/arbutusring/arbutusring/pkg/errkind"
 	"github.com/arbutusring/arbutusring/pkg/settings"
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
@@ -82,11 +84,18 @@
 	}
 	eventually(t, "ready after the start", ready)
 	c := operator.Client{Address: address}
-	_, err = c.Drain(ctx, &controlrpc.DrainArgs{ID: "entry-2", ChangeID: "a"})
-	is.NoErr(err)
+	// Control registers a host after its first heartbeat, while the host may be
+	// ready already; a refused change id stays refused.
+	attempt := 0
+	eventually(t, "the drain is accepted", func() bool {
+		attempt++
+		r, err := c.Drain(ctx, &controlrpc.DrainArgs{ID: "entry-2", ChangeID: "a" + strconv.Itoa(attempt)})
+		return err == nil && r.Kind == errkind.OK
+	})
 	eventually(t, "not ready while drained", func() bool { return !ready() })
-	_, err = c.Drain(ctx, &controlrpc.DrainArgs{ID: "entry-2", ChangeID: "b", Undo: true})
+	r, err := c.Drain(ctx, &controlrpc.DrainArgs{ID: "entry-2", ChangeID: "b", Undo: true})
 	is.NoErr(err)
+	is.Equal(r.Kind, errkind.OK)
 	eventually(t, "ready after the undo", ready)
 	is.NoErr(d.Stop(ctx))
 }
