directory: a replaced control host leaves the membership

Cause: replace_core left four voters with one gone for good, so the next loss of a control host stopped control. Hosts register their data centre; a silent member whose place another one has taken is removed. Hosts outside the first members join instead of refusing to start (grown sites have six).

--- a/internal/directory/command.go
+++ b/internal/directory/command.go
@@ -12,6 +12,7 @@
 	Announce *PutServer    `codec:"b,omitempty"`
 	Remove   *RemoveServer `codec:"c,omitempty"`
 	Group    *SetGroup     `codec:"d,omitempty"`
+	Control  *PutControl   `codec:"e,omitempty"`
 }
 
 // PutConfig puts a configuration into force if its version is the highest.
@@ -38,6 +39,12 @@
 	Expect uint64             `codec:"e"`
 }
 
+// PutControl stores the data centre of a control host.
+type PutControl struct {
+	ID         string `codec:"i"`
+	DataCentre string `codec:"d"`
+}
+
 // result is what Machine.Apply returns.
 type result struct {
 	Kind   errkind.Kind `codec:"k"`
--- a/internal/directory/machine.go
+++ b/internal/directory/machine.go
@@ -21,7 +21,7 @@
 // NewMachine returns the state before the first log entry.
 func NewMachine() *Machine {
 	return &Machine{changed: make(chan struct{}), state: directoryrpc.State{
-		Servers: map[string]directoryrpc.Server{}, Groups: map[string]directoryrpc.Group{},
+		Servers: map[string]directoryrpc.Server{}, Groups: map[string]directoryrpc.Group{}, Controls: map[string]string{},
 	}}
 }
 
@@ -66,6 +66,11 @@
 		return m.remove(c.Remove)
 	case c.Group != nil:
 		return m.setGroup(c.Group)
+	case c.Control != nil:
+		controls := maps.Clone(m.state.Controls)
+		controls[c.Control.ID] = c.Control.DataCentre
+		m.state.Controls = controls
+		return result{}, false // entry hosts have no use for it
 	}
 	return result{Kind: errkind.BadRequest, Detail: "unknown command"}, false
 }
@@ -134,18 +139,20 @@
 // Snapshot returns the whole state.
 func (m *Machine) Snapshot() []byte { return msgpack.Encode(m.State()) }
 
+func orEmpty[V any](in map[string]V) map[string]V {
+	if in == nil {
+		return make(map[string]V)
+	}
+	return in
+}
+
 // Restore replaces the state by a snapshot. It is unchanged on error.
 func (m *Machine) Restore(snapshot []byte) error {
 	var s directoryrpc.State
 	if err := msgpack.Decode(snapshot, &s, "a snapshot"); err != nil {
 		return err
 	}
-	if s.Servers == nil {
-		s.Servers = map[string]directoryrpc.Server{}
-	}
-	if s.Groups == nil {
-		s.Groups = map[string]directoryrpc.Group{}
-	}
+	s.Servers, s.Groups, s.Controls = orEmpty(s.Servers), orEmpty(s.Groups), orEmpty(s.Controls)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.state = s
--- a/internal/directory/service.go
+++ b/internal/directory/service.go
@@ -108,6 +108,14 @@
 	return nil
 }
 
+// Register stores the data centre of a control host.
+func (s *Service) Register(args *directoryrpc.RegisterArgs, reply *directoryrpc.RegisterReply) error {
+	if l := s.begin(&reply.Answer); l != nil {
+		s.propose(l, &reply.Answer, Command{Control: &PutControl{ID: args.ID, DataCentre: args.DataCentre}})
+	}
+	return nil
+}
+
 // Put puts a configuration into force if its version is the highest.
 func (s *Service) Put(args *directoryrpc.PutArgs, reply *directoryrpc.PutReply) error {
 	l := s.begin(&reply.Answer)
--- a/internal/directoryrpc/client.go
+++ b/internal/directoryrpc/client.go
@@ -41,6 +41,11 @@
 	return do[AnnounceReply](ctx, c, "Directory.Announce", args, attempt)
 }
 
+// Register tells where a control host is.
+func (c *Client) Register(ctx context.Context, args *RegisterArgs) (*RegisterReply, error) {
+	return do[RegisterReply](ctx, c, "Directory.Register", args, attempt)
+}
+
 // Put asks for a configuration. It is safe to repeat.
 func (c *Client) Put(ctx context.Context, args *PutArgs) (*PutReply, error) {
 	return do[PutReply](ctx, c, "Directory.Put", args, putAttempt)
--- a/internal/directoryrpc/messages.go
+++ b/internal/directoryrpc/messages.go
@@ -64,6 +64,7 @@
 	Document      []byte            `codec:"d" json:"-"` // the configuration as the operator sent it, compressed
 	Servers       map[string]Server `codec:"s" json:"servers"`
 	Groups        map[string]Group  `codec:"g" json:"groups"`
+	Controls      map[string]string `codec:"h" json:"controls"` // data centre of each control host, by id
 }
 
 // Host is an entry host.
@@ -115,6 +116,17 @@
 	controlrpc.Answer
 }
 
+// RegisterArgs tells where a control host is.
+type RegisterArgs struct {
+	ID         string `codec:"i"`
+	DataCentre string `codec:"d"`
+}
+
+// RegisterReply is the answer to a registration.
+type RegisterReply struct {
+	controlrpc.Answer
+}
+
 // PutArgs asks for a configuration. The highest version is in force; a lower
 // or an equal one changes nothing and is acknowledged as well.
 type PutArgs struct {
--- a/internal/process/directory.go
+++ b/internal/process/directory.go
@@ -84,7 +84,7 @@
 		Address:           p.lns.peers.Addr().String(),
 		Dir:               p.cfg.Control.DataFolder,
 		Bootstrap:         bootstrapMembers(p.cfg.Control),
-		Join:              !p.cfg.Control.Bootstrap,
+		Join:              !p.founds(),
 		Send:              p.sender.send,
 		Apply:             p.directory.Apply,
 		Snapshot:          p.directory.Snapshot,
@@ -111,12 +111,39 @@
 		Ready:  func() bool { _, known := p.node.Leader(); return known },
 		Routes: p.opts.Adapter.ControlRoutes(ControlPlane{Announce: p.announce, Put: p.put, Get: p.get}),
 	})
-	p.tasks.start((&membership{node: p.node, log: p.log, voters: len(p.cfg.Control.Members), replace: stoppedVoter}).loop)
+	p.tasks.start((&membership{node: p.node, log: p.log, dataCentres: p.dataCentres, replace: stoppedVoter}).loop)
+	p.tasks.start(p.loopRegister)
 	p.opts.Events.Event("started").Str("peers", p.PeerAddress()).Bool("bootstrap", p.cfg.Control.Bootstrap).
 		Strs("control", p.seeds).Msg("directory process started")
 	return nil
 }
 
+// founds reports whether this host is one of the first members. Other hosts of a
+// new installation join them.
+func (p *Directory) founds() bool {
+	_, named := p.cfg.Control.Members[p.cfg.Host.ID]
+	return p.cfg.Control.Bootstrap && named
+}
+
+func (p *Directory) dataCentres() map[string]string { return p.directory.State().Controls }
+
+// registerPause is the pause between two attempts to register.
+const registerPause = time.Second
+
+// loopRegister tells the leader where this host is, until the log holds it.
+func (p *Directory) loopRegister(ctx context.Context) {
+	for ctx.Err() == nil && p.dataCentres()[p.cfg.Host.ID] != p.cfg.Host.DataCentre {
+		call, cancel := context.WithTimeout(ctx, callLimit)
+		p.client.SetAddresses(p.addresses())
+		_, err := p.client.Register(call, &directoryrpc.RegisterArgs{ID: p.cfg.Host.ID, DataCentre: p.cfg.Host.DataCentre})
+		cancel()
+		if err != nil {
+			p.opts.Events.Event("register_failed").Err(err).Msg("control does not know this host yet")
+		}
+		pause(ctx, registerPause)
+	}
+}
+
 // addresses returns the peer addresses of the control hosts, this one first.
 func (p *Directory) addresses() []string {
 	all := []string{p.PeerAddress()}
--- a/internal/process/membership.go
+++ b/internal/process/membership.go
@@ -15,13 +15,18 @@
 type membership struct {
 	node *consensus.Node
 	log  zerolog.Logger
-	// voters is the number of voters to keep. A surplus one that was silent for
-	// replace is removed, because a host at another address has taken its
-	// place. 0 keeps all.
-	voters  int
-	replace time.Duration
+	// dataCentres returns the data centre of each host by id. Where two hosts
+	// share one and one of them is silent for replace, the other has taken its
+	// place, and it is removed. nil keeps all.
+	dataCentres func() map[string]string
+	replace     time.Duration
 }
 
+// maxVoters bounds the hosts that vote; further ones only follow. With more
+// voters every change waits for more disks and survives no more losses than the
+// deployments have to bear.
+const maxVoters = 7
+
 // loop brings control hosts back that lost their disk. Such a host
 // asks to join under its id with a new incarnation. The leader removes the old
 // incarnation, which can't vote any more, adds the new one as a learner, and
@@ -47,7 +52,7 @@
 		return
 	}
 	for _, m := range st.Members {
-		if m.Learner && m.Match > 0 && m.Match >= st.Commit {
+		if m.Learner && m.Match > 0 && m.Match >= st.Commit && voters(st) < maxVoters {
 			p.change(ctx, consensus.Change{Kind: consensus.Promote, Member: m.Member})
 			return
 		}
@@ -57,21 +62,33 @@
 	}
 }
 
-// surplus returns the voter that has been silent for longest, if there are more
-// voters than needed.
-func (p *membership) surplus(st consensus.Status) (consensus.Member, bool) {
-	var gone consensus.MemberStatus
-	voters := 0
+func voters(st consensus.Status) int {
+	n := 0
 	for _, m := range st.Members {
-		if m.Learner {
+		if !m.Learner {
+			n++
+		}
+	}
+	return n
+}
+
+// surplus returns a silent member whose place another one has taken.
+func (p *membership) surplus(st consensus.Status) (consensus.Member, bool) {
+	if p.dataCentres == nil {
+		return consensus.Member{}, false
+	}
+	places := p.dataCentres()
+	for _, gone := range st.Members {
+		if gone.ID == st.ID || gone.ContactAge < p.replace || places[gone.ID] == "" {
 			continue
 		}
-		voters++
-		if m.ID != st.ID && m.ContactAge > gone.ContactAge {
-			gone = m
+		for _, m := range st.Members {
+			if m.ID != gone.ID && !m.Learner && places[m.ID] == places[gone.ID] && m.ContactAge < p.replace {
+				return gone.Member, true
+			}
 		}
 	}
-	return gone.Member, p.voters > 0 && voters > p.voters && gone.ContactAge > p.replace
+	return consensus.Member{}, false
 }
 
 // otherIncarnation returns the member with the id of a joining host. Only a
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -104,6 +104,7 @@
 		s.checkEntry(c)
 	case RoleControl:
 		s.checkControl(c)
+		s.checkFounder(c)
 	case RoleGateway:
 		s.checkEntry(c)
 	case RoleDirectory:
@@ -134,6 +135,10 @@
 	for _, id := range slices.Sorted(maps.Keys(s.Control.Members)) {
 		c.address("control.members."+id, s.Control.Members[id])
 	}
+}
+
+// checkFounder checks that a host that founds an installation is a member.
+func (s *Settings) checkFounder(c *checker) {
 	if _, ok := s.Control.Members[s.Host.ID]; s.Control.Bootstrap && !ok {
 		c.fail("control.members", "must name this host %q for a bootstrap", s.Host.ID)
 	}
