--- a/internal/gateway/bound.go
+++ b/internal/gateway/bound.go
@@ -127,7 +127,7 @@
 		return o.lostInTransaction(err)
 	}
 	took := time.Since(begun)
-	o.gateway.meters.server.Update(took)
+	o.gateway.meters.server.Update(int64(took))
 	t.member.succeeded(took, a.Position)
 	if o.request.Kind == statement.Commit {
 		return o.committed(a, sent)
--- a/internal/gateway/meters.go
+++ b/internal/gateway/meters.go
@@ -11,9 +11,9 @@
 // meters are the metrics of a gateway. docs/OPERATIONS.md lists them.
 type meters struct {
 	registry  metrics.Registry
-	statement metrics.Timer // whole time of a statement, waits included
-	wait      metrics.Timer // time in the queue of a server
-	server    metrics.Timer // time from sending to the answer
+	statement metrics.Histogram // in ns: whole time of a statement, waits included
+	wait      metrics.Histogram // in ns: time in the queue of a server
+	server    metrics.Histogram // in ns: time from sending to the answer
 	replicas  metrics.Counter
 	primaries metrics.Counter
 	retries   metrics.Counter
@@ -21,11 +21,15 @@
 }
 
 func newMeters(r metrics.Registry) *meters {
+	// No Timers: their meters start a goroutine that no test can stop.
+	histogram := func(name string) metrics.Histogram {
+		return metrics.GetOrRegisterHistogram("gateway."+name, r, metrics.NewExpDecaySample(1028, 0.015))
+	}
 	return &meters{
 		registry:  r,
-		statement: metrics.GetOrRegisterTimer("gateway.statement", r),
-		wait:      metrics.GetOrRegisterTimer("gateway.queue_wait", r),
-		server:    metrics.GetOrRegisterTimer("gateway.server_time", r),
+		statement: histogram("statement_ns"),
+		wait:      histogram("queue_wait_ns"),
+		server:    histogram("server_time_ns"),
 		replicas:  metrics.GetOrRegisterCounter("gateway.reads_replica", r),
 		primaries: metrics.GetOrRegisterCounter("gateway.statements_primary", r),
 		retries:   metrics.GetOrRegisterCounter("gateway.retries", r),
@@ -39,5 +43,5 @@
 		kind = "ok"
 	}
 	metrics.GetOrRegisterCounter("gateway.statements.rank_"+strconv.Itoa(rank)+"."+string(kind), m.registry).Inc(1)
-	m.statement.Update(took)
+	m.statement.Update(int64(took))
 }
--- a/internal/gateway/operation.go
+++ b/internal/gateway/operation.go
@@ -194,7 +194,7 @@
 	begun := time.Now()
 	slot, err := m.sched.Acquire(ctx, rankName(o.db.Rank), begun.Add(left))
 	o.waited += time.Since(begun)
-	o.gateway.meters.wait.UpdateSince(begun)
+	o.gateway.meters.wait.Update(int64(time.Since(begun)))
 	if err != nil {
 		return nil, slot, err
 	}
@@ -278,7 +278,7 @@
 		o.failed(rt, err)
 		return o.unanswered(rt, err)
 	}
-	o.gateway.meters.server.Update(took)
+	o.gateway.meters.server.Update(int64(took))
 	rt.member.succeeded(took, a.Position)
 	if a.State != statement.Idle {
 		rt.member.pool.drop(l)
