--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -47,6 +47,7 @@
 	control *directoryrpc.Client
 	gateway *gateway.Gateway
 	callers *lineserver.Server
+	syncing tasks // renew the lease; they end before the other goroutines
 
 	mu      sync.Mutex
 	state   directoryrpc.State // in force here, with its document
@@ -83,12 +84,15 @@
 	p.serve(operator.Handlers{
 		Dump: func() any { return p.Dump() }, Ready: p.gateway.Ready, Routes: opts.Adapter.EntryRoutes(p.gateway.Ready),
 	})
-	p.tasks.start(p.loopSync)
+	p.syncing.start(p.loopSync)
 	opts.Events.Event("started").Str("incarnation", p.host.Incarnation).Stringer("callers", p.callers.Addr()).
 		Strs("control", p.seeds).Msg("gateway process started")
 	return p, nil
 }
 
+// CallerAddress returns the address that callers connect to.
+func (p *Gateway) CallerAddress() string { return p.callers.Addr().String() }
+
 // GatewayDump is the state of a gateway process.
 type GatewayDump struct {
 	Host     directoryrpc.Host  `json:"host"`
@@ -160,7 +164,7 @@
 	defer cancel()
 	stop := make(chan struct{})
 	defer close(stop)
-	p.tasks.wg.Go(func() { p.runAlarm(stop, cancel) })
+	p.syncing.wg.Go(func() { p.runAlarm(stop, cancel) })
 	sent := clock.Now()
 	reply, err := p.control.Sync(ctx, &directoryrpc.SyncArgs{
 		Host: p.host, Version: state.Version, ConfigVersion: state.ConfigVersion, Reports: p.gateway.Reports(), Wait: syncWait,
@@ -286,7 +290,7 @@
 
 // leave gives the lease up, so that no change of a primary waits for it.
 func (p *Gateway) leave() {
-	p.tasks.stop()
+	p.syncing.stop()
 	ctx, cancel := context.WithTimeout(context.Background(), leaveLimit)
 	defer cancel()
 	if _, err := p.control.Sync(ctx, &directoryrpc.SyncArgs{Host: p.host, Leaving: true}); err != nil {
