gateway process: a failing primary does not keep the lease from being renewed

Cause: each failing statement raised an alarm, and the alarm broke off the request that renews the lease 150 ms after it was sent, before control answered. Ruled out: control (it had a leader since 3.6 s), lost calls (17 control_lost lines for 32 hosts). Before: TestLeaseWithFailingPrimary answers 503. After: passes.

--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -25,9 +26,9 @@
 	syncLimit = 1500 * time.Millisecond
 	// syncPause keeps failing requests from spinning.
 	syncPause = 50 * time.Millisecond
-	// alarmPause is the least time between two requests that report a failing
-	// primary.
-	alarmPause = 150 * time.Millisecond
+	// failingWait takes the place of syncWait while a primary fails, so that
+	// control learns soon how that goes on.
+	failingWait = 100 * time.Millisecond
 )
 
 // GatewayOptions configure a gateway process.
@@ -162,13 +163,20 @@
 	p.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, syncLimit)
 	defer cancel()
-	stop := make(chan struct{})
-	defer close(stop)
-	p.syncing.wg.Go(func() { p.runAlarm(stop, cancel) })
-	sent := clock.Now()
-	reply, err := p.control.Sync(ctx, &directoryrpc.SyncArgs{
+	args := &directoryrpc.SyncArgs{
 		Host: p.host, Version: state.Version, ConfigVersion: state.ConfigVersion, Reports: p.gateway.Reports(), Wait: syncWait,
-	})
+	}
+	if slices.ContainsFunc(args.Reports, func(r directoryrpc.Report) bool { return r.Failing > 0 }) {
+		// A request that reports a failure is not broken off by the next one:
+		// the host would never get its lease renewed.
+		args.Wait = failingWait
+	} else {
+		stop := make(chan struct{})
+		defer close(stop)
+		p.syncing.wg.Go(func() { p.runAlarm(stop, cancel) })
+	}
+	sent := clock.Now()
+	reply, err := p.control.Sync(ctx, args)
 	if err != nil {
 		if context.Cause(ctx) == context.Canceled {
 			return nil // a primary fails: the next request reports it
@@ -191,13 +199,6 @@
 
 // runAlarm ends a request that waits for news when a primary begins to fail.
 func (p *Gateway) runAlarm(stop <-chan struct{}, cancel context.CancelFunc) {
-	timer := time.NewTimer(alarmPause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-stop:
-		return
-	}
 	select {
 	case <-p.gateway.Alarm():
 		cancel()
