gateway: trials of a server's connections back off

Cause: every host tried a new connection every 100 ms to each server that was slow or failed, and each trial takes a slot for 12 ms.

--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -33,7 +33,11 @@
 	// silence is how long a server may leave all statements unanswered before a
 	// fresh connection is tried. Usual statements take less than 150 ms.
 	silence = 250 * time.Millisecond
-	// probeTimeout bounds that trial.
+	// probePause and longestProbePause bound the pause between two trials. Each
+	// takes a slot of the server for 12 ms, which a busy server lacks.
+	probePause        = 100 * time.Millisecond
+	longestProbePause = time.Second
+	// probeTimeout bounds a trial.
 	probeTimeout = 400 * time.Millisecond
 	// drainPrimary is how long a primary that leaves still takes work while its
 	// successor is chosen. The servers' contract allows 7 s.
@@ -66,6 +70,7 @@
 	lags     int // in a row
 	lagging  time.Time
 	probing  bool
+	probeAt  time.Time // no connection is tried before
 	inflight int       // statements without an answer yet
 	progress time.Time // last answer, or the first of them was sent
 	leaving  time.Time // when its departure became known; zero if it stays
@@ -188,6 +193,7 @@
 		}
 	}
 	m.avoid = now.Add(min(firstAvoid<<min(m.failures, 8), longestAvoid))
+	m.probeAt = now.Add(min(probePause<<min(m.failures, 8), longestProbePause))
 	m.failures++
 	return m.failures == 1
 }
@@ -255,7 +261,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	silent := m.inflight > 0 && clock.Now().Sub(m.progress) > silence
-	if m.failing.IsZero() && !silent || m.probing {
+	if m.failing.IsZero() && !silent || m.probing || clock.Now().Before(m.probeAt) {
 		return false
 	}
 	m.probing = true
@@ -289,4 +295,5 @@
 	defer m.mu.Unlock()
 	m.failing, m.avoid, m.failures = time.Time{}, time.Time{}, 0
 	m.answered, m.progress = clock.Now(), clock.Now()
+	m.probeAt = clock.Now().Add(longestProbePause)
 }
