--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -237,6 +237,23 @@
 	})
 }
 
+// TestCrowdWithoutSample guards against a crowd of reads at the primary when a
+// host has just started: one of them makes the sample that the others need.
+func TestCrowdWithoutSample(t *testing.T) {
+	bubble(t, func(t *testing.T, is *is.I, w *world, g *gateway.Gateway) {
+		done := make(chan statement.Answer, 60)
+		for range cap(done) {
+			c := open(t, g, "bounded")
+			defer c.Close()
+			go func() { done <- c.read("a") }()
+		}
+		for range cap(done) {
+			is.Equal(kind(<-done), errkind.OK)
+		}
+		is.True(w.count("s1: ") < 20)
+	})
+}
+
 // TestDeparture guards against new work at a server that leaves service.
 func TestDeparture(t *testing.T) {
 	bubble(t, func(t *testing.T, is *is.I, w *world, g *gateway.Gateway) {
--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -20,6 +20,7 @@
 	released   uint64 // uses up to this generation may not answer any more
 	uses       map[*use]struct{}
 	samples    staleness.Samples
+	sampling   time.Time       // when a read was sent to the primary for want of a sample
 	latest     logpos.Position // of the primary's log
 }
 
@@ -40,7 +41,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if generation != g.generation && !sameLog {
-		g.samples = staleness.Samples{}
+		g.samples, g.sampling = staleness.Samples{}, time.Time{}
 	}
 	g.generation, g.switching = generation, switching
 }
@@ -111,6 +112,24 @@
 	return s.Pos, ok
 }
 
+// sampleWait is how long other reads wait for the sample that one of them makes
+// at the primary. It is longer than an answer from another region.
+const sampleWait = 200 * time.Millisecond
+
+// takeSample reports whether the caller is the one to read at the primary for
+// want of a sample. When a host has just started or the primary has changed,
+// all reads that wait would otherwise queue up at the primary.
+func (g *group) takeSample() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := clock.Now()
+	if now.Sub(g.sampling) < sampleWait {
+		return false
+	}
+	g.sampling = now
+	return true
+}
+
 const (
 	// idleGrace is how long an open transaction may go on when its primary is
 	// about to be changed. New work waits meanwhile.
--- a/internal/gateway/operation.go
+++ b/internal/gateway/operation.go
@@ -87,7 +87,11 @@
 	}
 	after, ok := gv.group.required(o.db.MaxStaleness)
 	if !ok {
-		return o.primaryRoute()
+		rt, err := o.primaryRoute()
+		if err == nil && !gv.group.takeSample() {
+			err = errkind.New(errkind.PositionNotReached, "a position of the primary of group %q is awaited", o.db.Group)
+		}
+		return rt, err
 	}
 	if o.db.Consistency == database.Session {
 		after = after.Max(o.session.token)
--- a/internal/process/directory.go
+++ b/internal/process/directory.go
@@ -18,11 +18,10 @@
 )
 
 const (
-	// directoryHeartbeat and directoryElection are longer than the defaults of
-	// the log: control bytes between regions are dear, and a slow disk takes
-	// 125 ms to sync.
-	directoryHeartbeat = 100 * time.Millisecond
-	directoryElection  = 400 * time.Millisecond
+	// directoryHeartbeat and directoryElection leave room for a slow disk, which
+	// takes 125 ms to sync.
+	directoryHeartbeat = 75 * time.Millisecond
+	directoryElection  = 300 * time.Millisecond
 	// callLimit bounds a call of a backend server or operator, who repeats it at
 	// another host after a second.
 	callLimit = 900 * time.Millisecond
