--- a/internal/controlrpc/client.go
+++ b/internal/controlrpc/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -44,9 +45,14 @@
 	Call      func(ctx context.Context, address, method string, args, reply any) error
 
 	mu     sync.Mutex
-	leader string // address that answered last, or the last hint; guarded by mu
+	leader string               // address that answered last, or the last hint; guarded by mu
+	silent map[string]time.Time // when an address last failed; guarded by mu
 }
 
+// silentFor is how long an address that failed is tried after the others. A
+// frozen host costs the whole time of an attempt.
+const silentFor = 3 * time.Second
+
 // Answered is implemented by every reply through its embedded Answer.
 type Answered interface {
 	answer() *Answer
@@ -190,19 +196,24 @@
 	return a.Kind == errkind.NotLeader || a.Kind == errkind.OutcomeUnknown
 }
 
-// order returns the addresses to try, the remembered leader first and the
-// others in random order, so that clients without a leader spread out.
+// order returns the addresses to try: the remembered leader, the others in
+// random order, so that clients without a leader spread out, and last those
+// that failed lately.
 func (c *Client) order() []string {
 	c.mu.Lock()
-	leader, addresses := c.leader, c.Addresses
+	leader, addresses, silent := c.leader, c.Addresses, maps.Clone(c.silent)
 	c.mu.Unlock()
+	failed := func(a string) bool { return time.Since(silent[a]) < silentFor }
 	out := make([]string, 0, len(addresses)+1)
 	if leader != "" {
 		out = append(out, leader)
 	}
-	for _, i := range rand.Perm(len(addresses)) {
-		if addresses[i] != leader {
-			out = append(out, addresses[i])
+	order := rand.Perm(len(addresses))
+	for _, last := range []bool{false, true} {
+		for _, i := range order {
+			if addresses[i] != leader && failed(addresses[i]) == last {
+				out = append(out, addresses[i])
+			}
 		}
 	}
 	return out
@@ -213,6 +224,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.leader = address
+	delete(c.silent, address)
 }
 
 // follow replaces the remembered leader, which answered or was named by
@@ -223,13 +235,25 @@
 	if hint == address {
 		hint = ""
 	}
+	if hint != "" && time.Since(c.silent[hint]) < silentFor {
+		hint = "" // another host may not have noticed yet that it is gone
+	}
 	if hint != "" || c.leader == address {
 		c.leader = hint
 	}
 }
 
-// forget drops the remembered leader if it is address.
-func (c *Client) forget(address string) { c.follow(address, "") }
+// forget records that address failed, and drops the remembered leader if it is
+// that address.
+func (c *Client) forget(address string) {
+	c.follow(address, "")
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.silent == nil {
+		c.silent = make(map[string]time.Time)
+	}
+	c.silent[address] = time.Now()
+}
 
 // pause waits before the next round; it is false if ctx ends. The first round
 // is repeated almost at once, because it usually ends with a leader hint.
--- a/internal/controlrpc/client_test.go
+++ b/internal/controlrpc/client_test.go
@@ -100,3 +100,29 @@
 		})
 	}
 }
+
+// TestSilentHost guards against a call that waits again and again for a host
+// that was silent a moment ago, also when another one still takes it for the
+// leader.
+func TestSilentHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &script{leader: "b", silent: map[string]bool{"a": true}, hints: map[string]string{"c": "a"}}
+		c := &controlrpc.Client{Addresses: []string{"a", "c"}, Call: s.call}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		first, stop := context.WithTimeout(ctx, 4*time.Second)
+		_, err := c.Apply(first, &controlrpc.ApplyArgs{})
+		stop()
+		is.True(err != nil) // nobody knows the leader
+		s.calls = nil
+		c.SetAddresses([]string{"a", "b", "c"})
+		for range 10 {
+			_, err := c.Apply(ctx, &controlrpc.ApplyArgs{})
+			is.NoErr(err)
+		}
+		for _, address := range s.calls {
+			is.True(address != "a")
+		}
+	})
+}
--- a/internal/directory/options.go
+++ b/internal/directory/options.go
@@ -22,7 +22,7 @@
 	defaultFailAfter = 400 * time.Millisecond
 	// defaultPartialAfter is how long some hosts must have failed to reach a
 	// primary that others reach, before it is moved without loss.
-	defaultPartialAfter = time.Second
+	defaultPartialAfter = 1500 * time.Millisecond
 	// defaultCatchUp bounds the wait of a planned change for the successor.
 	defaultCatchUp = 1500 * time.Millisecond
 )
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -36,7 +36,7 @@
 	// probePause and longestProbePause bound the pause between two trials. Each
 	// takes a slot of the server for 12 ms, which a busy server lacks.
 	probePause        = 100 * time.Millisecond
-	longestProbePause = time.Second
+	longestProbePause = 400 * time.Millisecond
 	// probeTimeout bounds a trial.
 	probeTimeout = 400 * time.Millisecond
 	// drainPrimary is how long a primary that leaves still takes work while its
