gateway: a busy server keeps its connections

Cause: a read that was not answered within 400 ms closed all idle connections to its server and marked it as failing, while the server answered others. Only a server that answers nobody, or refuses connections, counts as failing now.

--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -26,31 +26,33 @@
 	servers map[string]*server
 	ran     []string // "server: text" of what was executed
 	refused int      // connections above the limit
+	dials   int      // connections that were opened
 }
 
 // server is one backend server.
 type server struct {
-	id     string
-	role   statement.Role
-	term   uint64
-	log    []string      // committed writes
-	lag    int           // of them that were not applied
-	work   time.Duration // of one statement
-	slots  chan struct{}
-	limit  int // of connections
-	conns  int
-	down   bool // refuses connections
-	silent bool // answers nothing
-	busy   int  // statements that it refuses for want of room
-	lose   int  // answers that it loses after the execution
-	sent   chan string
+	id        string
+	role      statement.Role
+	term      uint64
+	log       []string      // committed writes
+	lag       int           // of them that were not applied
+	work      time.Duration // of one statement
+	slots     chan struct{}
+	handshake time.Duration // of a new connection
+	limit     int           // of connections
+	conns     int
+	down      bool // refuses connections
+	silent    bool // answers nothing
+	busy      int  // statements that it refuses for want of room
+	lose      int  // answers that it loses after the execution
+	sent      chan string
 }
 
 func newWorld() *world {
 	w := &world{servers: make(map[string]*server)}
 	for i, role := range []statement.Role{statement.Primary, statement.Replica, statement.Replica} {
 		id := fmt.Sprintf("s%d", i+1)
-		w.servers[id] = &server{id: id, role: role, term: 1, work: 10 * time.Millisecond, slots: make(chan struct{}, 3), limit: 25}
+		w.servers[id] = &server{id: id, role: role, term: 1, work: 10 * time.Millisecond, handshake: time.Millisecond, slots: make(chan struct{}, 3), limit: 25}
 	}
 	return w
 }
@@ -132,6 +134,7 @@
 	}
 	if !down && !silent {
 		srv.conns++
+		w.dials++
 	}
 	w.mu.Unlock()
 	if silent {
@@ -141,7 +144,9 @@
 	if down {
 		return nil, errkind.New(errkind.ConnectFailed, "refused")
 	}
-	time.Sleep(time.Millisecond)
+	srv.slots <- struct{}{} // a new connection takes a slot for some time
+	time.Sleep(srv.handshake)
+	<-srv.slots
 	return &conn{world: w, server: srv, values: make(map[string]string), prepared: make(map[string]statement.Request), gone: make(chan struct{})}, nil
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -254,6 +254,33 @@
 	})
 }
 
+// TestLostAnswerOfBusyServer guards against a server that loses all connections
+// of a host because one answer did not come: each new one takes a slot.
+func TestLostAnswerOfBusyServer(t *testing.T) {
+	bubble(t, func(t *testing.T, is *is.I, w *world, g *gateway.Gateway) {
+		callers := make([]*caller, 3)
+		done := make(chan statement.Answer, 3)
+		round := func() {
+			for _, c := range callers {
+				go func() { done <- c.read("a") }()
+			}
+			for range callers {
+				is.Equal(kind(<-done), errkind.OK)
+			}
+		}
+		for i := range callers {
+			callers[i] = open(t, g, "urgent")
+			defer callers[i].Close()
+		}
+		round()
+		before := w.dials
+		w.change(func() { w.server("s1").lose = 1 })
+		is.Equal(kind(callers[0].read("a")), errkind.OK)
+		round()
+		is.Equal(w.dials, before+1)
+	})
+}
+
 // TestDeparture guards against new work at a server that leaves service.
 func TestDeparture(t *testing.T) {
 	bubble(t, func(t *testing.T, is *is.I, w *world, g *gateway.Gateway) {
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/arbutusring/arbutusring/internal/clock"
@@ -180,12 +182,17 @@
 	m.lags, m.lagging = 0, time.Time{}
 }
 
-// failed records that the server could not be reached or did not answer. It
-// reports whether this is the first failure in a row.
-func (m *member) failed() bool {
+// failed records that the server could not be reached or did not answer. quiet
+// tells that it answers nobody of this host; otherwise it is busy, or only that
+// connection is dead. first tells that it is the first failure in a row.
+func (m *member) failed(err error) (first, quiet bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := clock.Now()
+	if now.Sub(m.answered) < silence && !errors.Is(err, syscall.ECONNREFUSED) {
+		m.avoid = now.Add(firstAvoid)
+		return false, false
+	}
 	if m.failing.IsZero() {
 		m.failing = now
 		if m.inflight > 0 && m.progress.Before(now) {
@@ -195,7 +202,7 @@
 	m.avoid = now.Add(min(firstAvoid<<min(m.failures, 8), longestAvoid))
 	m.probeAt = now.Add(min(probePause<<min(m.failures, 8), longestProbePause))
 	m.failures++
-	return m.failures == 1
+	return m.failures == 1, true
 }
 
 // behind records that a replica lacked a required position.
@@ -283,8 +290,9 @@
 	case errkind.Of(err) == errkind.NoMember:
 		m.reached() // it answers, though with a refusal
 	default:
-		m.failed()
-		raise()
+		if _, quiet := m.failed(err); quiet {
+			raise()
+		}
 	}
 }
 
--- a/internal/gateway/operation.go
+++ b/internal/gateway/operation.go
@@ -24,7 +24,7 @@
 	lostPrimary = 1500 * time.Millisecond
 	// readPatience is the part of the statement timeout after which a read that
 	// was not answered is sent to another server.
-	readPatience = 2
+	readPatience = 0.75
 )
 
 // operation is one statement on its way, over all its attempts.
@@ -223,7 +223,12 @@
 
 // failed records a server that could not be reached or did not answer.
 func (o *operation) failed(rt route, err error) {
-	first := rt.member.failed()
+	first, quiet := rt.member.failed(err)
+	if !quiet {
+		// Closing the other connections as well would cost a busy server a
+		// slot for each that is opened again.
+		return
+	}
 	if first {
 		o.gateway.opts.Events.Event("server_failing").Str("server", rt.member.server.ID).Str("group", o.db.Group).
 			Str("request", o.request.ID).Err(err).Msg("the server does not answer")
@@ -296,8 +301,8 @@
 // another server, so it does not wait for the whole timeout.
 func (o *operation) patience(rt route) time.Time {
 	if o.read && !rt.lead {
-		half := o.started.Add(o.db.StatementTimeout / readPatience)
-		if left := half.Sub(clock.Now()); left > 0 && o.attempts == 1 {
+		end := o.started.Add(time.Duration(readPatience * float64(o.db.StatementTimeout)))
+		if left := end.Sub(clock.Now()); left > 0 && o.attempts == 1 {
 			return time.Now().Add(left)
 		}
 	}
