--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -19,8 +19,10 @@
 	// defaultWriteLimit is longer than defaultIdle because one answer may be
 	// megabytes long.
 	defaultWriteLimit = 5 * time.Second
-	// defaultDialTimeout bounds a connection attempt to a host that is gone.
-	defaultDialTimeout = time.Second
+	// defaultDialTimeout bounds a connection attempt. The kernel repeats a lost
+	// opening packet after 1 s, for example to a host that is just starting; a
+	// fresh attempt is faster. It is longer than a round trip between regions.
+	defaultDialTimeout = 300 * time.Millisecond
 )
 
 // PoolOptions configure a Pool.
@@ -29,7 +31,7 @@
 	Ping        time.Duration                                               // heartbeat interval; default 250 ms
 	Idle        time.Duration                                               // a connection silent for this time is closed; default 1 s
 	WriteLimit  time.Duration                                               // default 5 s
-	DialTimeout time.Duration                                               // default 1 s
+	DialTimeout time.Duration                                               // default 300 ms
 }
 
 // Pool holds one connection to each host that this process calls. All methods
