--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 
+	"github.com/arbutusring/arbutusring/internal/leading"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
 )
 
@@ -13,20 +14,32 @@
 type Control struct {
 	opts    Options
 	machine *Machine
-	wake    chan struct{} // leading or log has changed
-
-	mu      sync.Mutex
-	log     *Log
-	leading bool
-	term    uint64 // of the log, grows with each leadership
-	current *leadership
-	cancel  context.CancelFunc // ends run
-	done    chan struct{}      // run has returned
+	loop    *leading.Loop[leadership]
+
+	mu  sync.Mutex
+	log *Log // nil before Start
 }
 
 // New returns a Control that does nothing until Start.
 func New(opts Options) *Control {
-	return &Control{opts: opts.withDefaults(), machine: NewMachine(), wake: make(chan struct{}, 1)}
+	c := &Control{opts: opts.withDefaults(), machine: NewMachine()}
+	c.loop = leading.New(c.begin, c.run)
+	return c
+}
+
+func (c *Control) begin(ctx context.Context, term uint64) *leadership {
+	l := newLeadership(ctx, c.opts, c.started(), c.machine)
+	l.term = term
+	return l
+}
+
+// run works until the leadership ends.
+func (c *Control) run(l *leadership) {
+	c.opts.meters.leads.Update(1)
+	defer c.opts.meters.leads.Update(0)
+	c.opts.Logger.Info().Uint64("log_term", l.term).Msg("this control host leads")
+	l.run()
+	c.opts.Logger.Info().Uint64("log_term", l.term).Msg("this control host no longer leads")
 }
 
 // Apply carries out one entry of the log.
@@ -46,30 +59,21 @@
 
 // OnLeader tells that this host became or stopped being the leader of the
 // log. It does not block. A leadership that ends stops answering at once.
-func (c *Control) OnLeader(leading bool, term uint64) {
-	c.mu.Lock()
-	c.leading, c.term = leading, term
-	c.current = nil
-	c.mu.Unlock()
-	c.signal()
-}
+func (c *Control) OnLeader(leads bool, term uint64) { c.loop.OnLeader(leads, term) }
 
 // Start begins to work in the background.
 func (c *Control) Start(log Log) {
-	ctx, cancel := context.WithCancel(context.Background())
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.log, c.cancel, c.done = &log, cancel, make(chan struct{})
-	go c.run(ctx, c.done)
+	c.log = &log
+	c.mu.Unlock()
+	c.loop.Start(log.ReadBarrier)
 }
 
 // Stop is a planned stop: it hands the leadership to another host, so that
 // heartbeats are answered without a pause, and then ends all work. It always
 // ends the work; the error tells that the leadership was not handed over.
 func (c *Control) Stop(ctx context.Context) error {
-	c.mu.Lock()
-	log, cancel, done := c.log, c.cancel, c.done
-	c.mu.Unlock()
+	log := c.started()
 	if log == nil {
 		return nil
 	}
@@ -77,11 +81,8 @@
 	if log.IsLeader() {
 		err = log.TransferLeadership(ctx)
 	}
-	cancel()
-	select {
-	case <-done:
-	case <-ctx.Done():
-		err = ctx.Err()
+	if stopped := c.loop.Stop(ctx); stopped != nil {
+		err = stopped
 	}
 	if err != nil {
 		return errkind.Wrap(errkind.Internal, err, "stopping control")
@@ -89,107 +90,18 @@
 	return nil
 }
 
-func (c *Control) signal() {
-	select {
-	case c.wake <- struct{}{}:
-	default:
-	}
-}
-
-// run starts and ends leaderships until ctx ends.
-func (c *Control) run(ctx context.Context, done chan struct{}) {
-	defer close(done)
-	for ctx.Err() == nil {
-		c.mu.Lock()
-		leading, term := c.leading, c.term
-		c.mu.Unlock()
-		if leading {
-			c.leadOnce(ctx, term)
-			continue
-		}
-		select {
-		case <-ctx.Done():
-		case <-c.wake:
-		}
-	}
-}
-
-// leadOnce serves the leadership of one term of the log until it ends.
-func (c *Control) leadOnce(ctx context.Context, term uint64) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	// Everything that earlier leaders committed must be applied before the
-	// first answer, and the sessions start after that.
-	if err := c.barrier(ctx, term); err != nil {
-		return
-	}
-	l := newLeadership(ctx, c.opts, c.log, c.machine)
-	c.mu.Lock()
-	if !c.leading || c.term != term {
-		c.mu.Unlock()
-		return
-	}
-	c.current = l
-	c.mu.Unlock()
-	c.opts.meters.leads.Update(1)
-	defer c.opts.meters.leads.Update(0)
-	c.opts.Logger.Info().Uint64("log_term", term).Msg("this control host leads")
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		l.run()
-	}()
-	for c.leads(term) && ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-		case <-c.wake:
-		}
-	}
-	c.mu.Lock()
-	if c.current == l {
-		c.current = nil
-	}
-	c.mu.Unlock()
-	cancel()
-	<-ended
-	c.opts.Logger.Info().Uint64("log_term", term).Msg("this control host no longer leads")
-}
-
-// barrier repeats ReadBarrier until it succeeds or the leadership ends.
-func (c *Control) barrier(ctx context.Context, term uint64) error {
-	for {
-		call, cancel := context.WithTimeout(ctx, proposeLimit)
-		err := c.log.ReadBarrier(call)
-		cancel()
-		if err == nil {
-			return nil
-		}
-		if err := sleep(ctx, c.opts.Tick); err != nil {
-			return err
-		}
-		if !c.leads(term) {
-			return err
-		}
-	}
-}
-
-func (c *Control) leads(term uint64) bool {
+// started returns the log, nil before Start.
+func (c *Control) started() *Log {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.leading && c.term == term
+	return c.log
 }
 
 // lead returns the leadership of this host, nil if it has none.
-func (c *Control) lead() *leadership {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.current
-}
+func (c *Control) lead() *leadership { return c.loop.Current() }
 
 func (c *Control) leaderAddress() (string, bool) {
-	c.mu.Lock()
-	log := c.log
-	c.mu.Unlock()
+	log := c.started()
 	if log == nil {
 		return "", false
 	}
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -15,6 +15,7 @@
 type leadership struct {
 	log       *Log
 	ctx       context.Context // ends with the leadership
+	term      uint64          // of the log
 	sessions  *Sessions
 	assigner  *Assigner
 	failover  *Failover
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -3,12 +3,13 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"github.com/arbutusring/arbutusring/internal/control"
 	"github.com/arbutusring/arbutusring/internal/directoryrpc"
+	"github.com/arbutusring/arbutusring/internal/leading"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
 	"github.com/rcrowley/go-metrics"
+	"github.com/zeebo/errs"
 )
 
 // Directory is the directory part of one control host. Apply, Snapshot,
@@ -17,25 +18,32 @@
 type Directory struct {
 	opts    Options
 	machine *Machine
-	wake    chan struct{} // leading or log has changed
 	leads   metrics.Gauge
+	loop    *leading.Loop[leadership]
 
-	mu      sync.Mutex
-	log     *control.Log
-	leading bool
-	term    uint64 // of the log, grows with each leadership
-	current *leadership
-	cancel  context.CancelFunc // ends run
-	done    chan struct{}      // run has returned
+	mu  sync.Mutex
+	log *control.Log // nil before Start
 }
 
 // New returns a Directory that does nothing until Start.
 func New(opts Options) *Directory {
 	opts = opts.withDefaults()
-	return &Directory{
-		opts: opts, machine: NewMachine(), wake: make(chan struct{}, 1),
-		leads: metrics.GetOrRegisterGauge("directory.leads", opts.Registry),
-	}
+	d := &Directory{opts: opts, machine: NewMachine(), leads: metrics.GetOrRegisterGauge("directory.leads", opts.Registry)}
+	d.loop = leading.New(d.begin, d.lead)
+	return d
+}
+
+func (d *Directory) begin(ctx context.Context, term uint64) *leadership {
+	return newLeadership(ctx, d.opts, d.started(), d.machine, term)
+}
+
+// lead works until the leadership ends.
+func (d *Directory) lead(l *leadership) {
+	d.leads.Update(1)
+	defer d.leads.Update(0)
+	d.opts.Events.Event("leadership_begun").Uint64("log_term", l.token).Msg("this control host leads")
+	l.run()
+	d.opts.Events.Event("leadership_ended").Uint64("log_term", l.token).Msg("this control host no longer leads")
 }
 
 // Apply carries out one entry of the log.
@@ -55,29 +63,20 @@
 
 // OnLeader tells that this host became or stopped being the leader of the
 // log. It does not block.
-func (d *Directory) OnLeader(leading bool, term uint64) {
-	d.mu.Lock()
-	d.leading, d.term = leading, term
-	d.current = nil
-	d.mu.Unlock()
-	d.signal()
-}
+func (d *Directory) OnLeader(leads bool, term uint64) { d.loop.OnLeader(leads, term) }
 
 // Start begins to work in the background.
 func (d *Directory) Start(log control.Log) {
-	ctx, cancel := context.WithCancel(context.Background())
 	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.log, d.cancel, d.done = &log, cancel, make(chan struct{})
-	go d.run(ctx, d.done)
+	d.log = &log
+	d.mu.Unlock()
+	d.loop.Start(log.ReadBarrier)
 }
 
 // Stop hands the leadership to another host and ends all work. The error tells
 // that it was not handed over.
 func (d *Directory) Stop(ctx context.Context) error {
-	d.mu.Lock()
-	log, cancel, done := d.log, d.cancel, d.done
-	d.mu.Unlock()
+	log := d.started()
 	if log == nil {
 		return nil
 	}
@@ -85,113 +84,26 @@
 	if log.IsLeader() {
 		err = log.TransferLeadership(ctx)
 	}
-	cancel()
-	<-done
-	return err
+	return errs.Combine(err, d.loop.Stop(ctx))
 }
 
-func (d *Directory) signal() {
-	select {
-	case d.wake <- struct{}{}:
-	default:
-	}
-}
-
-// run serves one leadership after the other until ctx ends.
-func (d *Directory) run(ctx context.Context, done chan struct{}) {
-	defer close(done)
-	for ctx.Err() == nil {
-		d.mu.Lock()
-		leading, term := d.leading, d.term
-		d.mu.Unlock()
-		if leading {
-			d.lead(ctx, term)
-			continue
-		}
-		select {
-		case <-ctx.Done():
-		case <-d.wake:
-		}
-	}
-}
-
-// lead serves the leadership of one term of the log until it ends. Everything
-// that earlier leaders committed is applied before the first answer.
-func (d *Directory) lead(ctx context.Context, term uint64) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	ended := make(chan struct{})
-	defer func() { <-ended }()
-	if !d.barrier(ctx, term) {
-		close(ended)
-		return
-	}
-	l := newLeadership(ctx, d.opts, d.log, d.machine, term)
-	d.mu.Lock()
-	if !d.leading || d.term != term {
-		d.mu.Unlock()
-		close(ended)
-		return
-	}
-	d.current = l
-	d.mu.Unlock()
-	d.leads.Update(1)
-	d.opts.Events.Event("leadership_begun").Uint64("log_term", term).Msg("this control host leads")
-	go func() {
-		defer close(ended)
-		l.run()
-	}()
-	for d.isLeading(term) && ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-		case <-d.wake:
-		}
-	}
-	d.mu.Lock()
-	if d.current == l {
-		d.current = nil
-	}
-	d.mu.Unlock()
-	cancel()
-	d.leads.Update(0)
-	d.opts.Events.Event("leadership_ended").Uint64("log_term", term).Msg("this control host no longer leads")
-}
-
-// barrier repeats the read barrier until it succeeds or the leadership ends.
-func (d *Directory) barrier(ctx context.Context, term uint64) bool {
-	for ctx.Err() == nil && d.isLeading(term) {
-		call, cancel := context.WithTimeout(ctx, proposeLimit)
-		err := d.log.ReadBarrier(call)
-		cancel()
-		if err == nil {
-			return true
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(tick):
-		}
-	}
-	return false
-}
-
-func (d *Directory) isLeading(term uint64) bool {
+// started returns the log, nil before Start.
+func (d *Directory) started() *control.Log {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.leading && d.term == term
+	return d.log
 }
 
 // leader returns the leadership of this host, or the answer that names the
 // host that leads.
-func (d *Directory) leader() (*leadership, control.Log, errkind.Kind, string) {
-	d.mu.Lock()
-	l, log := d.current, d.log
-	d.mu.Unlock()
+func (d *Directory) leader() (*leadership, errkind.Kind, string) {
+	log := d.started()
 	if log == nil {
-		return nil, control.Log{}, errkind.NotLeader, ""
+		return nil, errkind.NotLeader, ""
 	}
-	if l != nil && log.LeaseValid() {
-		return l, *log, errkind.OK, ""
+	if l := d.loop.Current(); l != nil && log.LeaseValid() {
+		return l, errkind.OK, ""
 	}
 	address, _ := log.Leader()
-	return nil, *log, errkind.NotLeader, address
+	return nil, errkind.NotLeader, address
 }
--- a/internal/directory/service.go
+++ b/internal/directory/service.go
@@ -23,7 +23,7 @@
 
 // begin returns the leadership, or fills in the answer for another host.
 func (s *Service) begin(answer *controlrpc.Answer) *leadership {
-	l, _, kind, address := s.d.leader()
+	l, kind, address := s.d.leader()
 	*answer = controlrpc.Answer{Kind: kind, Leader: address}
 	return l
 }
