--- a/cmd/arbutusring/run_platform.go
+++ b/cmd/arbutusring/run_platform.go
@@ -22,6 +22,10 @@
 // without a signal.
 const settingsPoll = 2 * time.Second
 
+// restartPause is the pause before a process whose data folder failed tries
+// again. A full or broken disk may last for minutes.
+const restartPause = time.Second
+
 // running is a process that can be stopped and reloaded.
 type running struct {
 	reload func(settings.Settings)
@@ -69,17 +73,34 @@
 	reg := metrics.NewRegistry()
 	events := eventlog.New(eventlog.Options{Output: c.stdout, Host: cfg.Host.ID, Level: level, Registry: reg})
 	defer func() { _ = events.Close() }() // the last lines may be lost if nobody reads them
-	p, err := start(cfg, events, reg)
-	if err != nil {
-		events.Event("start_failed").Err(err).Msg("the process did not start")
-		return err
+	for ctx.Err() == nil {
+		p, err := start(cfg, events, reg)
+		if err != nil {
+			events.Event("start_failed").Err(err).Msg("the process does not work; it tries again")
+			waitFor(ctx, restartPause)
+			continue
+		}
+		w := &settingsWatch{file: c.settingsFile, role: role, events: events, reload: p.reload}
+		w.read() // remembers the text
+		failed := w.loop(ctx, hup, p.done)
+		stopCtx, cancel := context.WithTimeout(context.Background(), cfg.Entry.StopTimeout.Std())
+		err = p.stop(stopCtx)
+		cancel()
+		if failed == nil {
+			return err
+		}
+		events.Event("failed").Err(errs.Combine(failed, err)).Msg("the process starts again without ending")
+		waitFor(ctx, restartPause)
+	}
+	return nil
+}
+
+// waitFor waits for d, or until ctx ends.
+func waitFor(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
 	}
-	w := &settingsWatch{file: c.settingsFile, role: role, events: events, reload: p.reload}
-	w.read() // remembers the text
-	failed := w.loop(ctx, hup, p.done)
-	stopCtx, cancel := context.WithTimeout(context.Background(), cfg.Entry.StopTimeout.Std())
-	defer cancel()
-	return errs.Combine(failed, p.stop(stopCtx))
 }
 
 // settingsWatch reloads settings.
