--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -282,15 +282,15 @@
 // serves them better.
 const electionTime = 1700 * time.Millisecond
 
-// cutOff reports whether this host has been without a lease for longer than an
+// CutOff reports whether this host has been without a lease for longer than an
 // election takes, so that callers should turn to another one.
-func (g *Gateway) cutOff() bool { return g.leaseLeft() < -electionTime }
+func (g *Gateway) CutOff() bool { return g.leaseLeft() < -electionTime }
 
 // awaitLease waits until the host has a lease and a configuration, and reports
 // whether it has.
 func (g *Gateway) awaitLease(ctx context.Context) bool {
 	for !g.leased() || g.view.Load().cfg.Version == 0 {
-		if g.cutOff() || ctx.Err() != nil || g.ctx.Err() != nil {
+		if g.CutOff() || ctx.Err() != nil || g.ctx.Err() != nil {
 			return false
 		}
 		timer := time.NewTimer(retryPause)
--- a/internal/gateway/operation.go
+++ b/internal/gateway/operation.go
@@ -124,7 +124,7 @@
 // caller, this one can't.
 func (o *operation) hopeless(err error) bool {
 	if errkind.Of(err) == errkind.ConfigStale {
-		return o.gateway.cutOff()
+		return o.gateway.CutOff()
 	}
 	gv := o.gateway.view.Load().groups[o.db.Group]
 	return gv != nil && gv.primary != nil && !gv.switching && gv.primary.failingFor(clock.Now()) > lostPrimary &&
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -86,6 +86,7 @@
 		Dump: func() any { return p.Dump() }, Ready: p.gateway.Ready, Routes: opts.Adapter.EntryRoutes(p.gateway.Ready),
 	})
 	p.syncing.start(p.loopSync)
+	p.tasks.start(p.loopShed)
 	opts.Events.Event("started").Str("incarnation", p.host.Incarnation).Stringer("callers", p.callers.Addr()).
 		Strs("control", p.seeds).Msg("gateway process started")
 	return p, nil
@@ -245,6 +246,21 @@
 	p.control.SetAddresses(addresses)
 }
 
+// shedPause is the pause between two looks at the lease of a host that is cut
+// off. The load balancer takes 2 s to send new callers elsewhere.
+const shedPause = 500 * time.Millisecond
+
+// loopShed closes idle caller connections while this host is cut off from
+// control: their callers find a host that can serve them.
+func (p *Gateway) loopShed(ctx context.Context) {
+	for ctx.Err() == nil {
+		if p.gateway.CutOff() && p.callers.Connections() > 0 {
+			p.opts.Events.Event("callers_shed").Int("left", p.callers.Quiesce()).Msg("cut off from control; idle callers are sent elsewhere")
+		}
+		pause(ctx, shedPause)
+	}
+}
+
 const (
 	// stopNotice is how long a stopping process goes on as before, so that the
 	// load balancer learns that it is not ready: it asks every second and needs
