--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -82,7 +82,7 @@
 		Databases: map[string]database.Database{
 			"urgent": db("urgent", database.Primary, 0), "bounded": db("bounded", database.Bounded, 1), "notes": db("notes", database.Session, 2),
 		},
-		Groups: map[string]database.Group{"g": {Name: "g", MaxConnections: 25}},
+		Groups: map[string]database.Group{"g": {Name: "g", MaxConnections: 100}},
 	}
 }
 
--- a/internal/gateway/load_test.go
+++ b/internal/gateway/load_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -48,24 +49,30 @@
 	return count
 }
 
-// TestFlood plays twice the load that three servers can take, from seven hosts
+// TestFlood plays twice the load that three servers can take, from hosts
 // that know nothing of each other, with connections that cost more than half a
 // statement. It guards against urgent callers that are served no better than
 // the flood, and against a flood that leaves the servers busy with connections
 // and unanswered statements instead of work.
 func TestFlood(t *testing.T) {
+	for _, hosts := range []int{7, 30} {
+		t.Run(strconv.Itoa(hosts)+" hosts", func(t *testing.T) { flood(t, hosts) })
+	}
+}
+
+func flood(t *testing.T, hosts int) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := newWorld()
 		for _, s := range w.servers {
-			s.work, s.handshake = 20*time.Millisecond, 12*time.Millisecond
+			s.work, s.handshake, s.limit = 20*time.Millisecond, 12*time.Millisecond, 100
 		}
 		var gateways []*gateway.Gateway
-		for range 7 {
+		for range hosts {
 			g := gateway.New(gateway.Options{Connect: w.connect, Place: gateway.Place{DataCentre: "d2", Regions: map[string]string{"d1": "r1", "d2": "r2", "d3": "r3"}}})
 			defer g.Close()
 			g.SetState(w.state(1, 1, "s1", false), config())
-			g.Renew(clock.Now().Add(time.Hour), 7)
+			g.Renew(clock.Now().Add(time.Hour), hosts)
 			gateways = append(gateways, g)
 		}
 		const capacity = 3 * 3 * 50 // statements a second
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -22,6 +22,10 @@
 	// borrowed is how many times its equal share of the connections a host may
 	// open while the others leave them unused.
 	borrowed = 2
+	// offered is how many times its slots all hosts together offer to a server:
+	// enough to keep it busy while answers travel, few enough that urgent work
+	// does not wait behind the rest.
+	offered = 3
 	// queueLimit is the statements of one rank that wait for one server. The
 	// expected wait refuses long before; this bounds memory.
 	queueLimit = 500
@@ -109,10 +113,18 @@
 	return out
 }
 
+// inProgress returns how many statements of new work one host may have in
+// progress at a server. A server works in order of arrival, so the ranks only
+// count for what waits at the hosts.
+func inProgress(slots, hosts int) int {
+	fair := (offered*slots + hosts - 1) / max(1, hosts)
+	return max(1, min(slots, fair))
+}
+
 // configure applies a configuration and the number of hosts that share the
 // connections of the server.
 func (m *member) configure(specs []schedule.RankSpec, group database.Group, hosts int) {
-	m.sched.Configure(max(1, m.server.Slots), specs)
+	m.sched.Configure(inProgress(m.server.Slots, hosts), specs)
 	usable := max(1, group.MaxConnections-reservedConnections)
 	share := max(1, usable/max(1, hosts))
 	m.pool.setLimits(min(usable, borrowed*share), share)
