One copy of what the platform work wrote again

halfClose stood in caller and lineserver and is now nbconn.HalfClose; defaults of the directory use cmp.Or; the five proposals of a group's next state and the four set-ups of the directory's client have one function each. Session values were cloned twice for each statement although nobody changes them meanwhile; they are not cloned any more. No behaviour changes, and no test is touched.

--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/arbutusring/arbutusring/internal/nbconn"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/lesismal/nbio"
@@ -225,7 +226,7 @@
 		return false
 	case c.phase == phaseLinger:
 		if !c.mustPark() {
-			c.halfClose()
+			nbconn.HalfClose(c.nc, lingerTime)
 		}
 		return false
 	case c.phase == phaseOpening:
@@ -410,26 +411,11 @@
 	c.waiting, c.waitingBytes = nil, 0
 	c.framer.buf = nil
 	if !c.mustPark() {
-		c.halfClose()
+		nbconn.HalfClose(c.nc, lingerTime)
 	}
 	c.read()
 }
 
-// halfClose tells the caller that nothing more comes, and leaves it a short
-// time to read the answer and to close. Caller holds c.mu.
-func (c *conn) halfClose() {
-	// nbio marks the connection closed under its lock before it closes the
-	// descriptor, which the next connection may get.
-	c.nc.Lock()
-	if closed, _ := c.nc.IsClosed(); !closed {
-		if raw, err := c.nc.SyscallConn(); err == nil {
-			_ = raw.Control(func(fd uintptr) { _ = syscall.Shutdown(int(fd), syscall.SHUT_WR) })
-		}
-	}
-	c.nc.Unlock()
-	_ = c.nc.SetReadDeadline(time.Now().Add(lingerTime))
-}
-
 // endIfIdle ends a connection that has no cycle, no transaction and no unsent
 // answer.
 func (c *conn) endIfIdle() {
--- a/internal/directory/options.go
+++ b/internal/directory/options.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -69,20 +70,13 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.TTL, defaultTTL)
-	setDefault(&o.Drift, defaultDrift)
-	setDefault(&o.FailAfter, defaultFailAfter)
-	setDefault(&o.PartialAfter, defaultPartialAfter)
-	setDefault(&o.CatchUp, defaultCatchUp)
+	o.TTL = cmp.Or(o.TTL, defaultTTL)
+	o.Drift = cmp.Or(o.Drift, defaultDrift)
+	o.FailAfter = cmp.Or(o.FailAfter, defaultFailAfter)
+	o.PartialAfter = cmp.Or(o.PartialAfter, defaultPartialAfter)
+	o.CatchUp = cmp.Or(o.CatchUp, defaultCatchUp)
 	if o.Registry == nil {
 		o.Registry = metrics.NewRegistry()
 	}
 	return o
 }
-
-func setDefault[T comparable](v *T, def T) {
-	var zero T
-	if *v == zero {
-		*v = def
-	}
-}
--- a/internal/directory/switchover.go
+++ b/internal/directory/switchover.go
@@ -87,11 +87,16 @@
 	}
 	next := g
 	next.Switching, next.Target = true, ""
-	err := w.lead.propose(Command{Group: &SetGroup{Group: next, Expect: g.Generation}})
+	err := w.set(g, next)
 	w.event("switch_begun", g).Err(err).Msg("the primary takes no more statements")
 	return err == nil
 }
 
+// set logs the next state of the group, unless it is no longer in the old one.
+func (w *switchover) set(old, next directoryrpc.Group) error {
+	return w.lead.propose(Command{Group: &SetGroup{Group: next, Expect: old.Generation}})
+}
+
 // awaitRelease waits until no host uses the old primary.
 func (w *switchover) awaitRelease() (all, ok bool) {
 	begun := w.lead.machine.State().Version
@@ -157,7 +162,7 @@
 func (w *switchover) target(g directoryrpc.Group, best candidate, required logpos.Position, complete bool) {
 	next := g
 	next.Target = best.server.ID
-	err := w.lead.propose(Command{Group: &SetGroup{Group: next, Expect: g.Generation}})
+	err := w.set(g, next)
 	w.event("switch_target", g).Str("target", best.server.ID).Stringer("position", best.status.Received).
 		Stringer("required", required).Bool("complete", complete).Err(err).Msg("the next primary is chosen")
 }
@@ -166,7 +171,7 @@
 func (w *switchover) keep(g directoryrpc.Group) {
 	next := g
 	next.Switching, next.Target = false, ""
-	err := w.lead.propose(Command{Group: &SetGroup{Group: next, Expect: g.Generation}})
+	err := w.set(g, next)
 	w.event("switch_given_up", g).Err(err).Msg("no server has everything; the primary stays")
 }
 
@@ -268,7 +273,7 @@
 	}
 	next := g
 	next.Primary, next.Switching, next.Target = g.Target, false, ""
-	err := l.propose(Command{Group: &SetGroup{Group: next, Expect: g.Generation}})
+	err := w.set(g, next)
 	w.event("switch_done", g).Uint64("term", term).Dur("after_ms", time.Since(w.started)).Err(err).Msg("the new primary is named")
 	if err == nil && g.Primary != g.Target {
 		l.group.Go(func() { w.runDemote(g.Primary, g.Target, term) })
@@ -294,7 +299,7 @@
 func (w *switchover) retarget(g directoryrpc.Group) {
 	next := g
 	next.Target = ""
-	if err := w.lead.propose(Command{Group: &SetGroup{Group: next, Expect: g.Generation}}); err != nil {
+	if err := w.set(g, next); err != nil {
 		w.event("switch_retarget", g).Err(err).Msg("choosing another target failed")
 		w.lead.sleep(askEvery)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,7 +27,7 @@
 	opts    Options
 	meters  *meters
 	view    atomic.Pointer[view]
-	until   atomic.Int64 // end of the lease, on the clock of leaseClock
+	until   atomic.Int64 // end of the lease, in ns since created on clock.Now
 	created time.Time
 	shapes  shapes
 
@@ -307,7 +307,7 @@
 // Open starts a session for a database. A host that has just started waits for
 // its lease.
 func (g *Gateway) Open(ctx context.Context, name string) (*Session, error) {
-	if _, ok := g.view.Load().cfg.Databases[name]; !ok {
+	if !g.view.Load().declares(name) {
 		if !g.awaitLease(ctx) {
 			return nil, errkind.New(errkind.ConfigStale, "this host can't be sure of its configuration")
 		}
--- a/internal/gateway/operation.go
+++ b/internal/gateway/operation.go
@@ -202,9 +202,10 @@
 	if err != nil {
 		return nil, slot, err
 	}
-	l, err := m.pool.get(ctx, o.db.Rank, o.session.expected(o.shape))
+	expected := o.session.expected(o.shape)
+	l, err := m.pool.get(ctx, o.db.Rank, expected)
 	if err == nil {
-		if err = l.adapt(o.wallDeadline(), o.session.expected(o.shape)); err != nil {
+		if err = l.adapt(o.wallDeadline(), expected); err != nil {
 			m.pool.drop(l)
 		}
 	}
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -30,7 +30,7 @@
 
 	mu        sync.Mutex
 	limit     int // connections that this host may open
-	share     int // connections that it keeps idle
+	share     int // its equal part of the connections; it keeps so many without use
 	open      int
 	dialling  int
 	idle      []*link // the last one was used last
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"sync"
 	"time"
 
@@ -147,9 +146,10 @@
 	return o, nil
 }
 
-// expected returns what a connection has to know for a statement.
+// expected returns what a connection has to know for a statement. The values are
+// those of the session, which nobody changes while its statement runs.
 func (s *Session) expected(sh *shape) sessionState {
-	return sessionState{values: maps.Clone(s.values), shape: sh}
+	return sessionState{values: s.values, shape: sh}
 }
 
 // expire ends a transaction that has had no statement for the limit.
--- a/internal/lineserver/conn.go
+++ b/internal/lineserver/conn.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/arbutusring/arbutusring/internal/nbconn"
 	"github.com/lesismal/nbio"
 )
 
@@ -154,23 +155,7 @@
 func (c *conn) end() {
 	c.ending = true
 	c.waiting, c.buf = nil, nil
-	c.halfClose()
-}
-
-// halfClose tells the caller that nothing more comes; it then closes. Closing
-// a socket with unread input would reset the connection, and the caller might
-// lose the answer that is on its way.
-func (c *conn) halfClose() {
-	// nbio marks the connection closed under its lock before it closes the
-	// descriptor, which the next connection may get.
-	c.nc.Lock()
-	if closed, _ := c.nc.IsClosed(); !closed {
-		if raw, err := c.nc.SyscallConn(); err == nil {
-			_ = raw.Control(func(fd uintptr) { _ = syscall.Shutdown(int(fd), syscall.SHUT_WR) })
-		}
-	}
-	c.nc.Unlock()
-	_ = c.nc.SetReadDeadline(time.Now().Add(lingerTime))
+	nbconn.HalfClose(c.nc, lingerTime)
 }
 
 // closeIfIdle closes a connection without a waiting or running line whose
--- a/internal/process/directory.go
+++ b/internal/process/directory.go
@@ -133,8 +133,7 @@
 func (p *Directory) loopRegister(ctx context.Context) {
 	for ctx.Err() == nil && p.dataCentres()[p.cfg.Host.ID] != p.cfg.Host.DataCentre {
 		call, cancel := context.WithTimeout(ctx, callLimit)
-		p.client.SetAddresses(p.addresses())
-		_, err := p.client.Register(call, &directoryrpc.RegisterArgs{ID: p.cfg.Host.ID, DataCentre: p.cfg.Host.DataCentre})
+		_, err := p.leader().Register(call, &directoryrpc.RegisterArgs{ID: p.cfg.Host.ID, DataCentre: p.cfg.Host.DataCentre})
 		cancel()
 		if err != nil {
 			p.opts.Events.Event("register_failed").Err(err).Msg("control does not know this host yet")
@@ -156,6 +155,13 @@
 	return merge(all, p.seeds)
 }
 
+// leader returns the client of the leading host, with the control hosts that are
+// known now.
+func (p *Directory) leader() *directoryrpc.Client {
+	p.client.SetAddresses(p.addresses())
+	return p.client
+}
+
 // syncReplicas reads the number from the configuration in force.
 func (p *Directory) syncReplicas(s directoryrpc.State, group string) int {
 	document, err := directoryrpc.Decompress(s.Document)
@@ -178,8 +184,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
-	p.client.SetAddresses(p.addresses())
-	reply, err := p.client.Announce(ctx, &directoryrpc.AnnounceArgs{Server: s, Gone: gone})
+	reply, err := p.leader().Announce(ctx, &directoryrpc.AnnounceArgs{Server: s, Gone: gone})
 	if err != nil {
 		return err
 	}
@@ -189,8 +194,7 @@
 func (p *Directory) put(ctx context.Context, version uint64, document []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
-	p.client.SetAddresses(p.addresses())
-	reply, err := p.client.Put(ctx, &directoryrpc.PutArgs{Version: version, Document: directoryrpc.Compress(document)})
+	reply, err := p.leader().Put(ctx, &directoryrpc.PutArgs{Version: version, Document: directoryrpc.Compress(document)})
 	if err != nil {
 		return err
 	}
@@ -200,8 +204,7 @@
 func (p *Directory) get(ctx context.Context) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
-	p.client.SetAddresses(p.addresses())
-	reply, err := p.client.Get(ctx, &directoryrpc.GetArgs{})
+	reply, err := p.leader().Get(ctx, &directoryrpc.GetArgs{})
 	if err != nil {
 		return nil, err
 	}
