workpool: tasks that arrive together get a worker each

Cause: Submit woke an idle worker whenever one was counted as idle, also when that worker had been woken already and had not run yet. Of tasks submitted in a row all but one stayed behind the first one's whole run, which for a caller's line includes its wait in the queue of a server, whatever its rank. This is what TestExplainedFailures showed beside load: the third and fourth write reached no server for 9 s, so the read found a free slot.

--- a/internal/workpool/pool.go
+++ b/internal/workpool/pool.go
@@ -51,8 +51,10 @@
 		return false
 	}
 	w.queue = append(w.queue, c)
+	// An idle worker that was woken counts as idle until it runs, and takes one
+	// task. Tasks beyond the idle workers need further ones: a task may block.
 	switch {
-	case w.idle > 0:
+	case len(w.queue)-w.head <= w.idle:
 		w.wake.Signal()
 	case w.total < w.max:
 		w.total++
