directory: a new leader tells the number of hosts that its predecessor counted

Cause: a new leader counts the hosts that have synced with it so far. After a loss of power everywhere the first of 32 hosts learned that they were alone, took all slots and connections of each server and flooded it; opening the connections took further slots. Ruled out: the election (0.6 s after the start of the processes) and the lease. Change: the leader logs the count when it has changed by a tenth, and a new leader answers with the logged one until every host has had time to report. TestHostsAfterRestart: 1 instead of 10 before.

--- a/internal/directory/command.go
+++ b/internal/directory/command.go
@@ -13,6 +13,7 @@
 	Remove   *RemoveServer `codec:"c,omitempty"`
 	Group    *SetGroup     `codec:"d,omitempty"`
 	Control  *PutControl   `codec:"e,omitempty"`
+	Hosts    *SetHosts     `codec:"f,omitempty"`
 }
 
 // PutConfig puts a configuration into force if its version is the highest.
@@ -45,6 +46,11 @@
 	DataCentre string `codec:"d"`
 }
 
+// SetHosts stores the number of entry hosts, for the next leader.
+type SetHosts struct {
+	Count int `codec:"n"`
+}
+
 // result is what Machine.Apply returns.
 type result struct {
 	Kind   errkind.Kind `codec:"k"`
--- a/internal/directory/leadership.go
+++ b/internal/directory/leadership.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -52,6 +53,7 @@
 	for l.ctx.Err() == nil {
 		changed := l.machine.Changed()
 		l.look(l.machine.State())
+		l.recordHosts(l.machine.State())
 		select {
 		case <-ticker.C:
 		case <-changed:
@@ -61,6 +63,31 @@
 	l.group.Wait()
 }
 
+// hosts returns the number of entry hosts that share the connections of the
+// servers. Until every host has had the time to report, an earlier leader knows
+// it better: after a power loss the first hosts to return would take themselves
+// for the only ones and flood the servers.
+func (l *leadership) hosts() int {
+	n := l.sessions.live()
+	if !l.sessions.settled() {
+		n = max(n, l.machine.State().Hosts)
+	}
+	return n
+}
+
+// hostsChange is the relative change of the number of entry hosts that is logged.
+const hostsChange = 0.1
+
+// recordHosts logs the number of entry hosts for the next leader.
+func (l *leadership) recordHosts(s directoryrpc.State) {
+	n := l.sessions.live()
+	if !l.sessions.settled() || n == 0 || math.Abs(float64(n-s.Hosts)) <= hostsChange*float64(s.Hosts) {
+		return
+	}
+	err := l.propose(Command{Hosts: &SetHosts{Count: n}})
+	l.opts.Events.Event("hosts_counted").Int("hosts", n).Int("before", s.Hosts).Err(err).Msg("the number of entry hosts has changed")
+}
+
 // look starts what is due in each group.
 func (l *leadership) look(s directoryrpc.State) {
 	byGroup := make(map[string][]directoryrpc.Server)
--- a/internal/directory/machine.go
+++ b/internal/directory/machine.go
@@ -71,6 +71,9 @@
 		controls[c.Control.ID] = c.Control.DataCentre
 		m.state.Controls = controls
 		return result{}, false // entry hosts have no use for it
+	case c.Hosts != nil:
+		m.state.Hosts = c.Hosts.Count
+		return result{}, false // entry hosts learn it with their lease
 	}
 	return result{Kind: errkind.BadRequest, Detail: "unknown command"}, false
 }
--- a/internal/directory/machine_test.go
+++ b/internal/directory/machine_test.go
@@ -1,6 +1,7 @@
 package directory_test
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/arbutusring/arbutusring/internal/directory"
 	"github.com/arbutusring/arbutusring/internal/directoryrpc"
 	"github.com/arbutusring/arbutusring/internal/statement"
+	"github.com/arbutusring/arbutusring/pkg/errkind"
 	"github.com/matryer/is"
 )
 
@@ -116,3 +118,32 @@
 		is.True(released(5))
 	})
 }
+
+// TestHostsAfterRestart guards against a new leader that tells the first hosts
+// to return that nobody else shares the servers: after a power loss each of 32
+// hosts then opened as many connections as if it were alone.
+func TestHostsAfterRestart(t *testing.T) {
+	play(t, func(is *is.I, w *world, _ *host) {
+		for i := range 9 {
+			w.join(fmt.Sprint("other", i))
+		}
+		time.Sleep(time.Second)
+		ask := func(id string) int {
+			reply := new(directoryrpc.SyncReply)
+			is.NoErr(w.d.Service().Sync(&directoryrpc.SyncArgs{Host: directoryrpc.Host{ID: id, Incarnation: "2"}}, reply))
+			is.Equal(reply.Kind, errkind.OK)
+			return reply.Hosts
+		}
+		is.Equal(ask("h1"), 10)
+		w.d.OnLeader(false, 7)
+		w.cancel() // every host is down
+		time.Sleep(3 * time.Second)
+		w.d.OnLeader(true, 8)
+		time.Sleep(10 * time.Millisecond)
+		is.Equal(ask("other1"), 10) // the others return as well
+		time.Sleep(3 * time.Second)
+		is.Equal(ask("other1"), 1) // they have not
+		time.Sleep(time.Second)
+		is.Equal(w.d.State().Hosts, 1)
+	})
+}
--- a/internal/directory/service.go
+++ b/internal/directory/service.go
@@ -74,7 +74,7 @@
 	if !l.confirm(&reply.Answer) {
 		return nil
 	}
-	reply.TTL, reply.Hosts = l.opts.TTL, l.sessions.live()
+	reply.TTL, reply.Hosts = l.opts.TTL, l.hosts()
 	if state.Version > args.Version {
 		reply.Changed, reply.State = true, state
 		if args.ConfigVersion == state.ConfigVersion {
--- a/internal/directory/sessions.go
+++ b/internal/directory/sessions.go
@@ -82,13 +82,17 @@
 	return n
 }
 
+// settled reports whether the leader has been there for so long that every host
+// with a lease has reported to it.
+func (s *sessions) settled() bool { return clock.Now().Sub(s.start) > s.run }
+
 // released reports whether no host acts on a state before version any more:
 // each has confirmed it or has lost its lease. all tells that each confirmed.
 func (s *sessions) released(version uint64) (done, all bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := clock.Now()
-	done, all = now.Sub(s.start) > s.run, true
+	done, all = s.settled(), true
 	for id, h := range s.hosts {
 		switch {
 		case h.acked >= version:
--- a/internal/directory/world_test.go
+++ b/internal/directory/world_test.go
@@ -31,8 +31,9 @@
 	refuse   map[string]bool // promotions of these servers are answered with 409
 	syncs    int             // sync_replicas
 
-	ctx   context.Context // ends with the test
-	hosts sync.WaitGroup
+	ctx    context.Context // ends with the test
+	cancel context.CancelFunc
+	hosts  sync.WaitGroup
 }
 
 // join starts a host.
@@ -79,7 +80,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		defer w.hosts.Wait()
 		defer cancel()
-		w.ctx = ctx
+		w.ctx, w.cancel = ctx, cancel
 		h := w.join("h1")
 		time.Sleep(3 * time.Second) // the leases of an earlier leader have run out
 		test(is.New(t), w, h)
--- a/internal/directoryrpc/messages.go
+++ b/internal/directoryrpc/messages.go
@@ -65,6 +65,7 @@
 	Servers       map[string]Server `codec:"s" json:"servers"`
 	Groups        map[string]Group  `codec:"g" json:"groups"`
 	Controls      map[string]string `codec:"h" json:"controls"` // data centre of each control host, by id
+	Hosts         int               `codec:"k" json:"hosts"`    // entry hosts with a lease, as an earlier leader counted them
 }
 
 // Host is an entry host.
