--- a/cmd/arbutusring/command_line_test.go
+++ b/cmd/arbutusring/command_line_test.go
@@ -17,6 +17,7 @@
 
 	main "github.com/arbutusring/arbutusring/cmd/arbutusring"
 	"github.com/arbutusring/arbutusring/internal/controlrpc"
+	"github.com/arbutusring/arbutusring/internal/loopback"
 	"github.com/arbutusring/arbutusring/internal/operator"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
 	"github.com/matryer/is"
@@ -127,7 +128,7 @@
 			t.Fatal(err)
 		}
 	}
-	ok, dead := fakeOperators(t, errkind.OK), freeAddress(t)
+	ok, dead := fakeOperators(t, errkind.OK), loopback.FreeAddress(t)
 	with := func(address string, args ...string) []string { return append(args, "--address", address) }
 	refused := fakeOperators(t, errkind.Conflict)
 	for _, row := range []struct {
--- a/cmd/arbutusring/installation_test.go
+++ b/cmd/arbutusring/installation_test.go
@@ -4,8 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -14,6 +12,7 @@
 	"time"
 
 	"github.com/arbutusring/arbutusring/internal/controlrpc"
+	"github.com/arbutusring/arbutusring/internal/loopback"
 	"github.com/arbutusring/arbutusring/internal/operator"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
 	"github.com/jackc/pgx/v5"
@@ -63,25 +62,6 @@
 default = true
 `
 
-// loopbackIP is an address of the loopback network for this test process.
-var loopbackIP = fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
-
-// freeAddress returns a loopback address that was free a moment ago. Its port
-// is below those of outgoing connections, which could take it before the
-// process that it is meant for has started.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	for range 100 {
-		ln, err := net.Listen("tcp", fmt.Sprintf("%s:%d", loopbackIP, 2000+rand.IntN(13000)))
-		if err == nil {
-			defer func() { _ = ln.Close() }()
-			return ln.Addr().String()
-		}
-	}
-	t.Fatal("no free port")
-	return ""
-}
-
 func newInstallation(t *testing.T, controls, entries int) *installation {
 	in := &installation{
 		t: t, bin: build(t), dir: t.TempDir(),
@@ -89,14 +69,14 @@
 	}
 	t.Cleanup(in.close)
 	for range controls {
-		in.controls = append(in.controls, freeAddress(t))
+		in.controls = append(in.controls, loopback.FreeAddress(t))
 	}
 	for i := range controls {
 		in.startControl(i)
 	}
 	for i := range entries {
-		in.operators = append(in.operators, freeAddress(t))
-		in.callers = append(in.callers, freeAddress(t))
+		in.operators = append(in.operators, loopback.FreeAddress(t))
+		in.callers = append(in.callers, loopback.FreeAddress(t))
 		in.startEntry(i)
 	}
 	for i := range 3 {
@@ -119,7 +99,7 @@
 host = { id = "control-%d", data_centre = "dc-%d", region = "r" }
 listen = { peers = %q, operators = %q }
 control = { addresses = ["%s"], data_folder = %q, bootstrap = true, members = { %s } }
-`, i, i, in.controls[i], freeAddress(in.t), strings.Join(in.controls, `", "`), folder, strings.Join(members, ", ")))
+`, i, i, in.controls[i], loopback.FreeAddress(in.t), strings.Join(in.controls, `", "`), folder, strings.Join(members, ", ")))
 }
 
 func (in *installation) startEntry(i int) {
@@ -127,7 +107,7 @@
 host = { id = "entry-%d", data_centre = "dc-%d", region = "r" }
 listen = { callers = %q, peers = %q, operators = %q }
 control = { addresses = ["%s"] }
-`, i, i, in.callers[i], freeAddress(in.t), in.operators[i], strings.Join(in.controls, `", "`)))
+`, i, i, in.callers[i], loopback.FreeAddress(in.t), in.operators[i], strings.Join(in.controls, `", "`)))
 }
 
 func (in *installation) startProcess(name, role, text string) {
