directory: what a lost host has seen counts as lost until another primary is named

Cause: sessions.released deleted an expired lease as it passed over it, and could return early at another host. The next call then found every remaining host confirmed and reported that all had, so a target without the commits of the lost host counted as complete. A host that restarted or left dropped its positions, and a new leader took the hosts that had reached it as all there were. Change: released has no effects; positions outlive the sessions; a session that ends without a last report is a loss, and the positions of a group are complete only if no host was lost since its primary was named. A leaving host sends a last report. A host of an earlier release leaves without one and counts as lost. Ruled out: forced switchovers (lost, demoted) promote the most advanced replica in any case, so they are unchanged.

--- a/internal/directory/export_test.go
+++ b/internal/directory/export_test.go
@@ -1,6 +1,9 @@
 package directory
 
-import "github.com/arbutusring/arbutusring/internal/directoryrpc"
+import (
+	"github.com/arbutusring/arbutusring/internal/directoryrpc"
+	"github.com/arbutusring/arbutusring/pkg/logpos"
+)
 
 // Sessions exposes the leases of a leader to tests.
 type Sessions struct{ s *sessions }
@@ -18,4 +21,16 @@
 }
 
 // Released reports whether no host still uses a state older than version.
-func (s Sessions) Released(version uint64) (done, allConfirmed bool) { return s.s.released(version) }
+func (s Sessions) Released(version uint64) bool { return s.s.released(version) }
+
+// RecordPrimary records that a primary of the group is about to be named.
+func (s Sessions) RecordPrimary(group string) { s.s.recordPrimary(group) }
+
+// ForgetSilent forgets the hosts whose leases expired long ago.
+func (s Sessions) ForgetSilent() { s.s.forgetSilent() }
+
+// Positions returns the highest reported position of the group, and whether it
+// covers every commit that a host may have acknowledged.
+func (s Sessions) Positions(group string, version uint64) (highest logpos.Position, complete bool) {
+	return s.s.highestPosition(group), s.s.positionsComplete(group, version)
+}
--- a/internal/directory/leadership.go
+++ b/internal/directory/leadership.go
@@ -55,6 +55,7 @@
 		changed := l.machine.Changed()
 		l.checkGroups(l.machine.State())
 		l.recordHostCount(l.machine.State())
+		l.sessions.forgetSilent()
 		select {
 		case <-ticker.C:
 		case <-changed:
@@ -120,6 +121,7 @@
 		if srv.Role != statement.Primary {
 			continue
 		}
+		l.sessions.recordPrimary(name)
 		err := l.propose(Command{Group: &SetGroup{Group: directoryrpc.Group{Name: name, Primary: srv.ID}}})
 		l.opts.Events.Event("primary_adopted").Str("group", name).Str("server", srv.ID).Err(err).Msg("recording the announced primary of a new group")
 		return
--- a/internal/directory/machine_test.go
+++ b/internal/directory/machine_test.go
@@ -92,10 +92,7 @@
 		sync := func(host, incarnation string, version uint64) {
 			s.Sync(&directoryrpc.SyncArgs{Host: directoryrpc.Host{ID: host, Incarnation: incarnation}, Version: version})
 		}
-		released := func(version uint64) bool {
-			done, _ := s.Released(version)
-			return done
-		}
+		released := s.Released
 		sync("a", "1", 5)
 		is.True(!released(5)) // leases of an earlier leader may still be valid
 		time.Sleep(ttl + ttl/10 + time.Millisecond)
--- a/internal/directory/sessions.go
+++ b/internal/directory/sessions.go
@@ -9,16 +9,27 @@
 	"github.com/arbutusring/arbutusring/pkg/logpos"
 )
 
+// forgetAfter is how long the session of a host whose lease has expired is kept.
+// Until then the host may come back and report what it has seen.
+const forgetAfter = time.Minute
+
 // sessions holds the leases and reports of the entry hosts, in the memory of the
 // leader. The host counts the TTL of its lease from when it sent the request, on
 // its own clock. The leader counts from its reply and adds the clock drift, so it
 // never takes a lease as expired that the host still relies on.
+//
+// A host may have seen commits of a primary that it has not reported. If it
+// crashes or stays silent, they are unknown until another primary is named, and
+// losses counts that.
 type sessions struct {
 	leaseTimeout time.Duration // lease TTL plus clock drift
 	startedAt    time.Time     // of the leadership, on clock.Now
 
-	mu    sync.Mutex
-	hosts map[string]*session // by host id
+	mu        sync.Mutex
+	hosts     map[string]*session        // by host id
+	positions map[string]logpos.Position // highest reported position, by group; outlives the sessions
+	losses    uint64                     // sessions that ended without a last report; starts at 1 for those of earlier leaders
+	lossesAt  map[string]uint64          // losses when the present primary of a group was named; 0 if an earlier leader named it
 }
 
 // session is the state of one host.
@@ -34,6 +45,9 @@
 		leaseTimeout: ttl + time.Duration(float64(ttl)*drift),
 		startedAt:    clock.Now(),
 		hosts:        make(map[string]*session),
+		positions:    make(map[string]logpos.Position),
+		losses:       1,
+		lossesAt:     make(map[string]uint64),
 	}
 }
 
@@ -43,20 +57,47 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	h := s.hosts[args.Host.ID]
-	if args.Leaving {
-		if h != nil && h.incarnation == args.Host.Incarnation {
-			delete(s.hosts, args.Host.ID)
+	if h != nil && h.incarnation != args.Host.Incarnation {
+		if args.Leaving {
+			return // a late request of a process that was replaced
 		}
-		return
+		s.forget(args.Host.ID)
+		h = nil
 	}
-	if h == nil || h.incarnation != args.Host.Incarnation {
+	if h == nil {
 		h = &session{incarnation: args.Host.Incarnation, grantedAt: clock.Now()}
 		s.hosts[args.Host.ID] = h
 	}
+	if args.Leaving && len(args.Reports) == 0 && len(h.reports) > 0 {
+		s.forget(args.Host.ID) // a host of an earlier release, which leaves without a last report
+		return
+	}
 	h.ackedVersion = args.Version
 	h.reports = make(map[string]directoryrpc.Report, len(args.Reports))
 	for _, r := range args.Reports {
 		h.reports[r.Group] = r
+		s.positions[r.Group] = s.positions[r.Group].Max(r.Position)
+	}
+	if args.Leaving {
+		delete(s.hosts, args.Host.ID)
+	}
+}
+
+// forget removes a session and counts what its host has not reported as lost. The
+// caller holds mu.
+func (s *sessions) forget(id string) {
+	delete(s.hosts, id)
+	s.losses++
+}
+
+// forgetSilent forgets the hosts whose leases expired long ago.
+func (s *sessions) forgetSilent() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, h := range s.hosts {
+		if clock.Now().Sub(h.grantedAt) > s.leaseTimeout+forgetAfter {
+			s.forget(id)
+		}
 	}
 }
 
@@ -87,25 +128,38 @@
 func (s *sessions) earlierLeasesExpired() bool { return clock.Now().Sub(s.startedAt) > s.leaseTimeout }
 
 // released reports whether no host still uses a state older than version, because
-// each has confirmed version or lost its lease. allConfirmed reports whether this
-// call found no expired lease. An expired lease is removed, so later calls don't
-// find it again.
-func (s *sessions) released(version uint64) (done, allConfirmed bool) {
+// each has confirmed version or lost its lease.
+func (s *sessions) released(version uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := clock.Now()
-	done, allConfirmed = s.earlierLeasesExpired(), true
-	for id, h := range s.hosts {
-		switch {
-		case h.ackedVersion >= version:
-		case now.Sub(h.grantedAt) > s.leaseTimeout:
-			allConfirmed = false
-			delete(s.hosts, id)
-		default:
-			return false, false
+	for _, h := range s.hosts {
+		if h.ackedVersion < version && clock.Now().Sub(h.grantedAt) <= s.leaseTimeout {
+			return false
 		}
 	}
-	return done, allConfirmed
+	return s.earlierLeasesExpired()
+}
+
+// recordPrimary records that a primary is about to be named. What hosts saw of
+// earlier primaries no longer matters then.
+func (s *sessions) recordPrimary(group string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lossesAt[group] = s.losses
+}
+
+// positionsComplete reports whether highestPosition covers every commit of the
+// present primary that a host may have acknowledged: every host that had a lease
+// since the primary was named has confirmed version or given up its lease.
+func (s *sessions) positionsComplete(group string, version uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, h := range s.hosts {
+		if h.ackedVersion < version {
+			return false
+		}
+	}
+	return s.lossesAt[group] == s.losses
 }
 
 // reports returns the reports of the hosts with a lease about the primary of a
@@ -122,15 +176,10 @@
 	return out
 }
 
-// highestPosition returns the highest log position that a host has seen from a
-// primary of the group. Positions of earlier primaries are lower, because their
-// term is.
+// highestPosition returns the highest log position of the group that a host has
+// reported. Positions of earlier primaries are lower, because their term is.
 func (s *sessions) highestPosition(group string) logpos.Position {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var pos logpos.Position
-	for _, h := range s.hosts {
-		pos = pos.Max(h.reports[group].Position)
-	}
-	return pos
+	return s.positions[group]
 }
--- a/internal/directory/switchover.go
+++ b/internal/directory/switchover.go
@@ -58,7 +58,7 @@
 	if !sw.begin() {
 		return
 	}
-	allConfirmed, ok := sw.awaitRelease()
+	complete, ok := sw.awaitRelease()
 	if !ok {
 		return
 	}
@@ -68,7 +68,7 @@
 			return
 		}
 		if g.Target == "" {
-			sw.chooseTarget(g, allConfirmed)
+			sw.chooseTarget(g, complete)
 			continue
 		}
 		if sw.promote(g) {
@@ -104,24 +104,24 @@
 
 // awaitRelease waits until no host uses the old primary. ok is false if the
 // leadership ended first; allConfirmed is as in sessions.released.
-func (sw *switchover) awaitRelease() (allConfirmed, ok bool) {
-	version := sw.leadership.machine.State().Version
-	for {
-		done, allConfirmed := sw.leadership.sessions.released(version)
-		if done {
-			g, _ := sw.currentGroup()
-			sw.event("switch_released", g).Bool("all", allConfirmed).Dur("after_ms", time.Since(sw.startedAt)).Msg("no host uses the old primary any more")
-			return allConfirmed, true
-		}
-		if !sw.leadership.sleep(pollInterval) {
+func (sw *switchover) awaitRelease() (complete, ok bool) {
+	l := sw.leadership
+	version := l.machine.State().Version
+	for !l.sessions.released(version) {
+		if !l.sleep(pollInterval) {
 			return false, false
 		}
 	}
+	complete = l.sessions.positionsComplete(sw.group, version)
+	g, _ := sw.currentGroup()
+	sw.event("switch_released", g).Bool("all", complete).Dur("after_ms", time.Since(sw.startedAt)).Msg("no host uses the old primary any more")
+	return complete, true
 }
 
 // chooseTarget logs the server to promote, or gives up the switchover and keeps
-// the primary.
-func (sw *switchover) chooseTarget(g directoryrpc.Group, allConfirmed bool) {
+// the primary. positionsComplete reports whether the positions that hosts have
+// reported cover every acknowledged commit; an answer of the primary does too.
+func (sw *switchover) chooseTarget(g directoryrpc.Group, positionsComplete bool) {
 	l := sw.leadership
 	s := l.machine.State()
 	required := l.sessions.highestPosition(sw.group)
@@ -135,7 +135,7 @@
 			required = required.Max(results[primaryIndex].status.Received)
 		}
 		best, ok := sw.bestTarget(s, g, results)
-		complete := ok && best.status.Received.AtLeast(required) && (allConfirmed || primaryIndex >= 0)
+		complete := ok && best.status.Received.AtLeast(required) && (positionsComplete || primaryIndex >= 0)
 		switch {
 		case complete, sw.mayLoseCommits(time.Now().After(deadline), primaryIndex >= 0) && ok:
 			sw.setTarget(g, best, required, complete)
@@ -282,6 +282,7 @@
 		}
 		return false
 	}
+	l.sessions.recordPrimary(sw.group)
 	next := g
 	next.Primary, next.Switching, next.Target = g.Target, false, ""
 	err := sw.updateGroup(g, next)
--- a/internal/directoryrpc/messages.go
+++ b/internal/directoryrpc/messages.go
@@ -90,7 +90,7 @@
 	Version       uint64        `codec:"v"` // newest state that the host has applied; it no longer uses a primary that this state replaces
 	ConfigVersion uint64        `codec:"c"` // the reply omits the document if it has this version
 	Reports       []Report      `codec:"r"`
-	Leaving       bool          `codec:"l"` // the host is stopping and gives up its lease
+	Leaving       bool          `codec:"l"` // the host is stopping and gives up its lease; Reports are its last
 	Wait          time.Duration `codec:"w"` // maximum time to wait for a newer state
 }
 
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -311,12 +311,17 @@
 // expires by itself.
 const leaveTimeout = 300 * time.Millisecond
 
-// leave gives up the lease, so that no change of a primary waits for its expiry.
+// leave gives up the lease with a last report, so that no change of a primary
+// waits for its expiry or lacks a position that this host has seen.
 func (p *Gateway) leave() {
 	p.syncTasks.stop()
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
-	if _, err := p.control.Sync(ctx, &directoryrpc.SyncArgs{Host: p.host, Leaving: true}); err != nil {
+	p.mu.Lock()
+	version := p.state.Version
+	p.mu.Unlock()
+	args := &directoryrpc.SyncArgs{Host: p.host, Version: version, Reports: p.gateway.Reports(), Leaving: true}
+	if _, err := p.control.Sync(ctx, args); err != nil {
 		p.opts.Events.Event("leave_failed").Err(err).Msg("giving up the lease failed; it will expire")
 	}
 }
