standin, loopback, eventlog: the three known failures are faults of the tests' own parts

replica_silent: the proxy sends no CancelRequest at all. The stand-in's Abort ends the context of each connection, and a statement that it ended could still write its error (57014) before the socket was closed, which a killed process can't do. Soak: FreeAddress closes a port before the process opens it, so the same port could be handed out twice. Ports are now handed out once, on a loopback address that the test process holds. Blocked output: the bound was wall-clock time. Now no wait at all is allowed (on a paused clock), and 5 s of processor time for the same 200,000 lines.

--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -6,11 +6,13 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/arbutusring/arbutusring/internal/eventlog"
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sys/unix"
 )
 
 // output collects the lines of a log.
@@ -31,29 +33,43 @@
 	return strings.Split(strings.TrimSpace(o.b.String()), "\n")
 }
 
-// blockedWriter is an output whose Write never returns.
-type blockedWriter struct{ entered chan struct{} }
+// blockedWriter is an output whose Write does not return until release is closed.
+type blockedWriter struct{ release chan struct{} }
 
-func (s *blockedWriter) Write([]byte) (int, error) {
-	select {
-	case s.entered <- struct{}{}:
-	default:
-	}
-	select {}
+func (w *blockedWriter) Write(p []byte) (int, error) {
+	<-w.release
+	return len(p), nil
 }
 
 // TestBlockedOutputDoesNotBlockEvents guards against a process that waits for the
-// output of its log.
+// output of its log. The clock of the bubble advances only while all goroutines
+// wait, so it shows every wait, however busy the machine is. The processor time
+// is measured apart.
 func TestBlockedOutputDoesNotBlockEvents(t *testing.T) {
-	is := is.New(t)
-	log := eventlog.New(eventlog.Options{Output: &blockedWriter{make(chan struct{}, 1)}, Host: "h"})
-	logger := log.Logger()
-	start := time.Now()
-	for range 100_000 {
-		log.Event("statement_failed").Str("request", "x").Msg("")
-		logger.Info().Msg("without a rate limit")
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := &blockedWriter{make(chan struct{})}
+		log := eventlog.New(eventlog.Options{Output: w, Host: "h"})
+		logger := log.Logger()
+		start, startCPU := time.Now(), processorTime(t)
+		for range 100_000 {
+			log.Event("statement_failed").Str("request", "x").Msg("")
+			logger.Info().Msg("without a rate limit")
+		}
+		is.Equal(time.Since(start), time.Duration(0))
+		is.True(processorTime(t)-startCPU < 5*time.Second)
+		close(w.release)
+		is.NoErr(log.Close())
+	})
+}
+
+// processorTime returns the processor time that this process has used.
+func processorTime(t *testing.T) time.Duration {
+	var usage unix.Rusage
+	if err := unix.Getrusage(unix.RUSAGE_SELF, &usage); err != nil {
+		t.Fatal(err)
 	}
-	is.True(time.Since(start) < 5*time.Second)
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
 
 // TestRateLimitOfEachKind guards against many events of one kind that fill the
--- a/internal/loopback/loopback.go
+++ b/internal/loopback/loopback.go
@@ -10,25 +10,78 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"sync"
 	"testing"
 )
 
-// processIP is a random loopback address of this test process. It keeps test
-// processes that run at the same time from using the same address and port.
-var processIP = fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
+// lockPort is the port that a test process holds open at its address, so that no
+// other process uses the address. It is below firstPort.
+const lockPort = 1999
 
-// FreeAddress returns an ip:port that was free a moment ago. Its port is below
+// FreeAddress chooses among the ports from firstPort to lastPort, which lie below
 // the range of outgoing connections: one of them could otherwise take the port
 // before the process that it is meant for has started.
-func FreeAddress(t testing.TB) string {
-	t.Helper()
+const (
+	firstPort = 2000
+	lastPort  = 14999
+)
+
+// addresses hands out the ports of one loopback address.
+type addresses struct {
+	ip   string       // used by this test process only
+	lock net.Listener // holds lockPort until the process ends
+
+	mu    sync.Mutex
+	given map[int]bool // ports that were handed out; they are never handed out again
+}
+
+var process = sync.OnceValues(reserve)
+
+// reserve reserves a random loopback address for this test process.
+func reserve() (*addresses, error) {
+	var err error
+	for range 100 {
+		ip := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
+		var lock net.Listener
+		if lock, err = net.Listen("tcp", fmt.Sprintf("%s:%d", ip, lockPort)); err == nil {
+			return &addresses{ip: ip, lock: lock, given: make(map[int]bool)}, nil
+		}
+	}
+	return nil, err
+}
+
+// next returns a port that is free and was not handed out before; 0 if none was
+// found.
+func (a *addresses) next() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	for range 100 {
-		ln, err := net.Listen("tcp", fmt.Sprintf("%s:%d", processIP, 2000+rand.IntN(13000)))
-		if err == nil {
-			defer func() { _ = ln.Close() }()
-			return ln.Addr().String()
+		port := firstPort + rand.IntN(lastPort-firstPort+1)
+		if a.given[port] {
+			continue
 		}
+		ln, err := net.Listen("tcp", fmt.Sprintf("%s:%d", a.ip, port))
+		if err != nil {
+			continue
+		}
+		_ = ln.Close() // nothing was accepted
+		a.given[port] = true
+		return port
+	}
+	return 0
+}
+
+// FreeAddress returns an ip:port that no other call returns, in this test process
+// or in another one that runs at the same time.
+func FreeAddress(t testing.TB) string {
+	t.Helper()
+	a, err := process()
+	if err != nil {
+		t.Fatalf("reserving a loopback address: %v", err)
+	}
+	port := a.next()
+	if port == 0 {
+		t.Fatal("no free port")
 	}
-	t.Fatal("no free port")
-	return ""
+	return fmt.Sprintf("%s:%d", a.ip, port)
 }
--- a/internal/standin/conn.go
+++ b/internal/standin/conn.go
@@ -251,8 +251,13 @@
 	return err
 }
 
-// flush sends the buffered messages, subject to the answer faults.
+// flush sends the buffered messages, subject to the answer faults. Once the server
+// is aborted nothing more is sent, not even the error of the statement that the
+// abort ended.
 func (c *conn) flush() error {
+	if c.ctx.Err() != nil {
+		return errTerminated
+	}
 	c.bufferedRows = 0
 	if c.cycleAccessedTables {
 		if n := c.srv.faults.consumeByteCount(FaultCutAnswer); n > 0 {
--- a/internal/standin/server_test.go
+++ b/internal/standin/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -14,6 +15,7 @@
 	"github.com/arbutusring/arbutusring/internal/controlrpc"
 	"github.com/arbutusring/arbutusring/internal/standin"
 	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/matryer/is"
 )
 
@@ -140,6 +142,31 @@
 	is.True(servers[1].Stop(ctx) != nil) // a transaction that stays open is aborted at the end of ctx
 }
 
+// TestAbortSendsNothing guards against a server that still sends an answer when it
+// is aborted: a killed process closes its connections without one.
+func TestAbortSendsNothing(t *testing.T) {
+	for range 20 {
+		is := is.New(t)
+		srv := startServer(t, standin.Options{ServiceTime: time.Minute, Slots: 20, Connections: 30})
+		errs := make(chan error)
+		for range 10 {
+			c := connectPgx(t, srv, "")
+			go func() {
+				_, err := c.Exec(t.Context(), "SELECT v FROM kv", pgx.QueryExecModeSimpleProtocol)
+				errs <- err
+			}()
+		}
+		time.Sleep(20 * time.Millisecond) // the statements occupy their slots
+		srv.Abort()
+		for range 10 {
+			err := <-errs
+			is.True(err != nil)
+			var answer *pgconn.PgError
+			is.True(!errors.As(err, &answer)) // the error is that of the connection
+		}
+	}
+}
+
 // TestAnnouncementFailoverAndDeparture guards against a server that does not try
 // the next entry host when one fails, or that stops without announcing its
 // departure.
