A planned stop answers every accepted statement; a panic ends one connection

Causes: (1) Quiesce closed an idle connection without reading what had arrived, so the statement was lost with a reset. (3) Nothing recovered from a panic: one session could end the process. Change: read before closing; after 0.65 of the stop timeout what was not sent is refused; 0.3 s before its end connections in use are closed, so that a read is refused and a write gets an unknown outcome; panics of handlers are logged with the stack and the request id and end their connection only. Beside it: a closed pool refuses its waiters instead of letting them dial a removed server, and only the probe of a primary signals a failing primary. Ruled out: a longer stop timeout; the host is killed 0.5 s after it.

--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/arbutusring/arbutusring/internal/nbconn"
+	"github.com/arbutusring/arbutusring/internal/workpool"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/lesismal/nbio"
@@ -196,7 +197,7 @@
 	session := c.session
 	c.mu.Unlock()
 	if session != nil {
-		c.srv.opts.Handler.Cancel(c.srv.ctx, session)
+		workpool.Guard(c.srv.opts.Logger, func() { c.srv.opts.Handler.Cancel(c.srv.ctx, session) })
 	}
 }
 
@@ -261,6 +262,11 @@
 	return errkind.New(errkind.OutcomeUnknown, "terminating connection: the proxy stopped before the statement had ended")
 }
 
+// errPanic returns the error for a connection whose cycle ended in a panic.
+func errPanic() error {
+	return errkind.New(errkind.OutcomeUnknown, "terminating connection: internal error")
+}
+
 // blockedOnWrite reports whether an earlier answer has to be sent first. If so,
 // onWritten submits the connection to the workers again. The caller holds c.mu.
 func (c *conn) blockedOnWrite() bool {
@@ -314,7 +320,9 @@
 	startup := Startup{Parameters: c.startupMessage.Parameters, ProcessID: c.pid, Remote: c.nc.RemoteAddr().String()}
 	c.startupMessage = nil
 	c.mu.Unlock()
-	opened, err := c.srv.opts.Handler.Open(c.srv.ctx, startup)
+	var opened Opened
+	var err error = errkind.New(errkind.Internal, "starting the session failed")
+	workpool.Guard(c.srv.opts.Logger, func() { opened, err = c.srv.opts.Handler.Open(c.srv.ctx, startup) })
 	c.mu.Lock()
 	if err != nil {
 		c.endWithError(err)
@@ -371,8 +379,13 @@
 	}
 	session := c.session
 	c.mu.Unlock()
-	answer := c.srv.opts.Handler.Run(c.srv.ctx, session, cycle)
+	var answer Answer
+	returned := workpool.Guard(c.srv.opts.Logger, func() { answer = c.srv.opts.Handler.Run(c.srv.ctx, session, cycle) })
 	c.mu.Lock()
+	if !returned {
+		c.endWithError(errPanic())
+		return
+	}
 	c.txStatus = answer.TxStatus
 	c.skippingToSync = cycle.Kind == KindFlush && answer.Failed
 	if c.phase != phaseReady {
@@ -393,7 +406,7 @@
 	}
 	c.session = nil
 	c.mu.Unlock()
-	c.srv.opts.Handler.Close(session)
+	workpool.Guard(c.srv.opts.Logger, func() { c.srv.opts.Handler.Close(session) })
 	c.mu.Lock()
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -213,8 +213,7 @@
 }
 
 // PrimaryFailing returns a channel that is signalled when a primary does not
-// respond, so that the host can report it to the directory at once. It is also
-// signalled when a probe of any server fails.
+// respond, so that the host can report it to the directory at once.
 func (g *Gateway) PrimaryFailing() <-chan struct{} { return g.primaryFailing }
 
 // signalPrimaryFailing signals PrimaryFailing unless a signal is already pending.
@@ -273,7 +272,7 @@
 				m.pool.trim()
 			}
 			if m.claimProbe() {
-				g.tasks.Go(func() { m.runProbe(g.ctx, g.signalPrimaryFailing) })
+				g.tasks.Go(func() { g.runProbe(m) })
 			}
 		}
 		if limit := g.view.Load().cfg.TransactionIdle; limit > 0 {
@@ -284,6 +283,17 @@
 	}
 }
 
+// runProbe probes a member, and signals PrimaryFailing if it is a primary that
+// does not respond.
+func (g *Gateway) runProbe(m *member) {
+	if responds := m.probe(g.ctx); responds {
+		return
+	}
+	if gv := g.view.Load().groups[m.server.Group]; gv != nil && gv.primary == m {
+		g.signalPrimaryFailing()
+	}
+}
+
 // maxElectionTime is how long the directory may be without a leader. A host
 // without a lease waits that long before it refuses callers: during an election
 // the other hosts can't serve them better.
@@ -340,6 +350,17 @@
 	}
 }
 
+// AbortStatements closes the connections that statements use, for the end of a
+// planned stop: a read is refused then, and the outcome of a write is unknown.
+func (g *Gateway) AbortStatements() {
+	g.mu.Lock()
+	members := slices.Collect(maps.Values(g.members))
+	g.mu.Unlock()
+	for _, m := range members {
+		m.pool.abortInUse()
+	}
+}
+
 // Sessions returns the number of open sessions.
 func (g *Gateway) Sessions() int {
 	g.mu.Lock()
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -312,8 +312,9 @@
 	return true
 }
 
-// runProbe opens a connection and adds it to the pool if that succeeds.
-func (m *member) runProbe(ctx context.Context, signalFailing func()) {
+// probe opens a connection and adds it to the pool if that succeeds. It reports
+// false if the server answers no statement of this host.
+func (m *member) probe(ctx context.Context) (responds bool) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	conn, err := m.pool.dialIgnoringLimits(ctx)
@@ -327,10 +328,10 @@
 	case errkind.Of(err) == errkind.NoMember:
 		m.recordReachable() // the server answered, although it refused the connection
 	default:
-		if _, unresponsive := m.recordFailure(err); unresponsive {
-			signalFailing()
-		}
+		_, unresponsive := m.recordFailure(err)
+		return !unresponsive
 	}
+	return true
 }
 
 // recordReachable records that the server answers connection attempts.
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -35,20 +36,26 @@
 	open      int
 	dialling  int
 	idle      []*pooledConn // most recently used last
+	inUse     map[*pooledConn]struct{}
 	waiting   []*connWaiter
 	fullUntil time.Time
 	closed    bool
 }
 
 // connWaiter is a statement that waits for a connection. ready has capacity 1;
-// a nil value is permission to open a connection.
+// a nil value is permission to open a connection. It is closed with the pool.
 type connWaiter struct {
 	rank  int
 	ready chan *pooledConn
 }
 
+// errPoolClosed is the error of a statement whose server was removed.
+func errPoolClosed() error {
+	return errkind.New(errkind.ConnectFailed, "the connection pool of the server is closed")
+}
+
 func newPool(connect func(ctx context.Context) (Conn, error)) *pool {
-	return &pool{connect: connect, limit: 1, fairShare: 1}
+	return &pool{connect: connect, limit: 1, fairShare: 1, inUse: make(map[*pooledConn]struct{})}
 }
 
 // get returns the idle connection that is cheapest to adapt to the session, or
@@ -58,9 +65,10 @@
 	p.mu.Lock()
 	if p.closed {
 		p.mu.Unlock()
-		return nil, errkind.New(errkind.ConnectFailed, "the connection pool of the server is closed")
+		return nil, errPoolClosed()
 	}
 	if pc := p.takeIdle(sess); pc != nil {
+		p.inUse[pc] = struct{}{}
 		p.mu.Unlock()
 		return pc, nil
 	}
@@ -75,7 +83,10 @@
 	p.waiting = slices.Insert(p.waiting, at, w)
 	p.mu.Unlock()
 	select {
-	case pc := <-w.ready:
+	case pc, open := <-w.ready:
+		if !open {
+			return nil, errPoolClosed()
+		}
 		return p.dialIfNil(ctx, pc)
 	case <-ctx.Done():
 	}
@@ -112,9 +123,10 @@
 		return
 	}
 	p.mu.Unlock()
-	if pc := <-w.ready; pc != nil {
+	switch pc, open := <-w.ready; {
+	case pc != nil:
 		p.put(pc)
-	} else {
+	case open:
 		p.releaseDial(nil)
 	}
 }
@@ -158,6 +170,7 @@
 	}
 	pc := newPooledConn(conn)
 	p.mu.Lock()
+	p.inUse[pc] = struct{}{}
 	p.dialling--
 	p.wakeWaiters()
 	p.mu.Unlock()
@@ -208,6 +221,7 @@
 		return
 	}
 	pc.idleSince = time.Now()
+	delete(p.inUse, pc)
 	p.idle = append(p.idle, pc)
 	p.mu.Unlock()
 }
@@ -217,6 +231,7 @@
 	_ = pc.conn.Close()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	delete(p.inUse, pc)
 	p.open--
 	p.wakeWaiters()
 }
@@ -264,22 +279,31 @@
 	}
 }
 
-// close closes the pool and its idle connections. Connections in use are closed
-// when they are returned.
+// close closes the pool and its idle connections, and refuses the statements that
+// wait for one: the address of the server may already belong to another one.
+// Connections in use are closed when they are returned.
 func (p *pool) close() {
 	p.mu.Lock()
 	p.closed = true
 	waiting := p.waiting
 	p.waiting = nil
-	p.open += len(waiting)
-	p.dialling += len(waiting)
 	p.mu.Unlock()
 	for _, w := range waiting {
-		w.ready <- nil // it tries to connect, which fails once the server is gone
+		close(w.ready)
 	}
 	p.closeIdle()
 }
 
+// abortInUse closes the connections that statements or transactions use.
+func (p *pool) abortInUse() {
+	p.mu.Lock()
+	conns := slices.Collect(maps.Keys(p.inUse))
+	p.mu.Unlock()
+	for _, pc := range conns {
+		pc.abort()
+	}
+}
+
 // size returns the numbers of open and of idle connections.
 func (p *pool) size() (open, idle int) {
 	p.mu.Lock()
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -31,6 +31,19 @@
 func (s *Session) Execute(ctx context.Context, r statement.Request) statement.Answer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	returned := false
+	defer func() {
+		if !returned {
+			s.gateway.opts.Events.Event("statement_panicked").Str("request", r.ID).Str("database", s.name).Msg("a panic ended the statement and its session")
+		}
+	}()
+	a := s.execute(ctx, r)
+	returned = true
+	return a
+}
+
+// execute runs one statement. The caller holds mu.
+func (s *Session) execute(ctx context.Context, r statement.Request) statement.Answer {
 	if s.tx != nil {
 		s.tx.lastUsed = time.Now()
 		defer s.touchTransaction()
--- a/internal/lineserver/conn.go
+++ b/internal/lineserver/conn.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/arbutusring/arbutusring/internal/nbconn"
+	"github.com/arbutusring/arbutusring/internal/workpool"
 	"github.com/lesismal/nbio"
 )
 
@@ -137,7 +138,9 @@
 	}
 	session := c.session
 	c.mu.Unlock()
-	answer, keep := c.srv.opts.Handler.Line(c.ctx, session, line)
+	var answer []byte
+	var keep bool
+	workpool.Guard(c.srv.opts.Logger, func() { answer, keep = c.srv.opts.Handler.Line(c.ctx, session, line) })
 	c.mu.Lock()
 	if c.closed {
 		return
@@ -163,18 +166,26 @@
 }
 
 // closeIfIdle closes the connection if no line is queued, running or incomplete,
-// and the session is idle or the connection is ending.
+// and the session is idle or the connection is ending. It first reads what has
+// arrived: the event loop may not have read it yet, and closing the socket would
+// discard it.
 func (c *conn) closeIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || c.running || len(c.queued) > 0 || len(c.partialLine) > 0 || c.tooLong {
+	if c.closed || c.hasWork() || !c.ending && !c.srv.opts.Handler.Idle(c.session) {
 		return
 	}
-	if c.ending || c.srv.opts.Handler.Idle(c.session) {
+	if c.read(); !c.hasWork() {
 		_ = c.nc.Close()
 	}
 }
 
+// hasWork reports whether a line is queued, running or incomplete. The caller
+// holds mu.
+func (c *conn) hasWork() bool {
+	return c.running || len(c.queued) > 0 || len(c.partialLine) > 0 || c.tooLong
+}
+
 // closeSession calls Handler.Close if it was not called yet. The caller holds mu.
 func (c *conn) closeSession() {
 	session := c.session
@@ -183,7 +194,7 @@
 	}
 	c.session = nil
 	c.mu.Unlock()
-	c.srv.opts.Handler.Close(session)
+	workpool.Guard(c.srv.opts.Logger, func() { c.srv.opts.Handler.Close(session) })
 	c.mu.Lock()
 }
 
--- a/internal/lineserver/server.go
+++ b/internal/lineserver/server.go
@@ -39,8 +39,9 @@
 	// Open starts a session for a new connection.
 	Open func(remote string) any
 	// Line runs one line, which is passed without its line ending. ctx is
-	// cancelled when the connection is closed. The connection is closed after the
-	// answer unless keep is true.
+	// cancelled when the connection is closed, and by Server.CancelLines. The
+	// connection is closed after the answer unless keep is true. A panic of Line
+	// ends the connection without an answer.
 	Line func(ctx context.Context, session any, line []byte) (answer []byte, keep bool)
 	// TooLong returns the answer to a line that exceeds Options.MaxLineBytes; the
 	// connection is closed after it.
@@ -185,6 +186,11 @@
 	return s.Connections()
 }
 
+// CancelLines cancels the context of all lines, present and future, so that the
+// Handler refuses what it has not started. Lines in progress still get their
+// answers.
+func (s *Server) CancelLines() { s.cancel() }
+
 // StopAccepting closes the listener and waits for the end of the accept loop.
 func (s *Server) StopAccepting() {
 	_ = s.listener.Close()
--- a/internal/lineserver/server_test.go
+++ b/internal/lineserver/server_test.go
@@ -15,11 +15,12 @@
 
 // echoSession answers each line in upper case. The line "wait" waits until the
 // caller has disconnected, "busy" makes the session not idle until the next
-// line, and "bye" ends it.
+// line, "panic" panics, and "bye" ends it.
 type echoSession struct {
 	mu     sync.Mutex
 	busy   bool
 	closed chan struct{}
+	onIdle func() // called when the server asks whether the session is idle; may be nil
 }
 
 func startServer(t *testing.T) (*lineserver.Server, chan *echoSession) {
@@ -36,8 +37,11 @@
 			e.mu.Lock()
 			e.busy = string(line) == "busy"
 			e.mu.Unlock()
-			if string(line) == "wait" {
+			switch string(line) {
+			case "wait":
 				<-ctx.Done()
+			case "panic":
+				panic("test")
 			}
 			return []byte(strings.ToUpper(string(line)) + "\n"), string(line) != "bye"
 		},
@@ -46,6 +50,9 @@
 			e := session.(*echoSession)
 			e.mu.Lock()
 			defer e.mu.Unlock()
+			if e.onIdle != nil {
+				e.onIdle()
+			}
 			return !e.busy
 		},
 		Close: func(session any) { close(session.(*echoSession).closed) },
@@ -146,3 +153,64 @@
 	is.NoErr(err)
 	is.Equal(got, "BYE\n")
 }
+
+// TestQuiesceAnswersArrivedLine guards against a planned stop that closes a
+// connection whose next line has arrived and was not read yet.
+func TestQuiesceAnswersArrivedLine(t *testing.T) {
+	is := is.New(t)
+	s, opened := startServer(t)
+	c, r := dial(t, s)
+	e := <-opened
+	e.mu.Lock()
+	e.onIdle = func() {
+		e.onIdle = nil
+		_, err := c.Write([]byte("late\n"))
+		is.NoErr(err)
+		time.Sleep(20 * time.Millisecond) // the line is in the socket of the server
+	}
+	e.mu.Unlock()
+	s.Quiesce()
+	got, err := r.ReadString('\n')
+	is.NoErr(err)
+	is.Equal(got, "LATE\n")
+}
+
+// TestPanicEndsOneConnection guards against a panic of one session that ends the
+// process, or leaves the connection or the session open.
+func TestPanicEndsOneConnection(t *testing.T) {
+	is := is.New(t)
+	s, opened := startServer(t)
+	c, r := dial(t, s)
+	e := <-opened
+	_, err := c.Write([]byte("panic\nnext\n"))
+	is.NoErr(err)
+	_, err = r.ReadString('\n')
+	is.True(err != nil) // closed without an answer
+	is.NoErr(c.Close())
+	select {
+	case <-e.closed:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the session is not closed")
+	}
+	other, otherReader := dial(t, s)
+	_, err = other.Write([]byte("one\n"))
+	is.NoErr(err)
+	got, err := otherReader.ReadString('\n')
+	is.NoErr(err)
+	is.Equal(got, "ONE\n")
+}
+
+// TestCancelLines guards against a planned stop that leaves a waiting line without
+// an answer.
+func TestCancelLines(t *testing.T) {
+	is := is.New(t)
+	s, _ := startServer(t)
+	c, r := dial(t, s)
+	_, err := c.Write([]byte("wait\n"))
+	is.NoErr(err)
+	time.Sleep(20 * time.Millisecond)
+	s.CancelLines()
+	got, err := r.ReadString('\n')
+	is.NoErr(err)
+	is.Equal(got, "WAIT\n")
+}
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -271,13 +271,38 @@
 	// reports not ready: the load balancer checks every second and takes a host
 	// out after two failed checks.
 	stopNoticePeriod = 2200 * time.Millisecond
-	// transactionStopDivisor divides the stop timeout: after half of it, open
+	// transactionStopFraction is the fraction of the stop timeout after which open
 	// transactions are aborted. The notice period is at most that long, too.
-	transactionStopDivisor = 2
+	transactionStopFraction = 0.5
+	// refuseStopFraction is the fraction of the stop timeout after which statements
+	// that were not sent to a server are refused. What was sent then has the rest
+	// of the timeout to end.
+	refuseStopFraction = 0.65
+	// stopAnswerReserve is the time before the end of the stop timeout at which
+	// statements still at a server are aborted, so that their callers get an answer.
+	stopAnswerReserve = 300 * time.Millisecond
 	// stopPollInterval is how often a stopping process closes idle connections.
 	stopPollInterval = 20 * time.Millisecond
 )
 
+// stopStep is a step of a planned stop, which is repeated from a time on.
+type stopStep struct {
+	from time.Time
+	take func()
+}
+
+// stopSteps returns the steps of a planned stop between begun and deadline, in
+// order. Each of them ends more of the remaining work, so that every statement that
+// was accepted is answered.
+func (p *Gateway) stopSteps(begun, deadline time.Time) []stopStep {
+	fraction := func(f float64) time.Time { return begun.Add(time.Duration(f * float64(deadline.Sub(begun)))) }
+	return []stopStep{
+		{fraction(transactionStopFraction), p.gateway.AbortTransactions},
+		{fraction(refuseStopFraction), p.callers.CancelLines},
+		{deadline.Add(-stopAnswerReserve), p.gateway.AbortStatements},
+	}
+}
+
 // Stop performs a planned stop. Callers are served until the load balancer
 // has taken the host out; then their connections are closed as they become idle.
 func (p *Gateway) Stop(ctx context.Context) error {
@@ -285,16 +310,17 @@
 	p.opts.Events.Event("stopping").Int("callers", p.callers.Connections()).Msg("planned stop")
 	p.gateway.Drain()
 	notice := stopNoticePeriod
+	var steps []stopStep
 	if deadline, ok := ctx.Deadline(); ok {
-		notice = min(notice, time.Until(deadline)/transactionStopDivisor)
+		steps = p.stopSteps(begun, deadline)
+		notice = min(notice, time.Until(steps[0].from))
 	}
 	pause(ctx, notice)
-	for ctx.Err() == nil {
-		if deadline, ok := ctx.Deadline(); ok && time.Since(begun) > deadline.Sub(begun)/transactionStopDivisor {
-			p.gateway.AbortTransactions()
-		}
-		if p.callers.Quiesce() == 0 {
-			break
+	for ctx.Err() == nil && p.callers.Quiesce() > 0 {
+		for _, step := range steps {
+			if !time.Now().Before(step.from) {
+				step.take()
+			}
 		}
 		pause(ctx, stopPollInterval)
 	}
