--- a/cmd/arbutusring/command_line_test.go
+++ b/cmd/arbutusring/command_line_test.go
@@ -246,6 +246,35 @@
 	}
 }
 
+// TestValidatePlatformSettings guards against settings of a gateway or a directory
+// that are checked by the rules of an entry or control process.
+func TestValidatePlatformSettings(t *testing.T) {
+	const common = "[control]\naddresses = [\"127.0.0.1:7440\"]\n"
+	tests := []struct{ name, text, kind, problem string }{
+		{"gateway", "[host]\nid = \"g\"\ndata_centre = \"d\"\nregion = \"r\"\nregions = { d = \"r\" }\n" +
+			"[listen]\ncallers = \"127.0.0.1:1\"\noperators = \"127.0.0.1:2\"\n" + common, "settings of gateway", ""},
+		{"directory", "[host]\nid = \"c\"\nname = \"c\"\ndata_centre = \"d\"\nregion = \"r\"\n" +
+			"[listen]\npeers = \"127.0.0.1:1\"\noperators = \"127.0.0.1:2\"\n" + common +
+			"data_folder = \"/data\"\nbootstrap = true\n[promotion]\naddress = \"127.0.0.1:3\"\n", "settings of directory", ""},
+		{"directory without a name", "[host]\nid = \"c\"\ndata_centre = \"d\"\nregion = \"r\"\n" +
+			"[listen]\npeers = \"127.0.0.1:1\"\noperators = \"127.0.0.1:2\"\n" + common +
+			"data_folder = \"/data\"\n[promotion]\naddress = \"127.0.0.1:3\"\n", "settings of directory", "host.name"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			file := filepath.Join(t.TempDir(), "node.toml")
+			is.NoErr(os.WriteFile(file, []byte(test.text), 0o600))
+			code, stdout := runCommand(t, new(syncBuffer), "validate", "--output", "json", file)
+			var results []struct{ Kind, Error string }
+			is.NoErr(json.Unmarshal([]byte(stdout), &results))
+			is.Equal(results[0].Kind, test.kind)
+			is.Equal(code == 0, test.problem == "")
+			is.True(strings.Contains(results[0].Error, test.problem))
+		})
+	}
+}
+
 // TestApplyPrintsChangeIDFirst guards against a change that can't be resent after
 // a lost answer: the operator needs the change id even if no answer arrives.
 func TestApplyPrintsChangeIDFirst(t *testing.T) {
--- a/cmd/arbutusring/run_platform.go
+++ b/cmd/arbutusring/run_platform.go
@@ -6,6 +6,7 @@
 	"errors"
 	"os"
 	"os/signal"
+	"reflect"
 	"syscall"
 	"time"
 
@@ -82,9 +83,9 @@
 			sleep(ctx, restartDelay)
 			continue
 		}
-		w := &settingsWatcher{file: c.settingsFile, role: role, events: events, reload: p.reload}
-		w.fileChanged() // stores the text that later reads are compared with
+		w := &settingsWatcher{file: c.settingsFile, role: role, events: events, reload: p.reload, settings: cfg}
 		failure := w.loop(ctx, hup, p.done)
+		cfg = w.settings
 		stopCtx, cancel := context.WithTimeout(context.Background(), cfg.Entry.StopTimeout.Std())
 		err = p.stop(stopCtx)
 		cancel()
@@ -111,7 +112,8 @@
 	role     settings.Role
 	events   *eventlog.Log
 	reload   func(settings.Settings)
-	lastText []byte // as last read
+	settings settings.Settings // in force
+	lastText []byte            // as last read; nil before the first read
 }
 
 // loop reloads changed settings until ctx ends, or returns an error when the
@@ -128,14 +130,22 @@
 		case <-hup:
 		case <-ticker.C:
 		}
-		if !w.fileChanged() {
-			continue
-		}
-		cfg, err := settings.Load(w.file, w.role)
-		if err != nil {
-			w.events.Event("reload_failed").Err(err).Msg("the new settings were rejected; keeping the settings in force")
-			continue
-		}
+		w.check()
+	}
+}
+
+// check reloads the settings if the text of the file has changed.
+func (w *settingsWatcher) check() {
+	if !w.fileChanged() {
+		return
+	}
+	cfg, err := settings.Parse(w.file, string(w.lastText), w.role)
+	if err != nil {
+		w.events.Event("reload_failed").Err(err).Msg("the new settings were rejected; keeping the settings in force")
+		return
+	}
+	if !reflect.DeepEqual(cfg, w.settings) {
+		w.settings = cfg
 		w.reload(cfg)
 	}
 }
--- a/cmd/arbutusring/run_validate.go
+++ b/cmd/arbutusring/run_validate.go
@@ -15,7 +15,7 @@
 // fileResult is the result of the checks of one file.
 type fileResult struct {
 	File  string `json:"file"`
-	Kind  string `json:"kind"` // settings of an entry or control process, or configuration
+	Kind  string `json:"kind"` // settings of a process, with its role, or configuration
 	Error string `json:"error,omitempty"`
 }
 
@@ -59,10 +59,26 @@
 
 // sections holds the keys that distinguish the kinds of files.
 type sections struct {
-	Host    any `toml:"host"`
+	Host *struct {
+		Regions any `toml:"regions"` // gateway only
+	} `toml:"host"`
 	Control struct {
-		DataFolder *string `toml:"data_folder"`
+		DataFolder *string `toml:"data_folder"` // control and directory only
 	} `toml:"control"`
+	Promotion any `toml:"promotion"` // directory only
+}
+
+// role returns the role of the process that the settings are for.
+func (s sections) role() settings.Role {
+	switch {
+	case s.Promotion != nil:
+		return settings.RoleDirectory
+	case s.Control.DataFolder != nil:
+		return settings.RoleControl
+	case s.Host.Regions != nil:
+		return settings.RoleGateway
+	}
+	return settings.RoleEntry
 }
 
 // validateFile returns the kind of a file and the error of its checks.
@@ -76,10 +92,7 @@
 		_, err := policy.Parse(file, string(text))
 		return "configuration", err
 	}
-	role := settings.RoleEntry
-	if s.Control.DataFolder != nil {
-		role = settings.RoleControl
-	}
+	role := s.role()
 	_, err = settings.Parse(file, string(text), role)
 	return "settings of " + string(role), err
 }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -6,6 +6,7 @@
 
 	"github.com/arbutusring/arbutusring/internal/leading"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
+	"github.com/zeebo/errs"
 )
 
 // Control is the control service of one control host. Apply, Snapshot, Restore
@@ -82,10 +83,7 @@
 	if log.IsLeader() {
 		err = log.TransferLeadership(ctx)
 	}
-	if stopErr := c.loop.Stop(ctx); stopErr != nil {
-		err = stopErr
-	}
-	if err != nil {
+	if err = errs.Combine(err, c.loop.Stop(ctx)); err != nil {
 		return errkind.Wrap(errkind.Internal, err, "stopping control")
 	}
 	return nil
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -140,7 +140,8 @@
 
 // pickOwner returns the least loaded of the nearest candidates, nil if there is
 // none. It never returns the host that is excluded for the server: if the nearest
-// candidates include no other host, it chooses from all other candidates.
+// candidates include no other host, it chooses from all other candidates, unless
+// leases must stay in the data centre of the server.
 func (p *planner) pickOwner(server string) *candidate {
 	in, _ := p.nearest(server)
 	excluded := p.excludedHost(server)
@@ -150,7 +151,7 @@
 	other := func(in []*candidate) *candidate {
 		return leastLoaded(slices.DeleteFunc(slices.Clone(in), func(c *candidate) bool { return c.host == excluded }))
 	}
-	if c := other(in); c != nil {
+	if c := other(in); c != nil || p.localOnly {
 		return c
 	}
 	return other(p.all)
--- a/internal/directoryrpc/document.go
+++ b/internal/directoryrpc/document.go
@@ -28,11 +28,15 @@
 	return b.Bytes()
 }
 
-// Decompress returns the configuration document that Compress was given.
+// Decompress returns the configuration document that Compress was given. A document
+// of more than 32 MiB is an error.
 func Decompress(compressed []byte) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(compressed)), maxDocumentBytes))
+	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(compressed)), maxDocumentBytes+1))
 	if err != nil {
 		return nil, errkind.Wrap(errkind.Internal, err, "decompressing a configuration")
 	}
+	if len(data) > maxDocumentBytes {
+		return nil, errkind.New(errkind.BadRequest, "the configuration is larger than %d bytes", maxDocumentBytes)
+	}
 	return data, nil
 }
--- a/internal/entry/local.go
+++ b/internal/entry/local.go
@@ -14,7 +14,6 @@
 // answerLocal answers a cycle that needs no server.
 func (s *session) answerLocal(p *plan) caller.Answer {
 	var out []byte
-	failed := false
 	for _, st := range p.localSteps {
 		var err error
 		if out, err = s.answerStep(out, st); err != nil {
@@ -24,7 +23,7 @@
 	if p.kind != caller.KindFlush {
 		out = caller.AppendReady(out, s.status())
 	}
-	return caller.Answer{Messages: out, TxStatus: s.status(), Failed: failed}
+	return caller.Answer{Messages: out, TxStatus: s.status()}
 }
 
 func (s *session) answerStep(out []byte, st step) ([]byte, error) {
--- a/internal/leading/loop.go
+++ b/internal/leading/loop.go
@@ -46,9 +46,14 @@
 }
 
 // OnLeader records whether this host leads the log, and in which term. It does
-// not block. Current returns nil at once, until the new leadership is ready.
+// not block. After a change Current returns nil at once, until the new leadership
+// is ready.
 func (l *Loop[T]) OnLeader(leading bool, term uint64) {
 	l.mu.Lock()
+	if l.leading == leading && l.term == term {
+		l.mu.Unlock()
+		return
+	}
 	l.leading, l.term = leading, term
 	l.current = nil
 	l.mu.Unlock()
--- a/internal/process/control_session.go
+++ b/internal/process/control_session.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/arbutusring/arbutusring/internal/controlrpc"
-	"github.com/arbutusring/arbutusring/pkg/errkind"
 	"github.com/arbutusring/arbutusring/pkg/policy"
+	"github.com/rs/zerolog"
 )
 
 const (
@@ -44,6 +44,9 @@
 	draining atomic.Bool
 	wake     chan struct{} // requests an immediate heartbeat
 
+	heartbeats contact // used by loopHeartbeat only
+	watches    contact // used by loopWatch only
+
 	cfg  *policy.Config // parsed from text; both are used by loopWatch only
 	text string
 }
@@ -84,8 +87,11 @@
 		ConfigVersion: state.ConfigVersion,
 		Suspects:      s.p.owner.Suspects(),
 	})
-	if err != nil || reply.Kind != errkind.OK {
-		s.p.log.Debug().Err(err).Msg("heartbeat to control failed")
+	if err == nil {
+		err = kindError(reply.Kind, reply.Detail)
+	}
+	s.heartbeats.record(s.p.log, "heartbeat", err)
+	if err != nil {
 		return
 	}
 	s.p.owner.SetLeases(sentAt, reply)
@@ -94,6 +100,22 @@
 	}
 }
 
+// contact logs when one kind of call to control begins to fail, and when it
+// succeeds again.
+type contact struct{ failing bool }
+
+// record records the result of a call.
+func (c *contact) record(log zerolog.Logger, call string, err error) {
+	if failing := err != nil; failing != c.failing {
+		c.failing = failing
+		if failing {
+			log.Warn().Err(err).Str("event", "control_lost").Str("call", call).Msg("calls to control have begun to fail")
+		} else {
+			log.Info().Str("event", "control_regained").Str("call", call).Msg("calls to control succeed again")
+		}
+	}
+}
+
 // loopSuspects requests an immediate heartbeat when a server becomes
 // unreachable, which shortens a failover by half a heartbeat interval.
 func (s *controlSession) loopSuspects(ctx context.Context) {
@@ -125,7 +147,11 @@
 	old := s.state.Load()
 	sentAt := time.Now()
 	reply, err := s.p.control.Watch(ctx, &controlrpc.WatchArgs{Since: old.Version, Wait: watchWait, Delta: true})
-	if err != nil || reply.Kind != errkind.OK {
+	if err == nil {
+		err = kindError(reply.Kind, reply.Detail)
+	}
+	s.watches.record(s.p.log, "watch", err)
+	if err != nil {
 		return false
 	}
 	if state := reply.Merge(*old); state.Version > old.Version {
--- a/internal/process/membership.go
+++ b/internal/process/membership.go
@@ -84,8 +84,12 @@
 		return caughtUp[0], true
 	}
 	dataCentres := p.dataCentres()
+	joining := dataCentres[caughtUp[0].ID]
+	if joining == "" {
+		return consensus.Member{}, false // it has not registered its data centre yet
+	}
 	for _, m := range st.Members {
-		if !m.Learner && m.ID != st.ID && m.ContactAge >= p.replaceTimeout && dataCentres[m.ID] == dataCentres[caughtUp[0].ID] {
+		if !m.Learner && m.ID != st.ID && m.ContactAge >= p.replaceTimeout && dataCentres[m.ID] == joining {
 			return caughtUp[0], true
 		}
 	}
@@ -138,6 +142,10 @@
 	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
 	defer cancel()
 	err := p.node.ChangeMembers(ctx, c)
-	p.log.Info().Err(err).Str("change", string(c.Kind)).Str("member", c.Member.ID).
+	line := p.log.Info()
+	if err != nil {
+		line = p.log.Warn()
+	}
+	line.Err(err).Str("event", "membership_change").Str("change", string(c.Kind)).Str("member", c.Member.ID).
 		Str("incarnation", c.Member.Incarnation).Msg("requested a change of the control members")
 }
--- a/internal/process/membership_test.go
+++ b/internal/process/membership_test.go
@@ -27,6 +27,7 @@
 		{"a host is down", "a@1 b@2 c!@3", "", ""},
 		{"a planned replacement", "a@1 b@2 c@3 d?@3", "", ""},
 		{"its predecessor has stopped", "a@1 b@2 c!@3 d?@3", "d", ""},
+		{"an unregistered successor", "a@1 b@2 c!@ d?@", "", ""},
 		{"unknown data centres", "a@ b@ c!@ d@", "", ""},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
