directory: hosts are sent changes, encoded once, instead of the whole state

Cause: each change answered every host with all servers and groups, so traffic, memory and encoding at the leader grew with hosts times state times changes. Change: the log of changes that control had is a package of its own (changelog) and serves directory too; changes are encoded once for all hosts of a version, compressed from 1 KB on, and the whole state is sent only for a gap. Changes of servers are collected for 100 ms, those of groups and of the configuration go at once. The leader looks at reports only of groups that a host suspects. Departures are part of the replicated state now. Tests: TestChangesLeadToTheState, TestChangesAreSmall, TestServerChangesAreCollected, TestDepartedServer.

--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -4,6 +4,7 @@
 	"slices"
 	"sync"
 
+	"github.com/arbutusring/arbutusring/internal/changelog"
 	"github.com/arbutusring/arbutusring/internal/controlrpc"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
 	"github.com/arbutusring/arbutusring/pkg/policy"
@@ -19,22 +20,22 @@
 type Machine struct {
 	mu              sync.Mutex
 	state           controlrpc.State
-	config          *policy.Config      // parsed state.ConfigText
-	declaredCounts  map[string]int      // declared number of members by group; replaced, never changed in place
-	wonBy           string              // operator of the configuration in force
-	wonChange       string              // change id of the configuration in force
-	oldOwners       map[string]oldOwner // by group in phase fencing
-	hadPrimary      map[string]bool     // groups that have had a primary
-	serverRevisions map[string]uint64   // revision by server id
-	hostRevisions   map[string]uint64   // revision by host id
-	changes         *changes            // first answers by change id
-	leasedByHost    index               // ids of leased servers by host id
-	serversByGroup  index               // ids of servers by group
-	view            *View               // last view
-	dirty           [partCount]bool     // parts changed since view
-	history         history             // what the latest entries changed
-	viewStale       bool                // view is not the current state
-	changed         chan struct{}       // closed at the next change
+	config          *policy.Config           // parsed state.ConfigText
+	declaredCounts  map[string]int           // declared number of members by group; replaced, never changed in place
+	wonBy           string                   // operator of the configuration in force
+	wonChange       string                   // change id of the configuration in force
+	oldOwners       map[string]oldOwner      // by group in phase fencing
+	hadPrimary      map[string]bool          // groups that have had a primary
+	serverRevisions map[string]uint64        // revision by server id
+	hostRevisions   map[string]uint64        // revision by host id
+	changes         *changes                 // first answers by change id
+	leasedByHost    index                    // ids of leased servers by host id
+	serversByGroup  index                    // ids of servers by group
+	view            *View                    // last view
+	dirty           [partCount]bool          // parts changed since view
+	history         changelog.Log[objectKey] // what the latest entries changed
+	viewStale       bool                     // view is not the current state
+	changed         chan struct{}            // closed at the next change
 }
 
 // snapshotData is the encoded form of a snapshot.
@@ -117,7 +118,7 @@
 // recordChange records that a command changes an object. The caller holds mu.
 func (m *Machine) recordChange(index uint64, p statePart, id string) {
 	m.dirty[p] = true
-	m.history.add(objectChange{index, p, id})
+	m.history.Add(index, objectKey{p, id})
 }
 
 // View returns the current state.
@@ -201,7 +202,7 @@
 	for p := range m.dirty {
 		m.dirty[p] = true
 	}
-	m.history = history{floor: data.State.Version}
+	m.history = changelog.New[objectKey](maxHistory, data.State.Version)
 }
 
 func orEmpty[V any](in map[string]V) map[string]V {
--- a/internal/controlrpc/changes.go
+++ b/internal/controlrpc/changes.go
@@ -32,16 +32,17 @@
 	if c.ConfigText != nil {
 		next.ConfigText = *c.ConfigText
 	}
-	next.Groups = mergeMap(old.Groups, c.Groups)
-	next.Servers = mergeMap(old.Servers, c.Servers)
-	next.Leases = mergeMap(old.Leases, c.Leases)
-	next.Hosts = mergeMap(old.Hosts, c.Hosts)
-	next.Draining = mergeMap(old.Draining, c.Draining)
+	next.Groups = MergeMap(old.Groups, c.Groups)
+	next.Servers = MergeMap(old.Servers, c.Servers)
+	next.Leases = MergeMap(old.Leases, c.Leases)
+	next.Hosts = MergeMap(old.Hosts, c.Hosts)
+	next.Draining = MergeMap(old.Draining, c.Draining)
 	return next
 }
 
-// mergeMap returns old with the changes applied. It does not modify old.
-func mergeMap[V any](old map[string]V, changes map[string]*V) map[string]V {
+// MergeMap returns old with the changes applied; a nil value removes an object. It
+// does not modify old.
+func MergeMap[V any](old map[string]V, changes map[string]*V) map[string]V {
 	if len(changes) == 0 {
 		return old
 	}
@@ -58,3 +59,17 @@
 	}
 	return next
 }
+
+// PutChange puts the current value of an object into out, nil if the object no
+// longer exists. It returns out, which it creates if it is nil.
+func PutChange[V any](out map[string]*V, now map[string]V, id string) map[string]*V {
+	if out == nil {
+		out = make(map[string]*V)
+	}
+	if value, ok := now[id]; ok {
+		out[id] = &value
+	} else {
+		out[id] = nil
+	}
+	return out
+}
--- /dev/null
+++ b/internal/directory/changes_test.go
@@ -0,0 +1,171 @@
+package directory_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/arbutusring/arbutusring/internal/directory"
+	"github.com/arbutusring/arbutusring/internal/directoryrpc"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// drawCommand draws a command on a few servers, groups and versions.
+func drawCommand(rt *rapid.T) directory.Command {
+	id := fmt.Sprint("s", rapid.IntRange(0, 5).Draw(rt, "server"))
+	switch rapid.IntRange(0, 3).Draw(rt, "kind") {
+	case 0:
+		return announceCommand(id, fmt.Sprint("x:", rapid.IntRange(0, 3).Draw(rt, "address")), int64(rapid.IntRange(1, 4).Draw(rt, "born")), uint64(rapid.IntRange(1, 9).Draw(rt, "sequence")))
+	case 1:
+		return directory.Command{Remove: &directory.RemoveServer{ID: id, Born: int64(rapid.IntRange(0, 4).Draw(rt, "born"))}}
+	case 2:
+		g := directoryrpc.Group{Name: fmt.Sprint("g", rapid.IntRange(0, 2).Draw(rt, "group")), Primary: id}
+		return directory.Command{Group: &directory.SetGroup{Group: g, ExpectedGeneration: uint64(rapid.IntRange(0, 3).Draw(rt, "generation"))}}
+	}
+	version := uint64(rapid.IntRange(1, 9).Draw(rt, "version"))
+	return putCommand(version, fmt.Sprint("configuration ", version))
+}
+
+// TestChangesLeadToTheState guards against hosts whose state differs from that of
+// control after they have merged changes, or after control was restarted from a
+// snapshot in between.
+func TestChangesLeadToTheState(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		m := directory.NewMachine()
+		var host directoryrpc.State
+		n := rapid.IntRange(1, 40).Draw(rt, "commands")
+		for index := uint64(1); index <= uint64(n); index++ {
+			apply(m, index, drawCommand(rt))
+			if rapid.IntRange(0, 9).Draw(rt, "restart") == 0 {
+				restored := directory.NewMachine()
+				if err := restored.Restore(m.Snapshot()); err != nil {
+					rt.Fatal(err)
+				}
+				m = restored
+			}
+			if rapid.Bool().Draw(rt, "sync") && m.State().Version > host.Version {
+				host = merge(rt, m, host)
+				expectSameState(rt, host, m.State())
+			}
+		}
+	})
+}
+
+// merge merges the changes since the version of host into it.
+func merge(t interface{ Fatal(args ...any) }, m *directory.Machine, host directoryrpc.State) directoryrpc.State {
+	changes, err := m.ChangesSince(host.Version, host.ConfigVersion).Decode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	next, err := changes.Merge(host)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return next
+}
+
+// expectSameState fails the test if the parts of the state that hosts use differ.
+func expectSameState(t *rapid.T, got, want directoryrpc.State) {
+	same := got.Version == want.Version && got.ConfigVersion == want.ConfigVersion && string(got.Document) == string(want.Document) &&
+		len(got.Servers) == len(want.Servers) && len(got.Groups) == len(want.Groups)
+	for id, s := range want.Servers {
+		same = same && got.Servers[id] == s
+	}
+	for name, g := range want.Groups {
+		same = same && got.Groups[name] == g
+	}
+	if !same {
+		t.Fatalf("host has %+v, control %+v", got, want)
+	}
+}
+
+// TestChangesAreSmall guards against the whole state being sent for one change: at
+// 720 servers and 100 hosts it used up the links of the control hosts.
+func TestChangesAreSmall(t *testing.T) {
+	is := is.New(t)
+	m := directory.NewMachine()
+	index := uint64(0)
+	announce := func(i int, sequence uint64, draining bool) {
+		index++
+		apply(m, index, directory.Command{Announce: &directory.PutServer{Server: directoryrpc.Server{
+			ID: fmt.Sprint("server-", i), Group: fmt.Sprint("group-", i/3), Address: fmt.Sprint("10.0.0.1:", i), Born: 1_700_000_000_000, Sequence: sequence, Draining: draining,
+		}}})
+	}
+	for i := range 720 {
+		announce(i, 1, false)
+	}
+	host := merge(t, m, directoryrpc.State{})
+	is.Equal(len(host.Servers), 720)
+	announce(5, 2, true)
+	is.True(len(m.ChangesSince(host.Version, 0).Data) < 512)
+	host = merge(t, m, host)
+	is.True(host.Servers["server-5"].Draining)
+	_, err := (&directoryrpc.Changes{Since: 3, Version: 9}).Merge(host)
+	is.True(err != nil) // changes to another version
+}
+
+// TestDepartedServer guards against a delayed announcement that brings back a
+// server that has left, also after control was restarted from a snapshot.
+func TestDepartedServer(t *testing.T) {
+	is := is.New(t)
+	m := directory.NewMachine()
+	apply(m, 1, announceCommand("a", "x:1", 100, 5))
+	apply(m, 2, directory.Command{Remove: &directory.RemoveServer{ID: "a"}})
+	apply(m, 3, announceCommand("a", "x:1", 100, 6)) // sent before the removal
+	is.Equal(len(m.State().Servers), 0)
+	apply(m, 4, directory.Command{Remove: &directory.RemoveServer{ID: "b", Born: 100}}) // never announced
+	apply(m, 5, announceCommand("b", "x:2", 100, 1))
+	is.Equal(len(m.State().Servers), 0)
+	restored := directory.NewMachine()
+	is.NoErr(restored.Restore(m.Snapshot()))
+	apply(restored, 6, announceCommand("a", "x:1", 100, 7))
+	is.Equal(len(restored.State().Servers), 0)
+	apply(restored, 7, announceCommand("a", "x:1", 200, 1)) // started again under its id
+	is.Equal(len(restored.State().Servers), 1)
+	apply(restored, 8, announceCommand("c", "x:1", 300, 1)) // its address now belongs to another server
+	apply(restored, 9, directory.Command{Remove: &directory.RemoveServer{ID: "c", Born: 300}})
+	apply(restored, 10, announceCommand("a", "x:1", 200, 2))
+	is.Equal(len(restored.State().Servers), 0)
+}
+
+// TestServerChangesAreCollected guards against a request of every host for each of
+// the servers that start at the same time, and against a delay of a change of a
+// group.
+func TestServerChangesAreCollected(t *testing.T) {
+	runWithCluster(t, func(is *is.I, c *testCluster, h *testHost) {
+		version := c.d.State().Version
+		replies := 0
+		c.workers.Go(func() {
+			for i := range 40 {
+				c.announce(fmt.Sprint("new", i), false, false, 1)
+			}
+		})
+		begun := time.Now()
+		host := directoryrpc.Host{ID: "h9", Incarnation: "1"}
+		for len(c.d.State().Servers) < 43 || c.d.State().Version > version {
+			reply := new(directoryrpc.SyncReply)
+			is.NoErr(c.d.Service().Sync(&directoryrpc.SyncArgs{Host: host, Version: version, Wait: time.Second, Delta: true}, reply))
+			changes, err := reply.Changes.Decode()
+			is.NoErr(err)
+			version = changes.Version
+			replies++
+		}
+		is.True(time.Since(begun) < 500*time.Millisecond)
+		is.True(replies <= 5) // 40 announcements within 200 ms
+
+		c.workers.Go(func() { c.announce("s1", true, true, 9) }) // a switchover follows
+		begun = time.Now()
+		for {
+			reply := new(directoryrpc.SyncReply)
+			is.NoErr(c.d.Service().Sync(&directoryrpc.SyncArgs{Host: host, Version: version, Wait: time.Second, Delta: true}, reply))
+			changes, err := reply.Changes.Decode()
+			is.NoErr(err)
+			version = changes.Version
+			if g := changes.Groups["g"]; g != nil && g.Switching {
+				break
+			}
+		}
+		is.True(time.Since(begun) < 50*time.Millisecond)
+	})
+}
--- a/internal/directory/machine.go
+++ b/internal/directory/machine.go
@@ -2,8 +2,11 @@
 
 import (
 	"maps"
+	"slices"
+	"strings"
 	"sync"
 
+	"github.com/arbutusring/arbutusring/internal/changelog"
 	"github.com/arbutusring/arbutusring/internal/directoryrpc"
 	"github.com/arbutusring/arbutusring/internal/msgpack"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
@@ -13,16 +16,43 @@
 // Restore one at a time; State and Changed are safe for concurrent use. Apply is
 // deterministic: it depends only on the state and its arguments.
 type Machine struct {
-	mu      sync.Mutex
-	state   directoryrpc.State // its maps are replaced, never modified
-	changed chan struct{}      // closed at the next change
+	mu       sync.Mutex
+	state    directoryrpc.State // its maps are replaced, never modified
+	departed departures
+	history  changelog.Log[objectKey] // what the latest entries changed
+	urgent   uint64                   // version of the last change that hosts must get at once
+	changed  chan struct{}            // closed at the next change
+	encoded  encodedChanges           // since the versions that hosts have
+}
+
+// objectKey identifies an object of the state. The zero value is the configuration.
+type objectKey struct {
+	server string // id, or
+	group  string // name
+}
+
+// maxHistory is how many changes of single objects are kept for hosts that have
+// an earlier version.
+const maxHistory = 20_000
+
+// snapshotData is the encoded form of a snapshot.
+type snapshotData struct {
+	directoryrpc.State
+	Departed []departure `codec:"x"`
 }
 
 // NewMachine returns a Machine with the state before the first log entry.
 func NewMachine() *Machine {
-	return &Machine{changed: make(chan struct{}), state: directoryrpc.State{
-		Servers: map[string]directoryrpc.Server{}, Groups: map[string]directoryrpc.Group{}, Controls: map[string]string{},
-	}}
+	m := &Machine{changed: make(chan struct{})}
+	m.load(snapshotData{})
+	return m
+}
+
+// load replaces the state. The caller holds mu, or is the only user of m.
+func (m *Machine) load(s snapshotData) {
+	s.Servers, s.Groups, s.Controls = orEmpty(s.Servers), orEmpty(s.Groups), orEmpty(s.Controls)
+	m.state, m.departed, m.urgent = s.State, newDepartures(s.Departed), s.Version
+	m.history = changelog.New[objectKey](maxHistory, s.Version)
 }
 
 // State returns the current state. Its maps must not be modified.
@@ -50,98 +80,140 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	r, changed := m.apply(c)
-	if changed {
+	for _, key := range changed {
+		m.history.Add(index, key)
+		if key.server == "" {
+			m.urgent = index
+		}
+	}
+	if len(changed) > 0 {
 		m.publish(index)
 	}
 	return msgpack.Encode(r)
 }
 
-func (m *Machine) apply(c Command) (result, bool) {
+// apply applies a command and returns the objects that it changed.
+func (m *Machine) apply(c Command) (result, []objectKey) {
 	switch {
 	case c.Put != nil:
 		return m.putConfig(c.Put)
 	case c.Announce != nil:
-		return m.putServer(c.Announce.Server)
+		return result{}, m.putServer(c.Announce.Server)
 	case c.Remove != nil:
-		return m.removeServer(c.Remove)
+		return result{}, m.removeServer(c.Remove)
 	case c.Group != nil:
 		return m.setGroup(c.Group)
 	case c.Control != nil:
 		controls := maps.Clone(m.state.Controls)
 		controls[c.Control.ID] = c.Control.DataCentre
 		m.state.Controls = controls
-		return result{}, false // entry hosts do not use it
+		return result{}, nil // entry hosts do not use it
 	case c.HostCount != nil:
 		m.state.HostCount = c.HostCount.Count
-		return result{}, false // entry hosts receive it with their lease
+		return result{}, nil // entry hosts receive it with their lease
 	}
-	return result{Kind: errkind.BadRequest, Detail: "unknown command"}, false
+	return result{Kind: errkind.BadRequest, Detail: "unknown command"}, nil
 }
 
-func (m *Machine) putConfig(c *PutConfig) (result, bool) {
+func (m *Machine) putConfig(c *PutConfig) (result, []objectKey) {
 	if c.Version <= m.state.ConfigVersion {
-		return result{}, false
+		return result{}, nil
 	}
 	m.state.ConfigVersion, m.state.Document = c.Version, c.Document
-	return result{}, true
+	return result{}, []objectKey{{}}
 }
 
 // putServer stores a server. An address belongs to one server at a time, so an
-// older server with the same address is removed, and a late announcement of it
-// is ignored because that server no longer exists.
-func (m *Machine) putServer(s directoryrpc.Server) (result, bool) {
+// older server with the same address is removed. A late announcement of a server
+// that has departed or was replaced is ignored.
+func (m *Machine) putServer(s directoryrpc.Server) []objectKey {
 	old, known := m.state.Servers[s.ID]
-	if known && !s.Newer(old) {
-		return result{}, false
+	if known && !s.Newer(old) || m.departed.includes(s.ID, s.Born) {
+		return nil
 	}
+	var changed []objectKey
 	servers := maps.Clone(m.state.Servers)
-	for id, other := range servers {
+	for id, other := range m.state.Servers {
 		if id == s.ID || other.Address != s.Address {
 			continue
 		}
 		if other.Born > s.Born {
-			return result{}, false
+			return nil
 		}
 		delete(servers, id)
+		changed = append(changed, objectKey{server: id})
+	}
+	slices.SortFunc(changed, func(a, b objectKey) int { return strings.Compare(a.server, b.server) })
+	for _, key := range changed {
+		m.departed.add(key.server, m.state.Servers[key.server].Born)
 	}
 	servers[s.ID] = s
 	m.state.Servers = servers
-	return result{}, !known || !s.Same(old)
+	if !known || !s.Same(old) {
+		changed = append(changed, objectKey{server: s.ID})
+	}
+	return changed
 }
 
-func (m *Machine) removeServer(c *RemoveServer) (result, bool) {
+func (m *Machine) removeServer(c *RemoveServer) []objectKey {
 	old, known := m.state.Servers[c.ID]
-	if !known || c.Born != 0 && old.Born > c.Born {
-		return result{}, false
+	if known && c.Born != 0 && old.Born > c.Born {
+		return nil
+	}
+	m.departed.add(c.ID, max(c.Born, old.Born))
+	if !known {
+		return nil
 	}
 	servers := maps.Clone(m.state.Servers)
 	delete(servers, c.ID)
 	m.state.Servers = servers
-	return result{}, true
+	return []objectKey{{server: c.ID}}
 }
 
-func (m *Machine) setGroup(c *SetGroup) (result, bool) {
+func (m *Machine) setGroup(c *SetGroup) (result, []objectKey) {
 	old := m.state.Groups[c.Group.Name]
 	if old.Generation != c.ExpectedGeneration {
-		return result{Kind: errkind.Conflict, Detail: "the generation of the group has changed"}, false
+		return result{Kind: errkind.Conflict, Detail: "the generation of the group has changed"}, nil
 	}
 	groups := maps.Clone(m.state.Groups)
 	c.Group.Generation = old.Generation + 1
 	groups[c.Group.Name] = c.Group
 	m.state.Groups = groups
-	return result{}, true
+	return result{}, []objectKey{{group: c.Group.Name}}
 }
 
 // publish sets the version of the state and wakes the readers that wait for a
 // change. The caller holds mu.
 func (m *Machine) publish(index uint64) {
+	m.encoded.clear()
 	m.state.Version = max(m.state.Version, index)
 	close(m.changed)
 	m.changed = make(chan struct{})
 }
 
 // Snapshot returns the encoded state.
-func (m *Machine) Snapshot() []byte { return msgpack.Encode(m.State()) }
+func (m *Machine) Snapshot() []byte {
+	m.mu.Lock()
+	s := snapshotData{m.state, slices.Clone(m.departed.order)}
+	m.mu.Unlock()
+	return msgpack.Encode(s)
+}
+
+// Departed reports whether the process of a server that was started at born has
+// departed, so that its announcements are ignored.
+func (m *Machine) Departed(id string, born int64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.departed.includes(id, born)
+}
+
+// UrgentVersion returns the version of the last change that hosts are sent at
+// once: one of a group or of the configuration.
+func (m *Machine) UrgentVersion() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.urgent
+}
 
 func orEmpty[V any](in map[string]V) map[string]V {
 	if in == nil {
@@ -152,14 +224,13 @@
 
 // Restore replaces the state with a snapshot. On error the state is unchanged.
 func (m *Machine) Restore(snapshot []byte) error {
-	var s directoryrpc.State
+	var s snapshotData
 	if err := msgpack.Decode(snapshot, &s, "a snapshot"); err != nil {
 		return err
 	}
-	s.Servers, s.Groups, s.Controls = orEmpty(s.Servers), orEmpty(s.Groups), orEmpty(s.Controls)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.state = s
+	m.load(s)
 	m.publish(s.Version)
 	return nil
 }
--- a/internal/directory/service.go
+++ b/internal/directory/service.go
@@ -9,6 +9,11 @@
 	"github.com/arbutusring/arbutusring/pkg/errkind"
 )
 
+// changeDelay is how long changes of servers are collected before hosts are sent
+// them. When hundreds of servers start, hosts would otherwise send a request for
+// each.
+const changeDelay = 100 * time.Millisecond
+
 // maxSyncWait bounds a long poll, because net/rpc does not report that the
 // caller has disconnected.
 const maxSyncWait = 5 * time.Second
@@ -56,23 +61,7 @@
 	if args.Leaving {
 		return nil
 	}
-	timer := time.NewTimer(min(max(args.Wait, 0), maxSyncWait))
-	defer timer.Stop()
-	state := s.d.machine.State()
-wait:
-	for state.Version <= args.Version {
-		changed := s.d.machine.Changed()
-		if state = s.d.machine.State(); state.Version > args.Version {
-			break
-		}
-		select {
-		case <-changed:
-		case <-l.ctx.Done():
-			break wait
-		case <-timer.C:
-			break wait
-		}
-	}
+	l.awaitChange(args.Version, min(max(args.Wait, 0), maxSyncWait))
 	// The grant is recorded before the read lease of the leader is checked: a
 	// grant that is recorded but not sent only delays a switchover.
 	l.sessions.recordGrant(args.Host)
@@ -80,7 +69,9 @@
 		return nil
 	}
 	reply.TTL, reply.HostCount = l.opts.TTL, l.hostCount()
-	if state.Version > args.Version {
+	if state := s.d.machine.State(); state.Version > args.Version && args.Delta {
+		reply.Changes = s.d.machine.ChangesSince(args.Version, args.ConfigVersion)
+	} else if state.Version > args.Version {
 		reply.Changed, reply.State = true, state
 		if args.ConfigVersion == state.ConfigVersion {
 			reply.State.Document = nil
@@ -90,6 +81,32 @@
 	return nil
 }
 
+// awaitChange waits until the state is newer than version, but not longer than
+// wait or the leadership. Changes that are not urgent are collected for
+// changeDelay.
+func (l *leadership) awaitChange(version uint64, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	collecting := false
+	for {
+		changed := l.machine.Changed()
+		switch {
+		case l.machine.UrgentVersion() > version:
+			return
+		case l.machine.State().Version > version && !collecting:
+			collecting = true
+			timer.Reset(min(changeDelay, wait))
+		}
+		select {
+		case <-changed:
+		case <-l.ctx.Done():
+			return
+		case <-timer.C:
+			return
+		}
+	}
+}
+
 // Announce stores or removes a backend server if the announcement changes
 // anything.
 func (s *Service) Announce(args *directoryrpc.AnnounceArgs, reply *directoryrpc.AnnounceReply) error {
@@ -99,8 +116,9 @@
 	}
 	srv := args.Server
 	old, known := s.d.machine.State().Servers[srv.ID]
+	departed := s.d.machine.Departed(srv.ID, srv.Born)
 	switch {
-	case args.Gone && !known, !args.Gone && known && (srv.Same(old) || !srv.Newer(old)):
+	case departed, args.Gone && !known && srv.Born == 0, !args.Gone && known && (srv.Same(old) || !srv.Newer(old)):
 		l.confirmLease(&reply.Answer)
 		return nil
 	case args.Gone:
--- a/internal/directory/sessions.go
+++ b/internal/directory/sessions.go
@@ -27,6 +27,7 @@
 
 	mu        sync.Mutex
 	hosts     map[string]*session        // by host id
+	suspects  map[string]map[string]bool // ids of the hosts that fail to reach the primary, by group
 	positions map[string]logpos.Position // highest reported position, by group; outlives the sessions
 	losses    uint64                     // sessions that ended without a last report; starts at 1 for those of earlier leaders
 	lossesAt  map[string]uint64          // losses when the present primary of a group was named; 0 if an earlier leader named it
@@ -45,6 +46,7 @@
 		leaseTimeout: ttl + time.Duration(float64(ttl)*drift),
 		startedAt:    clock.Now(),
 		hosts:        make(map[string]*session),
+		suspects:     make(map[string]map[string]bool),
 		positions:    make(map[string]logpos.Position),
 		losses:       1,
 		lossesAt:     make(map[string]uint64),
@@ -73,20 +75,57 @@
 		return
 	}
 	h.ackedVersion = args.Version
-	h.reports = make(map[string]directoryrpc.Report, len(args.Reports))
-	for _, r := range args.Reports {
+	s.setReports(args.Host.ID, h, args.Reports)
+	if args.Leaving {
+		s.remove(args.Host.ID)
+	}
+}
+
+// setReports replaces the reports of a host. The caller holds mu.
+func (s *sessions) setReports(id string, h *session, reports []directoryrpc.Report) {
+	s.clearSuspicions(id, h)
+	h.reports = make(map[string]directoryrpc.Report, len(reports))
+	for _, r := range reports {
 		h.reports[r.Group] = r
 		s.positions[r.Group] = s.positions[r.Group].Max(r.Position)
+		if r.FailingFor > 0 {
+			if s.suspects[r.Group] == nil {
+				s.suspects[r.Group] = make(map[string]bool)
+			}
+			s.suspects[r.Group][id] = true
+		}
 	}
-	if args.Leaving {
-		delete(s.hosts, args.Host.ID)
+}
+
+// clearSuspicions removes a host from suspects. The caller holds mu.
+func (s *sessions) clearSuspicions(id string, h *session) {
+	for _, r := range h.reports {
+		if r.FailingFor > 0 {
+			if delete(s.suspects[r.Group], id); len(s.suspects[r.Group]) == 0 {
+				delete(s.suspects, r.Group)
+			}
+		}
 	}
 }
 
+// suspected reports whether a host fails to reach the primary of the group. It
+// spares the leader the reports of all hosts on all groups.
+func (s *sessions) suspected(group string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.suspects[group]) > 0
+}
+
+// remove removes a session. The caller holds mu.
+func (s *sessions) remove(id string) {
+	s.clearSuspicions(id, s.hosts[id])
+	delete(s.hosts, id)
+}
+
 // forget removes a session and counts what its host has not reported as lost. The
 // caller holds mu.
 func (s *sessions) forget(id string) {
-	delete(s.hosts, id)
+	s.remove(id)
 	s.losses++
 }
 
--- a/internal/directory/switchover.go
+++ b/internal/directory/switchover.go
@@ -106,7 +106,7 @@
 // leadership ended first; allConfirmed is as in sessions.released.
 func (sw *switchover) awaitRelease() (complete, ok bool) {
 	l := sw.leadership
-	version := l.machine.State().Version
+	version := l.machine.UrgentVersion() // at least that of the switching group
 	for !l.sessions.released(version) {
 		if !l.sleep(pollInterval) {
 			return false, false
--- a/internal/directoryrpc/document.go
+++ b/internal/directoryrpc/document.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"compress/flate"
 	"io"
+	"sync"
 
 	"github.com/arbutusring/arbutusring/pkg/errkind"
 )
@@ -15,10 +16,10 @@
 // compress well, because they repeat the same keys for every database.
 func Compress(document []byte) []byte {
 	var b bytes.Buffer
-	w, err := flate.NewWriter(&b, flate.BestSpeed)
-	if err == nil {
-		_, err = w.Write(document)
-	}
+	w := compressors.Get().(*flate.Writer)
+	defer compressors.Put(w)
+	w.Reset(&b)
+	_, err := w.Write(document)
 	if err == nil {
 		err = w.Close()
 	}
@@ -28,6 +29,15 @@
 	return b.Bytes()
 }
 
+// compressors holds *flate.Writer, each of which has buffers of about 1 MB.
+var compressors = sync.Pool{New: func() any {
+	w, err := flate.NewWriter(io.Discard, flate.BestSpeed)
+	if err != nil {
+		panic("directoryrpc: " + err.Error())
+	}
+	return w
+}}
+
 // Decompress returns the configuration document that Compress was given. A document
 // of more than 32 MiB is an error.
 func Decompress(compressed []byte) ([]byte, error) {
--- a/internal/directoryrpc/messages.go
+++ b/internal/directoryrpc/messages.go
@@ -92,6 +92,7 @@
 	Reports       []Report      `codec:"r"`
 	Leaving       bool          `codec:"l"` // the host is stopping and gives up its lease; Reports are its last
 	Wait          time.Duration `codec:"w"` // maximum time to wait for a newer state
+	Delta         bool          `codec:"e"` // the host merges SyncReply.Changes; otherwise the reply has the whole State
 }
 
 // SyncReply grants the host a lease for TTL, which the host counts from before it
@@ -99,11 +100,12 @@
 // in the newest state that it has.
 type SyncReply struct {
 	controlrpc.Answer
-	TTL       time.Duration `codec:"t"`
-	Changed   bool          `codec:"c"`
-	State     State         `codec:"s"`
-	Control   []string      `codec:"a"` // rpc addresses of the control hosts
-	HostCount int           `codec:"n"` // number of entry hosts that share the servers
+	TTL       time.Duration  `codec:"t"`
+	Changed   bool           `codec:"c"` // State is set, for a host of an earlier release
+	State     State          `codec:"s"`
+	Changes   EncodedChanges `codec:"e"`
+	Control   []string       `codec:"a"` // rpc addresses of the control hosts
+	HostCount int            `codec:"n"` // number of entry hosts that share the servers
 }
 
 // AnnounceArgs carries the announcement of a backend server.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -198,18 +198,25 @@
 
 // Release waits until no work of this host is in progress at a primary that is
 // being replaced, and aborts work that does not end in time. The host must not
-// confirm the state to the directory before Release returns.
+// confirm the state to the directory before Release returns. All groups are
+// released at the same time, because the host renews no lease meanwhile.
 func (g *Gateway) Release() {
-	for name, gv := range g.view.Load().groups {
-		if !gv.switching {
-			continue
+	var releases sync.WaitGroup
+	for _, gv := range g.view.Load().groups {
+		if gv.switching && !gv.group.released() {
+			releases.Go(func() { g.runRelease(gv) })
 		}
-		start := time.Now()
-		responding := func() bool { return gv.primary == nil || gv.primary.failingFor(clock.Now()) == 0 }
-		aborted := gv.group.release(responding)
-		g.opts.Events.Event("group_released").Str("group", name).Uint64("generation", gv.generation).Int("cut_off", aborted).
-			Dur("after_ms", time.Since(start)).Msg("no work is in progress at the primary that is being replaced")
 	}
+	releases.Wait()
+}
+
+// runRelease releases one group.
+func (g *Gateway) runRelease(gv *groupView) {
+	start := time.Now()
+	responding := func() bool { return gv.primary == nil || gv.primary.failingFor(clock.Now()) == 0 }
+	aborted := gv.group.release(responding)
+	g.opts.Events.Event("group_released").Str("group", gv.group.name).Uint64("generation", gv.generation).Int("cut_off", aborted).
+		Dur("after_ms", time.Since(start)).Msg("no work is in progress at the primary that is being replaced")
 }
 
 // PrimaryFailing returns a channel that is signalled when a primary does not
--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -164,6 +164,13 @@
 	}
 }
 
+// released reports whether release has ended for the present generation.
+func (g *group) released() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.releasedGeneration == g.generation
+}
+
 // abortUses aborts the idle uses, the busy ones, or both, and returns how many
 // are left and how many were aborted. Once none is left, answers of this
 // generation are no longer returned to callers.
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/arbutusring/arbutusring/internal/gateway"
 	"github.com/arbutusring/arbutusring/internal/lineserver"
 	"github.com/arbutusring/arbutusring/internal/operator"
+	"github.com/arbutusring/arbutusring/pkg/database"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
 	"github.com/arbutusring/arbutusring/pkg/settings"
 	"github.com/rcrowley/go-metrics"
@@ -50,6 +51,8 @@
 	callers   *lineserver.Server
 	syncTasks tasks // renew the lease; stopped before the other goroutines
 
+	config *database.Config // parsed document of state; nil before the first; used by loopSync only
+
 	mu         sync.Mutex
 	state      directoryrpc.State // in force on this host, with its document
 	seeds      []string           // control addresses of the settings
@@ -168,7 +171,7 @@
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	args := &directoryrpc.SyncArgs{
-		Host: p.host, Version: state.Version, ConfigVersion: state.ConfigVersion, Reports: p.gateway.Reports(), Wait: syncWait,
+		Host: p.host, Version: state.Version, ConfigVersion: state.ConfigVersion, Reports: p.gateway.Reports(), Wait: syncWait, Delta: true,
 	}
 	if slices.ContainsFunc(args.Reports, func(r directoryrpc.Report) bool { return r.FailingFor > 0 }) {
 		// A request that reports a failing primary is not canceled when a
@@ -190,10 +193,8 @@
 	if reply.Kind != errkind.OK {
 		return errkind.New(reply.Kind, "%s", reply.Detail)
 	}
-	if reply.Changed {
-		if err := p.applyState(state, reply.State); err != nil {
-			return err
-		}
+	if err := p.applyReply(state, reply); err != nil {
+		return err
 	}
 	p.gateway.RenewLease(sentAt.Add(reply.TTL), reply.HostCount)
 	p.updateControlAddresses(reply.Control)
@@ -211,6 +212,28 @@
 	}
 }
 
+// applyReply puts the state after a reply into force. old is the state in force
+// when the request was sent.
+func (p *Gateway) applyReply(old directoryrpc.State, reply *directoryrpc.SyncReply) error {
+	state := old
+	switch {
+	case reply.Changes.Data != nil:
+		changes, err := reply.Changes.Decode()
+		if err != nil {
+			return err
+		}
+		if state, err = changes.Merge(old); err != nil {
+			return err
+		}
+	case reply.Changed: // from control of an earlier release
+		state = reply.State
+		if state.ConfigVersion == old.ConfigVersion {
+			state.Document = old.Document
+		}
+	}
+	return p.applyState(old, state)
+}
+
 // applyState puts a state into force. If this release can't parse the
 // configuration, nothing changes: the lease then expires, which is safer than
 // serving without the new configuration.
@@ -218,19 +241,17 @@
 	if state.Version <= old.Version {
 		return nil
 	}
-	if state.ConfigVersion == old.ConfigVersion {
-		state.Document = old.Document
-	}
-	document, err := directoryrpc.Decompress(state.Document)
-	if err != nil {
-		return err
-	}
-	if len(document) > 0 {
-		cfg, err := p.opts.Adapter.ParseConfig(document)
+	if state.ConfigVersion != old.ConfigVersion {
+		document, err := directoryrpc.Decompress(state.Document)
 		if err != nil {
 			return err
 		}
-		p.gateway.SetState(state, cfg)
+		if p.config, err = p.opts.Adapter.ParseConfig(document); err != nil {
+			return err
+		}
+	}
+	if p.config != nil {
+		p.gateway.SetState(state, p.config)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
