directory: hosts report only on groups that control asks about; bounded memory

Every Sync, also those that look for the leader, carried a report on every group: 240 reports, 100 hosts. Profile of a leader with 102 hosts and 720 servers in one process: 605 MB allocated in 6 s, 20% of it by checkGroups, 10% by copies of the map of servers. Change: a host reports on groups that switch, whose primary fails, or that some host suspects; a new suspicion ends the long polls of the others, so that those that reach the primary report within a round trip. The majority is that of all hosts with a lease. Control of an earlier release still gets all. The leader sorts servers into groups once for each version, and copies the map of servers only if somebody holds it. The heap keeps to 0.7 of the memory in the settings (host.memory_mb). Ruled out: fewer full reports in turn, which still grow with the groups. Tests: TestSuspicionReachesOtherHosts, TestMinorityOfHostsFails, TestNeededReports.

--- a/cmd/arbutusring/run_process.go
+++ b/cmd/arbutusring/run_process.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"runtime/debug"
 
 	"github.com/arbutusring/arbutusring/internal/process"
 	"github.com/arbutusring/arbutusring/pkg/settings"
@@ -14,7 +15,19 @@
 	sub.String(&c.settingsFile, "s", "settings", "settings file (TOML)")
 }
 
-// loadSettings loads the file that --settings names.
+// memoryLimitFraction is the fraction of the memory of the process from which on
+// the garbage collector works harder. The rest is for stacks, the runtime and
+// memory that is not returned yet.
+const memoryLimitFraction = 0.7
+
+// limitMemory makes the garbage collector keep to the memory of the process.
+func limitMemory(cfg settings.Settings) {
+	if cfg.Host.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(cfg.Host.MemoryMB) * (1 << 20)))
+	}
+}
+
+// loadSettings loads the file that --settings names, and applies its memory limit.
 func (c *commandLine) loadSettings(role settings.Role) (settings.Settings, error) {
 	if c.settingsFile == "" {
 		return settings.Settings{}, usageError{errors.New("--settings is missing")}
@@ -23,6 +36,7 @@
 	if err != nil {
 		return settings.Settings{}, usageError{err}
 	}
+	limitMemory(cfg)
 	return cfg, nil
 }
 
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -58,6 +58,10 @@
 // State returns the replicated state as applied on this host.
 func (d *Directory) State() directoryrpc.State { return d.machine.State() }
 
+// Server returns the last announcement of a server as applied on this host, if it
+// is known.
+func (d *Directory) Server(id string) (directoryrpc.Server, bool) { return d.machine.Server(id) }
+
 // Service returns the rpc service, to be registered as "Directory".
 func (d *Directory) Service() *Service { return &Service{d: d} }
 
--- a/internal/directory/leadership.go
+++ b/internal/directory/leadership.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/arbutusring/arbutusring/internal/control"
@@ -17,6 +18,9 @@
 	// Detection of a lost primary takes FailAfter, so a shorter interval would
 	// gain little.
 	checkInterval = 50 * time.Millisecond
+	// minCheckInterval is the shortest pause: when hundreds of servers start, the
+	// state changes more often than all groups can be checked.
+	minCheckInterval = 5 * time.Millisecond
 	// proposeTimeout bounds a proposal to the log. It is shorter than the timeout
 	// of the client, so that the client receives the kind of error.
 	proposeTimeout = time.Second
@@ -33,6 +37,11 @@
 	ctx      context.Context // ends with the leadership
 	workers  sync.WaitGroup
 
+	liveHosts atomic.Int64 // hosts with a lease, as of the last check
+
+	byGroup        map[string][]directoryrpc.Server // servers of byGroupVersion; used by run only
+	byGroupVersion uint64
+
 	mu          sync.Mutex
 	monitors    map[string]*primaryMonitor // by group
 	switchovers map[string]bool            // groups with a switchover in progress
@@ -53,12 +62,14 @@
 	defer ticker.Stop()
 	for l.ctx.Err() == nil {
 		changed := l.machine.Changed()
+		l.liveHosts.Store(int64(l.sessions.liveCount()))
 		l.checkGroups(l.machine.State())
 		l.recordHostCount(l.machine.State())
 		l.sessions.forgetSilent()
 		select {
 		case <-ticker.C:
 		case <-changed:
+			l.sleep(minCheckInterval)
 		case <-l.ctx.Done():
 		}
 	}
@@ -71,9 +82,9 @@
 // would otherwise each open as many connections as if they were alone and
 // overload the servers.
 func (l *leadership) hostCount() int {
-	n := l.sessions.liveCount()
+	n := max(1, int(l.liveHosts.Load()))
 	if !l.sessions.earlierLeasesExpired() {
-		n = max(n, l.machine.State().HostCount)
+		n = max(n, l.machine.HostCount())
 	}
 	return n
 }
@@ -84,7 +95,7 @@
 
 // recordHostCount stores the number of entry hosts in the log for the next leader.
 func (l *leadership) recordHostCount(s directoryrpc.State) {
-	n := l.sessions.liveCount()
+	n := int(l.liveHosts.Load())
 	if !l.sessions.earlierLeasesExpired() || n == 0 || math.Abs(float64(n-s.HostCount)) <= minHostCountChange*float64(s.HostCount) {
 		return
 	}
@@ -95,11 +106,13 @@
 // checkGroups records the primary of each new group and starts switchovers where
 // they are needed.
 func (l *leadership) checkGroups(s directoryrpc.State) {
-	byGroup := make(map[string][]directoryrpc.Server)
-	for _, srv := range s.Servers {
-		byGroup[srv.Group] = append(byGroup[srv.Group], srv)
+	if l.byGroup == nil || l.byGroupVersion != s.Version {
+		l.byGroup, l.byGroupVersion = make(map[string][]directoryrpc.Server, len(s.Groups)), s.Version
+		for _, srv := range s.Servers {
+			l.byGroup[srv.Group] = append(l.byGroup[srv.Group], srv)
+		}
 	}
-	for name, servers := range byGroup {
+	for name, servers := range l.byGroup {
 		g, known := s.Groups[name]
 		switch {
 		case !known:
--- a/internal/directory/machine.go
+++ b/internal/directory/machine.go
@@ -17,7 +17,8 @@
 // deterministic: it depends only on the state and its arguments.
 type Machine struct {
 	mu       sync.Mutex
-	state    directoryrpc.State // its maps are replaced, never modified
+	state    directoryrpc.State // its maps are not modified once State has returned them
+	shared   bool               // State has returned state.Servers
 	departed departures
 	history  changelog.Log[objectKey] // what the latest entries changed
 	urgent   uint64                   // version of the last change that hosts must get at once
@@ -52,6 +53,7 @@
 func (m *Machine) load(s snapshotData) {
 	s.Servers, s.Groups, s.Controls = orEmpty(s.Servers), orEmpty(s.Groups), orEmpty(s.Controls)
 	m.state, m.departed, m.urgent = s.State, newDepartures(s.Departed), s.Version
+	m.shared = false
 	m.history = changelog.New[objectKey](maxHistory, s.Version)
 }
 
@@ -59,9 +61,47 @@
 func (m *Machine) State() directoryrpc.State {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.shared = true
 	return m.state
 }
 
+// Server returns the last announcement of a server, if it is known.
+func (m *Machine) Server(id string) (directoryrpc.Server, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s, ok := m.state.Servers[id]
+	return s, ok
+}
+
+// Version returns the version of the current state.
+func (m *Machine) Version() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state.Version
+}
+
+// ConfigVersion returns the version of the configuration in force.
+func (m *Machine) ConfigVersion() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state.ConfigVersion
+}
+
+// HostCount returns the number of entry hosts as last recorded by a leader.
+func (m *Machine) HostCount() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state.HostCount
+}
+
+// ownServers makes state.Servers safe to modify. It copies the map only if State
+// has returned it since the last copy.
+func (m *Machine) ownServers() {
+	if m.shared {
+		m.state.Servers, m.shared = maps.Clone(m.state.Servers), false
+	}
+}
+
 // Changed returns a channel that is closed at the next change. Callers must call
 // Changed before State, so that they miss no change.
 func (m *Machine) Changed() <-chan struct{} {
@@ -132,7 +172,6 @@
 		return nil
 	}
 	var changed []objectKey
-	servers := maps.Clone(m.state.Servers)
 	for id, other := range m.state.Servers {
 		if id == s.ID || other.Address != s.Address {
 			continue
@@ -140,15 +179,15 @@
 		if other.Born > s.Born {
 			return nil
 		}
-		delete(servers, id)
 		changed = append(changed, objectKey{server: id})
 	}
 	slices.SortFunc(changed, func(a, b objectKey) int { return strings.Compare(a.server, b.server) })
+	m.ownServers()
 	for _, key := range changed {
 		m.departed.add(key.server, m.state.Servers[key.server].Born)
+		delete(m.state.Servers, key.server)
 	}
-	servers[s.ID] = s
-	m.state.Servers = servers
+	m.state.Servers[s.ID] = s
 	if !known || !s.Same(old) {
 		changed = append(changed, objectKey{server: s.ID})
 	}
@@ -164,9 +203,8 @@
 	if !known {
 		return nil
 	}
-	servers := maps.Clone(m.state.Servers)
-	delete(servers, c.ID)
-	m.state.Servers = servers
+	m.ownServers()
+	delete(m.state.Servers, c.ID)
 	return []objectKey{{server: c.ID}}
 }
 
@@ -194,6 +232,7 @@
 // Snapshot returns the encoded state.
 func (m *Machine) Snapshot() []byte {
 	m.mu.Lock()
+	m.shared = true
 	s := snapshotData{m.state, slices.Clone(m.departed.order)}
 	m.mu.Unlock()
 	return msgpack.Encode(s)
--- a/internal/directory/primary_monitor.go
+++ b/internal/directory/primary_monitor.go
@@ -80,7 +80,7 @@
 }
 
 // causeFromReports evaluates the reports of the hosts and the probes of the
-// leader. A primary is lost if neither the leader nor any host reaches it, or if
+// leader. A host without a report does not suspect the primary. A primary is lost if neither the leader nor any host reaches it, or if
 // most hosts and the leader fail to reach it. A primary that only some hosts
 // reach is replaced without losing commits.
 func (m *primaryMonitor) causeFromReports(l *leadership, g directoryrpc.Group, primary directoryrpc.Server) cause {
@@ -88,8 +88,7 @@
 		return causeNone
 	}
 	var suspected, failing, partial, answered int
-	reports := l.sessions.reports(g.Name, g.Generation)
-	for _, r := range reports {
+	for _, r := range l.sessions.reports(g.Name, g.Generation) {
 		if r.FailingFor > 0 {
 			suspected++
 		}
@@ -110,7 +109,7 @@
 	m.mu.Lock()
 	unreachable := m.failures >= 2 && time.Since(m.failingSince) >= l.opts.FailAfter
 	// Most hosts and the leader fail to reach the primary.
-	confirmedByLeader := m.failures >= 1 && 2*suspected > len(reports)
+	confirmedByLeader := m.failures >= 1 && 2*suspected > l.sessions.liveCount()
 	m.mu.Unlock()
 	switch {
 	case failing > 0 && (unreachable && answered == 0 || confirmedByLeader):
--- a/internal/directory/service.go
+++ b/internal/directory/service.go
@@ -69,36 +69,49 @@
 		return nil
 	}
 	reply.TTL, reply.HostCount = l.opts.TTL, l.hostCount()
-	if state := s.d.machine.State(); state.Version > args.Version && args.Delta {
+	s.fillState(args, reply)
+	reply.Control = s.d.opts.Control()
+	reply.AsksReports = true
+	reply.Suspected, _ = l.sessions.suspectedGroups()
+	return nil
+}
+
+// fillState sets the changes since the version of the host, or the state for a host
+// of an earlier release.
+func (s *Service) fillState(args *directoryrpc.SyncArgs, reply *directoryrpc.SyncReply) {
+	switch {
+	case s.d.machine.Version() <= args.Version:
+	case args.Delta:
 		reply.Changes = s.d.machine.ChangesSince(args.Version, args.ConfigVersion)
-	} else if state.Version > args.Version {
-		reply.Changed, reply.State = true, state
-		if args.ConfigVersion == state.ConfigVersion {
+	default:
+		reply.Changed, reply.State = true, s.d.machine.State()
+		if args.ConfigVersion == reply.State.ConfigVersion {
 			reply.State.Document = nil
 		}
 	}
-	reply.Control = s.d.opts.Control()
-	return nil
 }
 
-// awaitChange waits until the state is newer than version, but not longer than
-// wait or the leadership. Changes that are not urgent are collected for
-// changeDelay.
+// awaitChange waits until the state is newer than version or a host begins to
+// suspect a primary, but not longer than wait or the leadership. Changes that are
+// not urgent are collected for changeDelay.
 func (l *leadership) awaitChange(version uint64, wait time.Duration) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	collecting := false
+	_, suspicion := l.sessions.suspectedGroups()
 	for {
 		changed := l.machine.Changed()
 		switch {
 		case l.machine.UrgentVersion() > version:
 			return
-		case l.machine.State().Version > version && !collecting:
+		case l.machine.Version() > version && !collecting:
 			collecting = true
 			timer.Reset(min(changeDelay, wait))
 		}
 		select {
 		case <-changed:
+		case <-suspicion:
+			return
 		case <-l.ctx.Done():
 			return
 		case <-timer.C:
@@ -115,7 +128,7 @@
 		return nil
 	}
 	srv := args.Server
-	old, known := s.d.machine.State().Servers[srv.ID]
+	old, known := s.d.machine.Server(srv.ID)
 	departed := s.d.machine.Departed(srv.ID, srv.Born)
 	switch {
 	case departed, args.Gone && !known && srv.Born == 0, !args.Gone && known && (srv.Same(old) || !srv.Newer(old)):
@@ -146,14 +159,14 @@
 	if l == nil {
 		return nil
 	}
-	if inForce := s.d.machine.State().ConfigVersion; args.Version <= inForce {
+	if inForce := s.d.machine.ConfigVersion(); args.Version <= inForce {
 		if l.confirmLease(&reply.Answer) {
 			reply.Version = inForce
 		}
 		return nil
 	}
 	s.proposeAndReply(l, &reply.Answer, Command{Put: &PutConfig{Version: args.Version, Document: args.Document}})
-	reply.Version = s.d.machine.State().ConfigVersion
+	reply.Version = s.d.machine.ConfigVersion()
 	l.opts.Events.Event("config_put").Uint64("config_version", args.Version).Uint64("in_force", reply.Version).
 		Int("bytes", len(args.Document)).Str("outcome", string(reply.Kind)).Msg("a configuration was received")
 	return nil
--- a/internal/directory/sessions.go
+++ b/internal/directory/sessions.go
@@ -1,6 +1,8 @@
 package directory
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,6 +30,7 @@
 	mu        sync.Mutex
 	hosts     map[string]*session        // by host id
 	suspects  map[string]map[string]bool // ids of the hosts that fail to reach the primary, by group
+	suspicion chan struct{}              // closed and replaced when a group becomes suspected
 	positions map[string]logpos.Position // highest reported position, by group; outlives the sessions
 	losses    uint64                     // sessions that ended without a last report; starts at 1 for those of earlier leaders
 	lossesAt  map[string]uint64          // losses when the present primary of a group was named; 0 if an earlier leader named it
@@ -47,6 +50,7 @@
 		startedAt:    clock.Now(),
 		hosts:        make(map[string]*session),
 		suspects:     make(map[string]map[string]bool),
+		suspicion:    make(chan struct{}),
 		positions:    make(map[string]logpos.Position),
 		losses:       1,
 		lossesAt:     make(map[string]uint64),
@@ -91,6 +95,8 @@
 		if r.FailingFor > 0 {
 			if s.suspects[r.Group] == nil {
 				s.suspects[r.Group] = make(map[string]bool)
+				close(s.suspicion)
+				s.suspicion = make(chan struct{})
 			}
 			s.suspects[r.Group][id] = true
 		}
@@ -116,6 +122,14 @@
 	return len(s.suspects[group]) > 0
 }
 
+// suspectedGroups returns the groups whose primary some host fails to reach, in
+// order, and a channel that is closed when there is another one.
+func (s *sessions) suspectedGroups() ([]string, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Sorted(maps.Keys(s.suspects)), s.suspicion
+}
+
 // remove removes a session. The caller holds mu.
 func (s *sessions) remove(id string) {
 	s.clearSuspicions(id, s.hosts[id])
--- a/internal/directory/sessions_test.go
+++ b/internal/directory/sessions_test.go
@@ -99,6 +99,36 @@
 	}
 }
 
+// TestSuspicionReachesOtherHosts guards against a leader that decides on a primary
+// without the reports of the hosts that still reach it: they report on a group
+// only when they are asked, so a new suspicion ends their long polls.
+func TestSuspicionReachesOtherHosts(t *testing.T) {
+	runWithCluster(t, func(is *is.I, c *testCluster, h *testHost) {
+		time.AfterFunc(time.Second, func() { h.setReport(directoryrpc.Report{FailingFor: 100 * time.Millisecond}) })
+		args := &directoryrpc.SyncArgs{Host: directoryrpc.Host{ID: "h2", Incarnation: "1"}, Version: c.d.State().Version, Wait: 5 * time.Second, Delta: true}
+		reply, begun := new(directoryrpc.SyncReply), time.Now()
+		is.NoErr(c.d.Service().Sync(args, reply))
+		is.True(reply.AsksReports)
+		is.Equal(reply.Suspected, []string{"g"})
+		is.True(time.Since(begun) < 1500*time.Millisecond)
+	})
+}
+
+// TestMinorityOfHostsFails guards against the loss of a primary that most hosts
+// reach, when these have sent no report on it.
+func TestMinorityOfHostsFails(t *testing.T) {
+	runWithCluster(t, func(is *is.I, c *testCluster, h *testHost) {
+		for _, id := range []string{"h2", "h3"} {
+			c.startHost(id).setReport(directoryrpc.Report{Generation: 99}) // as good as none
+		}
+		time.Sleep(time.Second)
+		c.withLock(func() { c.down["s1"] = true })
+		h.setReport(directoryrpc.Report{FailingFor: 500 * time.Millisecond})
+		time.Sleep(150 * time.Millisecond) // one probe of the leader has failed
+		is.Equal(len(c.promotions()), 0)
+	})
+}
+
 // TestPositionsOfEarlierLeader guards against a new leader that takes the reports
 // of the remaining hosts as complete: a host may have been lost before it reported
 // to this leader.
--- a/internal/directoryrpc/messages.go
+++ b/internal/directoryrpc/messages.go
@@ -89,7 +89,7 @@
 	Host          Host          `codec:"h"`
 	Version       uint64        `codec:"v"` // newest state that the host has applied; it no longer uses a primary that this state replaces
 	ConfigVersion uint64        `codec:"c"` // the reply omits the document if it has this version
-	Reports       []Report      `codec:"r"`
+	Reports       []Report      `codec:"r"` // replace those of the last request
 	Leaving       bool          `codec:"l"` // the host is stopping and gives up its lease; Reports are its last
 	Wait          time.Duration `codec:"w"` // maximum time to wait for a newer state
 	Delta         bool          `codec:"e"` // the host merges SyncReply.Changes; otherwise the reply has the whole State
@@ -100,12 +100,17 @@
 // in the newest state that it has.
 type SyncReply struct {
 	controlrpc.Answer
-	TTL       time.Duration  `codec:"t"`
-	Changed   bool           `codec:"c"` // State is set, for a host of an earlier release
-	State     State          `codec:"s"`
-	Changes   EncodedChanges `codec:"e"`
-	Control   []string       `codec:"a"` // rpc addresses of the control hosts
-	HostCount int            `codec:"n"` // number of entry hosts that share the servers
+	TTL     time.Duration  `codec:"t"`
+	Changed bool           `codec:"c"` // State is set, for a host of an earlier release
+	State   State          `codec:"s"`
+	Changes EncodedChanges `codec:"e"`
+	Control []string       `codec:"a"` // rpc addresses of the control hosts
+	// AsksReports reports that the next request needs to include only the reports on
+	// Suspected, on groups whose primary is failing, and on switching groups. It is
+	// false from control of an earlier release, which needs all.
+	AsksReports bool     `codec:"q"`
+	Suspected   []string `codec:"u"` // groups whose primary some host fails to reach
+	HostCount   int      `codec:"n"` // number of entry hosts that share the servers
 }
 
 // AnnounceArgs carries the announcement of a backend server.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -231,30 +231,27 @@
 	}
 }
 
-// reachableWithin is how recently a server must have answered to be reported as
-// reachable.
-const reachableWithin = 3 * time.Second
-
-// Reports returns this host's observations of the primary of each group, for the
-// directory. If the primary is failing, they include the other servers that this
-// host reaches.
+// Reports returns this host's observations of the primaries of all groups, for the
+// directory.
 func (g *Gateway) Reports() []directoryrpc.Report {
+	now := clock.Now()
+	var out []directoryrpc.Report
+	for _, gv := range g.view.Load().groups {
+		out = append(out, gv.report(now))
+	}
+	return out
+}
+
+// NeededReports returns the observations that the directory needs: of groups that
+// it asks for, that are switching or whose primary is failing. Their number does
+// not grow with that of the groups.
+func (g *Gateway) NeededReports(asked []string) []directoryrpc.Report {
 	now := clock.Now()
 	var out []directoryrpc.Report
 	for name, gv := range g.view.Load().groups {
-		r := directoryrpc.Report{Group: name, Generation: gv.generation}
-		gv.group.mu.Lock()
-		r.Position = gv.group.latestPosition
-		gv.group.mu.Unlock()
-		if gv.primary != nil {
-			r.FailingFor, r.LastAnswerAge = gv.primary.failingFor(now), gv.primary.sinceLastAnswer(now)
-		}
-		for _, m := range gv.members {
-			if ago := m.sinceLastAnswer(now); m != gv.primary && ago > 0 && ago < reachableWithin && m.failingFor(now) == 0 && r.FailingFor > 0 {
-				r.Reachable = append(r.Reachable, m.server.ID)
-			}
+		if gv.switching || gv.primary != nil && gv.primary.failingFor(now) > 0 || slices.Contains(asked, name) {
+			out = append(out, gv.report(now))
 		}
-		out = append(out, r)
 	}
 	return out
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -9,6 +9,7 @@
 	"github.com/arbutusring/arbutusring/internal/gateway"
 	"github.com/arbutusring/arbutusring/internal/statement"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
+	"github.com/arbutusring/arbutusring/pkg/logpos"
 	"github.com/matryer/is"
 )
 
@@ -308,6 +309,25 @@
 	})
 }
 
+// TestNeededReports guards against requests to control that grow with the number of
+// groups, and against a group that control needs and that is left out.
+func TestNeededReports(t *testing.T) {
+	runWithGateway(t, func(t *testing.T, is *is.I, group *fakeGroup, g *gateway.Gateway) {
+		c := open(t, g, "urgent")
+		defer c.Close()
+		is.Equal(failureKind(c.write("a")), errkind.OK)
+		is.Equal(len(g.NeededReports(nil)), 0)
+		asked := g.NeededReports([]string{"g"})
+		is.Equal(len(asked), 1)
+		is.True(asked[0].LastAnswerAge > 0)
+		is.Equal(len(g.Reports()), 1)
+		g.SetState(group.state(2, 2, "s1", true), config())
+		switching := g.NeededReports(nil)
+		is.Equal(len(switching), 1)
+		is.Equal(switching[0].Position, logpos.Position{Term: 1, LSN: 1})
+	})
+}
+
 // TestUnresponsivePrimary guards against reporting an unresponsive primary only
 // after the statement timeout has passed.
 func TestUnresponsivePrimary(t *testing.T) {
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -37,6 +37,28 @@
 	return gv != nil && gv.primary != nil && !gv.switching && gv.primary.drainingFor() < primaryDrainTime
 }
 
+// reachableWithin is how recently a server must have answered to be reported as
+// reachable.
+const reachableWithin = 3 * time.Second
+
+// report returns this host's observation of the primary. If it is failing, the
+// report includes the other servers that this host reaches.
+func (gv *groupView) report(now time.Time) directoryrpc.Report {
+	r := directoryrpc.Report{Group: gv.group.name, Generation: gv.generation}
+	gv.group.mu.Lock()
+	r.Position = gv.group.latestPosition
+	gv.group.mu.Unlock()
+	if gv.primary != nil {
+		r.FailingFor, r.LastAnswerAge = gv.primary.failingFor(now), gv.primary.sinceLastAnswer(now)
+	}
+	for _, m := range gv.members {
+		if ago := m.sinceLastAnswer(now); m != gv.primary && ago > 0 && ago < reachableWithin && m.failingFor(now) == 0 && r.FailingFor > 0 {
+			r.Reachable = append(r.Reachable, m.server.ID)
+		}
+	}
+	return r
+}
+
 // chooseForRead returns the server for a read that any of them may run, or nil if
 // all were tried or are draining. Servers in backoff after a failure come last and
 // lagging replicas before them. Within a class the lowest cost wins. It includes
--- a/internal/process/directory.go
+++ b/internal/process/directory.go
@@ -182,7 +182,7 @@
 // announce returns at once if the replicated state already holds the same
 // announcement; only changes are sent to the leader.
 func (p *Directory) announce(ctx context.Context, s directoryrpc.Server, gone bool) error {
-	if known, ok := p.directory.State().Servers[s.ID]; ok && !gone && s.Same(known) {
+	if known, ok := p.directory.Server(s.ID); ok && !gone && s.Same(known) {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -51,7 +51,10 @@
 	callers   *lineserver.Server
 	syncTasks tasks // renew the lease; stopped before the other goroutines
 
-	config *database.Config // parsed document of state; nil before the first; used by loopSync only
+	// Used by loopSync only.
+	config      *database.Config // parsed document of state; nil before the first
+	asksReports bool             // as in the last reply
+	suspected   []string         // as in the last reply
 
 	mu         sync.Mutex
 	state      directoryrpc.State // in force on this host, with its document
@@ -171,7 +174,7 @@
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	args := &directoryrpc.SyncArgs{
-		Host: p.host, Version: state.Version, ConfigVersion: state.ConfigVersion, Reports: p.gateway.Reports(), Wait: syncWait, Delta: true,
+		Host: p.host, Version: state.Version, ConfigVersion: state.ConfigVersion, Reports: p.reports(), Wait: syncWait, Delta: true,
 	}
 	if slices.ContainsFunc(args.Reports, func(r directoryrpc.Report) bool { return r.FailingFor > 0 }) {
 		// A request that reports a failing primary is not canceled when a
@@ -193,6 +196,7 @@
 	if reply.Kind != errkind.OK {
 		return errkind.New(reply.Kind, "%s", reply.Detail)
 	}
+	p.asksReports, p.suspected = reply.AsksReports, reply.Suspected
 	if err := p.applyReply(state, reply); err != nil {
 		return err
 	}
@@ -202,6 +206,14 @@
 	return nil
 }
 
+// reports returns the reports that control needs.
+func (p *Gateway) reports() []directoryrpc.Report {
+	if p.asksReports {
+		return p.gateway.NeededReports(p.suspected)
+	}
+	return p.gateway.Reports()
+}
+
 // runCancelOnPrimaryFailure cancels a sync request that control holds when a
 // primary begins to fail.
 func (p *Gateway) runCancelOnPrimaryFailure(stop <-chan struct{}, cancel context.CancelFunc) {
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -85,6 +85,9 @@
 	c.checkPresent("host.id", s.Host.ID)
 	c.checkPresent("host.data_centre", s.Host.DataCentre)
 	c.checkPresent("host.region", s.Host.Region)
+	if s.Host.MemoryMB < 0 {
+		c.report("host.memory_mb", "is %d, must not be negative", s.Host.MemoryMB)
+	}
 	if role != RoleGateway {
 		c.checkListenAddress("listen.peers", s.Listen.Peers)
 	}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -55,7 +55,8 @@
 	DataCentre string            `toml:"data_centre"`
 	Region     string            `toml:"region"`
 	Labels     map[string]string `toml:"labels"`
-	Regions    map[string]string `toml:"regions"` // gateway only: region by data centre
+	Regions    map[string]string `toml:"regions"`   // gateway only: region by data centre
+	MemoryMB   int               `toml:"memory_mb"` // memory that the process may use, in MB; 0 for no limit
 }
 
 // Listen holds the addresses that the process listens on, each as ip:port.
