consensus: a message that contradicts the protocol is ignored instead of ending the process

A message of a faulty peer could end a control host by one of three panics (a second leader of the term, a committed entry that would be replaced, a membership that can't be read); sent to all, it ended all. Change: such a message is rejected before it changes anything, and logged as protocol_violation. To ignore a message is always safe. The simulation takes a violation for a failed check, as it took the panic.

--- a/internal/consensus/bootstrap.go
+++ b/internal/consensus/bootstrap.go
@@ -132,7 +132,7 @@
 		ms = ms.with(member)
 	}
 	e := wal.Entry{Index: 1, Term: bootstrapTerm, Kind: entryMembers, Data: ms.encode()}
-	m.initialise(now, e)
+	m.initialise(now, Message{Kind: MessageBootstrap, From: m.self}, e)
 	for _, to := range ms {
 		if to.key() != m.self.key() {
 			m.send(Message{Kind: MessageBootstrap, To: to, Entries: []wal.Entry{e}})
@@ -142,20 +142,20 @@
 
 // handleBootstrap adopts the first membership if this host belongs to it.
 func (m *Machine) handleBootstrap(now time.Time, msg Message) {
-	if !m.Empty() || len(msg.Entries) != 1 || msg.Entries[0].Index != 1 {
+	if !m.Empty() || len(msg.Entries) != 1 || msg.Entries[0].Index != 1 || msg.Entries[0].Kind != entryMembers {
 		return
 	}
 	ms, err := decodeMembers(msg.Entries[0].Data)
 	if _, ok := ms.find(m.self.key()); err != nil || !ok {
 		return
 	}
-	m.initialise(now, msg.Entries[0])
+	m.initialise(now, msg, msg.Entries[0])
 }
 
-// initialise starts the log with entry 1.
-func (m *Machine) initialise(now time.Time, e wal.Entry) {
+// initialise starts the log with entry 1, which msg carries.
+func (m *Machine) initialise(now time.Time, msg Message, e wal.Entry) {
 	m.term = max(m.term, bootstrapTerm)
-	m.acceptEntry(e)
+	m.acceptEntry(msg, e)
 	m.resetElection(now)
 }
 
--- a/internal/consensus/machine.go
+++ b/internal/consensus/machine.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -61,6 +62,7 @@
 
 	pendingInstall *wal.Snapshot // for the next Output
 	messages       []Message
+	violations     []string
 }
 
 // NewMachine returns a machine that starts at now.
@@ -254,9 +256,16 @@
 		m.applied = m.commit
 	}
 	out.Messages, m.messages = m.messages, nil
+	out.Violations, m.violations = m.violations, nil
 	return out
 }
 
+// reject records that a message contradicts the protocol and is ignored. To end
+// the process would let one faulty peer take down all hosts.
+func (m *Machine) reject(msg Message, format string, args ...any) {
+	m.violations = append(m.violations, fmt.Sprintf("%s in term %d, %s from %s: ", m.self.key(), m.term, msg.Kind, msg.From.key())+fmt.Sprintf(format, args...))
+}
+
 // send queues a message. A message without a term gets the current term.
 func (m *Machine) send(msg Message) {
 	msg.From = m.self
--- a/internal/consensus/node_loop.go
+++ b/internal/consensus/node_loop.go
@@ -101,6 +101,9 @@
 func (n *Node) processOutput() error {
 	start := time.Now()
 	out := n.machine.Output(clock.Now())
+	for _, v := range out.Violations {
+		n.opts.Logger.Error().Str("event", "protocol_violation").Str("id", n.self.ID).Str("violation", v).Msg("ignoring a message that contradicts the protocol")
+	}
 	if err := n.write(out); err != nil {
 		return err
 	}
--- a/internal/consensus/output.go
+++ b/internal/consensus/output.go
@@ -12,4 +12,8 @@
 	Entries   []wal.Entry    // to be made durable; they replace the log from Entries[0].Index
 	Committed []wal.Entry    // to be applied
 	Messages  []Message      // to be sent
+
+	// Violations describes received messages that contradict the protocol and were
+	// ignored: a peer is faulty, or a disk has lost what was synced.
+	Violations []string
 }
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -71,20 +71,25 @@
 	}
 }
 
-// followLeader accepts the sender as the leader of the term.
-func (m *Machine) followLeader(now time.Time, msg Message) {
+// followLeader accepts the sender as the leader of the term, which it reports. A
+// term has only one leader.
+func (m *Machine) followLeader(now time.Time, msg Message) bool {
 	if m.role == Leader {
-		panic(fmt.Sprintf("consensus: %s leads term %d, and so does %s", m.self.key(), m.term, msg.From.key()))
+		m.reject(msg, "this host leads the term")
+		return false
 	}
 	if m.role != Follower {
 		m.becomeFollower(now, m.term)
 	}
 	m.leader, m.lastLeaderContact = msg.From, now
 	m.resetElection(now)
+	return true
 }
 
 func (m *Machine) handleAppend(now time.Time, msg Message) {
-	m.followLeader(now, msg)
+	if !m.followLeader(now, msg) {
+		return
+	}
 	reply := Message{Kind: MessageAppendReply, To: msg.From, Sent: msg.Sent}
 	if msg.Index < m.commit {
 		reply.Index = m.commit // committed entries match those of the leader
@@ -104,26 +109,37 @@
 		if t, ok := m.log.term(e.Index); ok && t == e.Term {
 			continue
 		}
-		m.acceptEntry(e)
+		if !m.acceptEntry(msg, e) {
+			return
+		}
 	}
 	reply.Index = msg.Index + uint64(len(msg.Entries))
 	m.commit = max(m.commit, min(msg.Commit, reply.Index))
 	m.send(reply)
 }
 
-// acceptEntry stores an entry of the leader in the log. It panics if that would
-// replace a committed entry.
-func (m *Machine) acceptEntry(e wal.Entry) {
+// acceptEntry stores an entry of the leader in the log, unless that would replace a
+// committed entry, or it holds a membership that can't be read. It reports whether
+// the entry was stored.
+func (m *Machine) acceptEntry(msg Message, e wal.Entry) bool {
 	if e.Index <= m.commit {
-		panic(fmt.Sprintf("consensus: %s: committed entry %d would be replaced", m.self.key(), e.Index))
+		m.reject(msg, "committed entry %d would be replaced", e.Index)
+		return false
+	}
+	if e.Kind == entryMembers {
+		if _, err := decodeMembers(e.Data); err != nil {
+			m.reject(msg, "entry %d: %v", e.Index, err)
+			return false
+		}
 	}
 	for n := len(m.memberships); n > 0 && m.memberships[n-1].index >= e.Index; n-- {
 		m.memberships = m.memberships[:n-1]
 	}
 	m.log.replace(e)
 	if err := m.recordMembers(e); err != nil {
-		panic(fmt.Sprintf("consensus: %s: entry %d: %v", m.self.key(), e.Index, err))
+		panic(fmt.Sprintf("consensus: %s: entry %d was decoded before: %v", m.self.key(), e.Index, err))
 	}
+	return true
 }
 
 func (m *Machine) handleAppendReply(now time.Time, msg Message) {
--- a/internal/consensus/sim_test.go
+++ b/internal/consensus/sim_test.go
@@ -227,6 +227,9 @@
 // output carries out an Output as a node does, and crashes at the step crashAt.
 func (s *sim) output(h *simHost) {
 	out := h.machine.Output(h.localTime(s.now))
+	if len(out.Violations) > 0 {
+		panic(violation(out.Violations[0]))
+	}
 	crashed := func(step int) bool {
 		if h.crashAt == step {
 			s.crash(h)
--- a/internal/consensus/snapshot_transfer.go
+++ b/internal/consensus/snapshot_transfer.go
@@ -74,7 +74,9 @@
 }
 
 func (m *Machine) handleSnapshot(now time.Time, msg Message) {
-	m.followLeader(now, msg)
+	if !m.followLeader(now, msg) {
+		return
+	}
 	done := Message{Kind: MessageAppendReply, To: msg.From, Sent: msg.Sent}
 	if t, ok := m.log.term(msg.Index); ok && t == msg.LogTerm {
 		m.commit = max(m.commit, msg.Index)
