directory: new groups get their primaries at the same time

Change: adoptions run in the background like switchovers; a first primary is not urgent; hosts report on no group without a primary.

--- a/internal/directory/leadership.go
+++ b/internal/directory/leadership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -42,17 +43,17 @@
 	byGroup        map[string][]directoryrpc.Server // servers of byGroupVersion; used by run only
 	byGroupVersion uint64
 
-	mu          sync.Mutex
-	monitors    map[string]*primaryMonitor // by group
-	switchovers map[string]bool            // groups with a switchover in progress
+	mu        sync.Mutex
+	monitors  map[string]*primaryMonitor // by group
+	inProcess map[string]bool            // groups with a change in progress
 }
 
 func newLeadership(ctx context.Context, opts Options, log *control.Log, m *Machine, token uint64) *leadership {
 	return &leadership{
 		opts: opts, log: log, machine: m, token: token, ctx: ctx,
-		sessions:    newSessions(opts.TTL, opts.ClockDrift),
-		monitors:    make(map[string]*primaryMonitor),
-		switchovers: make(map[string]bool),
+		sessions:  newSessions(opts.TTL, opts.ClockDrift),
+		monitors:  make(map[string]*primaryMonitor),
+		inProcess: make(map[string]bool),
 	}
 }
 
@@ -116,7 +117,7 @@
 		g, known := s.Groups[name]
 		switch {
 		case !known:
-			l.adoptPrimary(name, servers)
+			l.startAdoption(name, servers)
 		case g.Switching:
 			l.startSwitchover(g, causeResumed)
 		default:
@@ -127,18 +128,20 @@
 	}
 }
 
-// adoptPrimary records the server that announced itself as the primary of a new
-// group.
-func (l *leadership) adoptPrimary(name string, servers []directoryrpc.Server) {
-	for _, srv := range servers {
-		if srv.Role != statement.Primary {
-			continue
-		}
-		l.sessions.recordPrimary(name)
-		err := l.propose(Command{Group: &SetGroup{Group: directoryrpc.Group{Name: name, Primary: srv.ID}}})
-		l.opts.Events.Event("primary_adopted").Str("group", name).Str("server", srv.ID).Err(err).Msg("recording the announced primary of a new group")
+// startAdoption records the server that announced itself as the primary of a new
+// group. It does so in the background, because hundreds of groups may be new at the
+// same time and a proposal takes tens of milliseconds.
+func (l *leadership) startAdoption(name string, servers []directoryrpc.Server) {
+	i := slices.IndexFunc(servers, func(s directoryrpc.Server) bool { return s.Role == statement.Primary })
+	if i < 0 {
 		return
 	}
+	primary := servers[i].ID
+	l.startChange(name, func() {
+		l.sessions.recordPrimary(name)
+		err := l.propose(Command{Group: &SetGroup{Group: directoryrpc.Group{Name: name, Primary: primary}}})
+		l.opts.Events.Event("primary_adopted").Str("group", name).Str("server", primary).Err(err).Msg("recording the announced primary of a new group")
+	})
 }
 
 // monitor returns the monitor of a group, which it creates on first use.
@@ -153,21 +156,25 @@
 	return m
 }
 
-// startSwitchover starts a switchover in the background, unless one of the same
-// group is in progress.
+// startSwitchover starts a switchover in the background.
 func (l *leadership) startSwitchover(g directoryrpc.Group, c cause) {
+	sw := &switchover{leadership: l, group: g.Name, cause: c, refusedAt: make(map[string]time.Time)}
+	l.startChange(g.Name, sw.run)
+}
+
+// startChange runs a change of a group in the background, unless one is in progress.
+func (l *leadership) startChange(group string, run func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.switchovers[g.Name] {
+	if l.inProcess[group] {
 		return
 	}
-	l.switchovers[g.Name] = true
-	sw := &switchover{leadership: l, group: g.Name, cause: c, refusedAt: make(map[string]time.Time)}
+	l.inProcess[group] = true
 	l.workers.Go(func() {
-		sw.run()
+		run()
 		l.mu.Lock()
-		delete(l.switchovers, g.Name)
-		l.mu.Unlock()
+		defer l.mu.Unlock()
+		delete(l.inProcess, group)
 	})
 }
 
--- a/internal/directory/machine.go
+++ b/internal/directory/machine.go
@@ -21,7 +21,7 @@
 	shared   bool               // State has returned state.Servers
 	departed departures
 	history  changelog.Log[objectKey] // what the latest entries changed
-	urgent   uint64                   // version of the last change that hosts must get at once
+	urgent   uint64                   // version of the last change that hosts are sent at once
 	changed  chan struct{}            // closed at the next change
 	encoded  encodedChanges           // since the versions that hosts have
 }
@@ -122,7 +122,8 @@
 	r, changed := m.apply(c)
 	for _, key := range changed {
 		m.history.Add(index, key)
-		if key.server == "" {
+		// The first primary of a group replaces none.
+		if key.server == "" && (key.group == "" || m.state.Groups[key.group].Generation > 1) {
 			m.urgent = index
 		}
 	}
@@ -247,7 +248,7 @@
 }
 
 // UrgentVersion returns the version of the last change that hosts are sent at
-// once: one of a group or of the configuration.
+// once: one of the configuration, or of a group after its first primary was named.
 func (m *Machine) UrgentVersion() uint64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/directory/sessions_test.go
+++ b/internal/directory/sessions_test.go
@@ -1,6 +1,7 @@
 package directory_test
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -129,6 +130,24 @@
 	})
 }
 
+// TestManyNewGroups guards against groups that get their primaries one after the
+// other when an installation starts: 240 of them took 14 s.
+func TestManyNewGroups(t *testing.T) {
+	runWithCluster(t, func(is *is.I, c *testCluster, _ *testHost) {
+		begun := time.Now()
+		for i := range 200 {
+			name := fmt.Sprint("new", i)
+			is.NoErr(c.d.Service().Announce(&directoryrpc.AnnounceArgs{Server: directoryrpc.Server{
+				ID: name, Group: name, Address: name + ":1", Slots: 3, Role: statement.Primary, Born: 1, Sequence: 1,
+			}}, new(directoryrpc.AnnounceReply)))
+		}
+		announced := time.Since(begun)
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(len(c.d.State().Groups), 201)
+		is.True(announced < 2*time.Second)
+	})
+}
+
 // TestPositionsOfEarlierLeader guards against a new leader that takes the reports
 // of the remaining hosts as complete: a host may have been lost before it reported
 // to this leader.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -249,7 +249,7 @@
 	now := clock.Now()
 	var out []directoryrpc.Report
 	for name, gv := range g.view.Load().groups {
-		if gv.switching || gv.primary != nil && gv.primary.failingFor(now) > 0 || slices.Contains(asked, name) {
+		if gv.switching && gv.generation > 0 || gv.primary != nil && gv.primary.failingFor(now) > 0 || slices.Contains(asked, name) {
 			out = append(out, gv.report(now))
 		}
 	}
