platform: a host that was frozen while it connected requests no promotion

The read lease was checked before the call; a host frozen between the check and the request sent the promotion after the next leader had promoted another server. Change: the connection checks the lease immediately before the request is written. What is left is the time between the check and the system call.

--- a/internal/directory/options.go
+++ b/internal/directory/options.go
@@ -72,6 +72,10 @@
 	Server string
 	Holder string // control host that is the leader
 	Token  uint64 // fencing token, which grows with each leadership
+	// LeaseValid reports whether the holder is still the leader. It is called when
+	// the connection is open, immediately before the request is sent: the host may
+	// have been frozen while it connected.
+	LeaseValid func() bool
 }
 
 func (o Options) withDefaults() Options {
--- a/internal/directory/switchover.go
+++ b/internal/directory/switchover.go
@@ -302,7 +302,7 @@
 	}
 	ctx, cancel := context.WithTimeout(l.ctx, promoteTimeout)
 	defer cancel()
-	err := l.opts.Promote(ctx, Promotion{Group: g.Name, Server: g.Target, Holder: l.opts.Host, Token: l.token})
+	err := l.opts.Promote(ctx, Promotion{Group: g.Name, Server: g.Target, Holder: l.opts.Host, Token: l.token, LeaseValid: l.log.LeaseValid})
 	sw.event("promote_asked", g).Uint64("token", l.token).Err(err).Msg("requested the promotion of the target server")
 	return err
 }
