directory: whole states are encoded once and sent to a limited number of hosts

Every change also woke all hosts' waiting requests. Change: one whole state is kept encoded, and sent with the changes since then; at most 6 MB a second, then hosts are refused and come back after 50 to 450 ms; a request that collects changes is woken by urgent ones only, and collects for 1 ms for each host, up to 1 s. Ruled out: a longer timeout for hosts without a state; a frozen control host would hold up a start for as long (TestSyncAfterFrozenLeader). Tests: TestWholeStatesAreLimited, TestChangesAreSmall.

--- a/internal/changelog/changelog.go
+++ b/internal/changelog/changelog.go
@@ -7,7 +7,9 @@
 //
 //	log := changelog.New[string](1000, restoredVersion)
 //	log.Add(index, "server a")
-//	ids, ok := log.Since(version) // false: send the whole state
+//	if log.Knows(version) {
+//		ids := log.Since(version)
+//	} // otherwise the whole state has to be sent
 package changelog
 
 import "slices"
@@ -38,21 +40,29 @@
 	}
 }
 
-// Since returns the objects that were changed after version, in the order of
-// their changes; false if some are no longer known.
-func (l *Log[K]) Since(version uint64) ([]K, bool) {
-	if version < l.floor {
-		return nil, false
+// Knows reports whether all changes after version are known.
+func (l *Log[K]) Knows(version uint64) bool { return version >= l.floor }
+
+// Since returns the known objects that were changed after version, in the order of
+// their changes.
+func (l *Log[K]) Since(version uint64) []K {
+	changes := l.after(version)
+	out := make([]K, 0, len(changes))
+	for _, c := range changes {
+		out = append(out, c.key)
 	}
+	return out
+}
+
+// Count returns the number of known changes after version.
+func (l *Log[K]) Count(version uint64) int { return len(l.after(version)) }
+
+func (l *Log[K]) after(version uint64) []change[K] {
 	at, _ := slices.BinarySearchFunc(l.changes, version+1, func(c change[K], v uint64) int {
 		if c.index < v {
 			return -1
 		}
 		return 1
 	})
-	out := make([]K, 0, len(l.changes)-at)
-	for _, c := range l.changes[at:] {
-		out = append(out, c.key)
-	}
-	return out, true
+	return l.changes[at:]
 }
--- a/internal/changelog/changelog_test.go
+++ b/internal/changelog/changelog_test.go
@@ -28,8 +28,10 @@
 	}
 	for _, test := range tests {
 		is := is.New(t)
-		got, known := log.Since(test.version)
-		is.Equal(known, test.known)
-		is.Equal(got, test.want)
+		is.Equal(log.Knows(test.version), test.known)
+		if test.known {
+			is.Equal(log.Since(test.version), test.want)
+			is.Equal(log.Count(test.version), len(test.want))
+		}
 	}
 }
--- a/internal/control/delta.go
+++ b/internal/control/delta.go
@@ -6,10 +6,10 @@
 // if they are no longer known. The version must be one that this state has had.
 func (m *Machine) ChangesSince(version uint64) *controlrpc.StateChanges {
 	m.mu.Lock()
-	changes, ok := m.history.Since(version)
+	known, changes := m.history.Knows(version), m.history.Since(version)
 	v := m.current()
 	m.mu.Unlock()
-	if !ok || version > v.Version {
+	if !known || version > v.Version {
 		return nil
 	}
 	out := &controlrpc.StateChanges{Since: version, Version: v.Version, ConfigVersion: v.ConfigVersion}
--- a/internal/directory/changes_test.go
+++ b/internal/directory/changes_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/arbutusring/arbutusring/internal/directory"
 	"github.com/arbutusring/arbutusring/internal/directoryrpc"
+	"github.com/arbutusring/arbutusring/pkg/errkind"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 )
@@ -54,11 +57,9 @@
 
 // merge merges the changes since the version of host into it.
 func merge(t interface{ Fatal(args ...any) }, m *directory.Machine, host directoryrpc.State) directoryrpc.State {
-	changes, err := m.ChangesSince(host.Version, host.ConfigVersion).Decode()
-	if err != nil {
-		t.Fatal(err)
-	}
-	next, err := changes.Merge(host)
+	var reply directoryrpc.SyncReply
+	reply.Base, reply.Changes = m.ChangesSince(host.Version, host.ConfigVersion)
+	next, err := reply.MergeInto(host)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -100,9 +101,15 @@
 	host := merge(t, m, directoryrpc.State{})
 	is.Equal(len(host.Servers), 720)
 	announce(5, 2, true)
-	is.True(len(m.ChangesSince(host.Version, 0).Data) < 512)
+	base, changes := m.ChangesSince(host.Version, 0)
+	is.True(base.Data == nil && len(changes.Data) < 512)
 	host = merge(t, m, host)
 	is.True(host.Servers["server-5"].Draining)
+	first, rest := m.ChangesSince(0, 0) // a host that starts now
+	announce(6, 2, true)
+	second, later := m.ChangesSince(0, 0)
+	is.Equal(&first.Data[0], &second.Data[0]) // encoded once
+	is.True(rest.Data != nil && len(later.Data) < 1024)
 	_, err := (&directoryrpc.Changes{Since: 3, Version: 9}).Merge(host)
 	is.True(err != nil) // changes to another version
 }
@@ -171,3 +178,44 @@
 		is.True(time.Since(begun) < 50*time.Millisecond)
 	})
 }
+
+// TestWholeStatesAreLimited guards against a leader whose link is used up by the
+// whole states of hundreds of hosts that start at the same time, so that the leases
+// of all others expire.
+func TestWholeStatesAreLimited(t *testing.T) {
+	runWithCluster(t, func(is *is.I, c *testCluster, h *testHost) {
+		r := rand.New(rand.NewPCG(1, 2))
+		document := make([]byte, 100_000)
+		for i := range document {
+			document[i] = byte(r.Uint32())
+		}
+		is.NoErr(c.d.Service().Put(&directoryrpc.PutArgs{Version: 1, Document: document}, new(directoryrpc.PutReply)))
+		served, begun := 0, time.Now()
+		var mu sync.Mutex
+		var hosts sync.WaitGroup
+		for i := range 300 {
+			hosts.Go(func() {
+				args := &directoryrpc.SyncArgs{Host: directoryrpc.Host{ID: fmt.Sprint("new", i), Incarnation: "1"}, Wait: 500 * time.Millisecond, Delta: true}
+				for {
+					reply, sent := new(directoryrpc.SyncReply), time.Now()
+					is.NoErr(c.d.Service().Sync(args, reply))
+					is.True(time.Since(sent) < 500*time.Millisecond)
+					if reply.Kind == errkind.OK {
+						mu.Lock()
+						served++
+						mu.Unlock()
+						return
+					}
+					is.Equal(reply.Kind, errkind.Overloaded)
+					time.Sleep(300 * time.Millisecond)
+				}
+			})
+		}
+		time.Sleep(time.Second)
+		mu.Lock()
+		is.True(served >= 50 && served <= 80) // 7 MB in the first second, 100 kB each
+		mu.Unlock()
+		hosts.Wait()
+		is.True(time.Since(begun) < 6*time.Second) // 30 MB
+	})
+}
--- a/internal/directory/leadership.go
+++ b/internal/directory/leadership.go
@@ -12,6 +12,7 @@
 	"github.com/arbutusring/arbutusring/internal/directoryrpc"
 	"github.com/arbutusring/arbutusring/internal/msgpack"
 	"github.com/arbutusring/arbutusring/internal/statement"
+	"golang.org/x/time/rate"
 )
 
 const (
@@ -38,7 +39,8 @@
 	ctx      context.Context // ends with the leadership
 	workers  sync.WaitGroup
 
-	liveHosts atomic.Int64 // hosts with a lease, as of the last check
+	liveHosts   atomic.Int64 // hosts with a lease, as of the last check
+	wholeStates *rate.Limiter
 
 	byGroup        map[string][]directoryrpc.Server // servers of byGroupVersion; used by run only
 	byGroupVersion uint64
@@ -51,9 +53,10 @@
 func newLeadership(ctx context.Context, opts Options, log *control.Log, m *Machine, token uint64) *leadership {
 	return &leadership{
 		opts: opts, log: log, machine: m, token: token, ctx: ctx,
-		sessions:  newSessions(opts.TTL, opts.ClockDrift),
-		monitors:  make(map[string]*primaryMonitor),
-		inProcess: make(map[string]bool),
+		sessions:    newSessions(opts.TTL, opts.ClockDrift),
+		wholeStates: rate.NewLimiter(wholeStateRate, wholeStateBurst),
+		monitors:    make(map[string]*primaryMonitor),
+		inProcess:   make(map[string]bool),
 	}
 }
 
--- a/internal/directory/machine.go
+++ b/internal/directory/machine.go
@@ -24,6 +24,9 @@
 	urgent   uint64                   // version of the last change that hosts are sent at once
 	changed  chan struct{}            // closed at the next change
 	encoded  encodedChanges           // since the versions that hosts have
+	base     baseState
+
+	urgentChanged chan struct{} // closed at the next urgent change
 }
 
 // objectKey identifies an object of the state. The zero value is the configuration.
@@ -44,7 +47,7 @@
 
 // NewMachine returns a Machine with the state before the first log entry.
 func NewMachine() *Machine {
-	m := &Machine{changed: make(chan struct{})}
+	m := &Machine{changed: make(chan struct{}), urgentChanged: make(chan struct{})}
 	m.load(snapshotData{})
 	return m
 }
@@ -53,7 +56,7 @@
 func (m *Machine) load(s snapshotData) {
 	s.Servers, s.Groups, s.Controls = orEmpty(s.Servers), orEmpty(s.Groups), orEmpty(s.Controls)
 	m.state, m.departed, m.urgent = s.State, newDepartures(s.Departed), s.Version
-	m.shared = false
+	m.shared, m.base = false, baseState{}
 	m.history = changelog.New[objectKey](maxHistory, s.Version)
 }
 
@@ -110,6 +113,14 @@
 	return m.changed
 }
 
+// UrgentChanged returns a channel that is closed at the next change that hosts are
+// sent at once.
+func (m *Machine) UrgentChanged() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.urgentChanged
+}
+
 // Apply applies one log entry and returns the encoded result.
 func (m *Machine) Apply(index uint64, entry []byte) []byte {
 	var c Command
@@ -228,6 +239,10 @@
 	m.state.Version = max(m.state.Version, index)
 	close(m.changed)
 	m.changed = make(chan struct{})
+	if m.urgent == m.state.Version {
+		close(m.urgentChanged)
+		m.urgentChanged = make(chan struct{})
+	}
 }
 
 // Snapshot returns the encoded state.
--- a/internal/directory/service.go
+++ b/internal/directory/service.go
@@ -9,10 +9,16 @@
 	"github.com/arbutusring/arbutusring/pkg/errkind"
 )
 
-// changeDelay is how long changes of servers are collected before hosts are sent
-// them. When hundreds of servers start, hosts would otherwise send a request for
-// each.
-const changeDelay = 100 * time.Millisecond
+const (
+	// minChangeDelay and maxChangeDelay bound how long changes of servers are
+	// collected before hosts are sent them. When hundreds of servers start, hosts
+	// would otherwise send a request for each.
+	minChangeDelay = 100 * time.Millisecond
+	maxChangeDelay = time.Second
+	// changeDelayPerHost limits the requests of all hosts that follow such changes
+	// to 1,000 a second.
+	changeDelayPerHost = time.Millisecond
+)
 
 // maxSyncWait bounds a long poll, because net/rpc does not report that the
 // caller has disconnected.
@@ -62,6 +68,10 @@
 		return nil
 	}
 	l.awaitChange(args.Version, min(max(args.Wait, 0), maxSyncWait))
+	if args.Delta && !l.admitWholeState(args.Version) {
+		reply.Answer = controlrpc.Answer{Kind: errkind.Overloaded, Detail: "too many hosts need the whole state"}
+		return nil
+	}
 	// The grant is recorded before the read lease of the leader is checked: a
 	// grant that is recorded but not sent only delays a switchover.
 	l.sessions.recordGrant(args.Host)
@@ -82,7 +92,7 @@
 	switch {
 	case s.d.machine.Version() <= args.Version:
 	case args.Delta:
-		reply.Changes = s.d.machine.ChangesSince(args.Version, args.ConfigVersion)
+		reply.Base, reply.Changes = s.d.machine.ChangesSince(args.Version, args.ConfigVersion)
 	default:
 		reply.Changed, reply.State = true, s.d.machine.State()
 		if args.ConfigVersion == reply.State.ConfigVersion {
@@ -93,23 +103,27 @@
 
 // awaitChange waits until the state is newer than version or a host begins to
 // suspect a primary, but not longer than wait or the leadership. Changes that are
-// not urgent are collected for changeDelay.
+// not urgent are collected, for longer the more hosts there are.
 func (l *leadership) awaitChange(version uint64, wait time.Duration) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	collecting := false
 	_, suspicion := l.sessions.suspectedGroups()
-	for {
-		changed := l.machine.Changed()
+	for collecting := false; ; {
+		changed, urgent := l.machine.Changed(), l.machine.UrgentChanged()
 		switch {
 		case l.machine.UrgentVersion() > version:
 			return
 		case l.machine.Version() > version && !collecting:
 			collecting = true
-			timer.Reset(min(changeDelay, wait))
+			delay := time.Duration(l.hostCount()) * changeDelayPerHost
+			timer.Reset(min(max(delay, minChangeDelay), maxChangeDelay, wait))
+		}
+		if collecting {
+			changed = nil // hundreds of hosts would wake at each of hundreds of changes
 		}
 		select {
 		case <-changed:
+		case <-urgent:
 		case <-suspicion:
 			return
 		case <-l.ctx.Done():
@@ -120,6 +134,29 @@
 	}
 }
 
+const (
+	// wholeStateRate limits the whole states that are sent, in bytes a second. After
+	// a power loss all hosts need one; the leases have to pass on the same link.
+	wholeStateRate = 6 << 20
+	// wholeStateBurst is sent without a limit.
+	wholeStateBurst = 1 << 20
+	// maxWholeStateWait is how long a host waits for its turn before it is refused.
+	// It leaves time for the transfer within the timeout of the host.
+	maxWholeStateWait = 200 * time.Millisecond
+)
+
+// admitWholeState waits until the host may be sent the whole state, if it needs it.
+// It returns false if its turn does not come in time.
+func (l *leadership) admitWholeState(version uint64) bool {
+	n := l.machine.WholeStateBytes(version)
+	if n == 0 {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(l.ctx, maxWholeStateWait)
+	defer cancel()
+	return l.wholeStates.WaitN(ctx, min(n, wholeStateBurst)) == nil
+}
+
 // Announce stores or removes a backend server if the announcement changes
 // anything.
 func (s *Service) Announce(args *directoryrpc.AnnounceArgs, reply *directoryrpc.AnnounceReply) error {
--- a/internal/directoryrpc/changes.go
+++ b/internal/directoryrpc/changes.go
@@ -19,6 +19,25 @@
 	Groups        map[string]*Group  `codec:"g"`
 }
 
+// MergeInto returns the state after Base and Changes of a reply. It does not modify
+// old.
+func (r *SyncReply) MergeInto(old State) (State, error) {
+	next := old
+	for _, e := range []EncodedChanges{r.Base, r.Changes} {
+		if e.Data == nil {
+			continue
+		}
+		c, err := e.Decode()
+		if err != nil {
+			return old, err
+		}
+		if next, err = c.Merge(next); err != nil {
+			return old, err
+		}
+	}
+	return next, nil
+}
+
 // Merge returns the state after the changes. It does not modify old, with which it
 // shares unchanged maps. It returns an error if the changes apply to another
 // version than that of old.
--- a/internal/directoryrpc/messages.go
+++ b/internal/directoryrpc/messages.go
@@ -103,6 +103,7 @@
 	TTL     time.Duration  `codec:"t"`
 	Changed bool           `codec:"c"` // State is set, for a host of an earlier release
 	State   State          `codec:"s"`
+	Base    EncodedChanges `codec:"b"` // a whole state, if the changes since the version of the host are not known; Changes apply to it
 	Changes EncodedChanges `codec:"e"`
 	Control []string       `codec:"a"` // rpc addresses of the control hosts
 	// AsksReports reports that the next request needs to include only the reports on
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"sync"
@@ -27,6 +28,9 @@
 	syncTimeout = 1500 * time.Millisecond
 	// syncRetryDelay keeps failing sync requests from spinning.
 	syncRetryDelay = 50 * time.Millisecond
+	// maxOverloadDelay is the longest delay after control refused to send the whole
+	// state because other hosts need it too.
+	maxOverloadDelay = 400 * time.Millisecond
 	// failingSyncWait replaces syncWait while a primary is failing, so that the
 	// next report to control follows soon.
 	failingSyncWait = 100 * time.Millisecond
@@ -157,7 +161,10 @@
 			}
 			p.opts.Events.Event(kind).Err(err).Msg("contact with control was lost or regained")
 		}
-		if err != nil {
+		switch {
+		case errkind.Of(err) == errkind.Overloaded:
+			pause(ctx, syncRetryDelay+rand.N(maxOverloadDelay))
+		case err != nil:
 			pause(ctx, syncRetryDelay)
 		}
 	}
@@ -227,17 +234,11 @@
 // applyReply puts the state after a reply into force. old is the state in force
 // when the request was sent.
 func (p *Gateway) applyReply(old directoryrpc.State, reply *directoryrpc.SyncReply) error {
-	state := old
-	switch {
-	case reply.Changes.Data != nil:
-		changes, err := reply.Changes.Decode()
-		if err != nil {
-			return err
-		}
-		if state, err = changes.Merge(old); err != nil {
-			return err
-		}
-	case reply.Changed: // from control of an earlier release
+	state, err := reply.MergeInto(old)
+	if err != nil {
+		return err
+	}
+	if reply.Changed { // from control of an earlier release
 		state = reply.State
 		if state.ConfigVersion == old.ConfigVersion {
 			state.Document = old.Document
