directory: hosts are asked about 64 suspected groups at a time

Change: 64 groups are asked about at a time, in turn; new ones are announced at the pace of collected changes; a host reports on the 64 primaries that failed for longest besides. Tests: TestManySuspectedGroups, TestReportsOfManyFailingPrimaries.

--- a/internal/directory/export_test.go
+++ b/internal/directory/export_test.go
@@ -34,3 +34,10 @@
 func (s Sessions) Positions(group string, version uint64) (highest logpos.Position, complete bool) {
 	return s.s.highestPosition(group), s.s.positionsComplete(group, version)
 }
+
+// AskedGroups returns the groups that hosts are asked about, and turns to the next.
+func (s Sessions) AskedGroups() []string {
+	groups, _ := s.s.askedGroups()
+	s.s.announceSuspicions()
+	return groups
+}
--- a/internal/directory/leadership.go
+++ b/internal/directory/leadership.go
@@ -64,12 +64,17 @@
 func (l *leadership) run() {
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
+	var lastAnnounced time.Time
 	for l.ctx.Err() == nil {
 		changed := l.machine.Changed()
 		l.liveHosts.Store(int64(l.sessions.liveCount()))
 		l.checkGroups(l.machine.State())
 		l.recordHostCount(l.machine.State())
 		l.sessions.forgetSilent()
+		if time.Since(lastAnnounced) >= l.changeDelay() {
+			lastAnnounced = time.Now()
+			l.sessions.announceSuspicions()
+		}
 		select {
 		case <-ticker.C:
 		case <-changed:
--- a/internal/directory/primary_monitor.go
+++ b/internal/directory/primary_monitor.go
@@ -84,7 +84,7 @@
 // most hosts and the leader fail to reach it. A primary that only some hosts
 // reach is replaced without losing commits.
 func (m *primaryMonitor) causeFromReports(l *leadership, g directoryrpc.Group, primary directoryrpc.Server) cause {
-	if !l.sessions.suspected(g.Name) {
+	if !l.sessions.isSuspected(g.Name) {
 		return causeNone
 	}
 	var suspected, failing, partial, answered int
--- a/internal/directory/service.go
+++ b/internal/directory/service.go
@@ -82,7 +82,7 @@
 	s.fillState(args, reply)
 	reply.Control = s.d.opts.Control()
 	reply.AsksReports = true
-	reply.Suspected, _ = l.sessions.suspectedGroups()
+	reply.Suspected, _ = l.sessions.askedGroups()
 	return nil
 }
 
@@ -101,13 +101,19 @@
 	}
 }
 
+// changeDelay returns the minimum time between two changes that are sent to all
+// hosts and are not urgent.
+func (l *leadership) changeDelay() time.Duration {
+	return min(max(time.Duration(l.hostCount())*changeDelayPerHost, minChangeDelay), maxChangeDelay)
+}
+
 // awaitChange waits until the state is newer than version or a host begins to
 // suspect a primary, but not longer than wait or the leadership. Changes that are
 // not urgent are collected, for longer the more hosts there are.
 func (l *leadership) awaitChange(version uint64, wait time.Duration) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	_, suspicion := l.sessions.suspectedGroups()
+	_, suspicion := l.sessions.askedGroups()
 	for collecting := false; ; {
 		changed, urgent := l.machine.Changed(), l.machine.UrgentChanged()
 		switch {
@@ -115,8 +121,7 @@
 			return
 		case l.machine.Version() > version && !collecting:
 			collecting = true
-			delay := time.Duration(l.hostCount()) * changeDelayPerHost
-			timer.Reset(min(max(delay, minChangeDelay), maxChangeDelay, wait))
+			timer.Reset(min(l.changeDelay(), wait))
 		}
 		if collecting {
 			changed = nil // hundreds of hosts would wake at each of hundreds of changes
--- a/internal/directory/sessions.go
+++ b/internal/directory/sessions.go
@@ -30,7 +30,10 @@
 	mu        sync.Mutex
 	hosts     map[string]*session        // by host id
 	suspects  map[string]map[string]bool // ids of the hosts that fail to reach the primary, by group
-	suspicion chan struct{}              // closed and replaced when a group becomes suspected
+	suspicion chan struct{}              // closed and replaced by announceSuspicions
+	suspected uint64                     // how often a group became suspected
+	announced uint64                     // suspected at the last call of announceSuspicions
+	askedFrom int                        // position among the suspected groups of the first that is asked about
 	positions map[string]logpos.Position // highest reported position, by group; outlives the sessions
 	losses    uint64                     // sessions that ended without a last report; starts at 1 for those of earlier leaders
 	lossesAt  map[string]uint64          // losses when the present primary of a group was named; 0 if an earlier leader named it
@@ -95,8 +98,7 @@
 		if r.FailingFor > 0 {
 			if s.suspects[r.Group] == nil {
 				s.suspects[r.Group] = make(map[string]bool)
-				close(s.suspicion)
-				s.suspicion = make(chan struct{})
+				s.suspected++
 			}
 			s.suspects[r.Group][id] = true
 		}
@@ -114,20 +116,45 @@
 	}
 }
 
-// suspected reports whether a host fails to reach the primary of the group. It
+// isSuspected reports whether a host fails to reach the primary of the group. It
 // spares the leader the reports of all hosts on all groups.
-func (s *sessions) suspected(group string) bool {
+func (s *sessions) isSuspected(group string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return len(s.suspects[group]) > 0
 }
 
-// suspectedGroups returns the groups whose primary some host fails to reach, in
-// order, and a channel that is closed when there is another one.
-func (s *sessions) suspectedGroups() ([]string, <-chan struct{}) {
+// maxAskedGroups bounds the groups on which all hosts are asked for reports at the
+// same time. If there are more, they are asked about in turn.
+const maxAskedGroups = 64
+
+// askedGroups returns the groups on which all hosts are asked for reports, because
+// some host fails to reach their primary, and a channel that is closed when the hosts
+// are to be asked anew.
+func (s *sessions) askedGroups() ([]string, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	groups := slices.Sorted(maps.Keys(s.suspects))
+	if first := s.askedFrom; len(groups) > maxAskedGroups {
+		first %= len(groups)
+		groups = append(groups[first:], groups[:first]...)[:maxAskedGroups]
+	}
+	return groups, s.suspicion
+}
+
+// announceSuspicions ends the waiting requests of all hosts if a group has become
+// suspected since the last call, or the next groups are to be asked about.
+func (s *sessions) announceSuspicions() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.Sorted(maps.Keys(s.suspects)), s.suspicion
+	if len(s.suspects) > maxAskedGroups {
+		s.askedFrom += maxAskedGroups
+	} else if s.suspected == s.announced {
+		return
+	}
+	s.announced = s.suspected
+	close(s.suspicion)
+	s.suspicion = make(chan struct{})
 }
 
 // remove removes a session. The caller holds mu.
--- a/internal/directory/sessions_test.go
+++ b/internal/directory/sessions_test.go
@@ -130,6 +130,27 @@
 	})
 }
 
+// TestManySuspectedGroups guards against hosts that are asked about all of hundreds
+// of groups at once, and against groups that they are never asked about.
+func TestManySuspectedGroups(t *testing.T) {
+	is := is.New(t)
+	s := directory.NewSessions(directory.Options{TTL: testTTL, ClockDrift: 0.1})
+	args := syncArgs("a", "1", 5, 100)
+	for i := range 300 {
+		args.Reports = append(args.Reports, directoryrpc.Report{Group: fmt.Sprint("g", i), FailingFor: time.Second})
+	}
+	s.Sync(args)
+	asked := make(map[string]bool)
+	for range 5 {
+		groups := s.AskedGroups()
+		is.True(len(groups) <= 64)
+		for _, g := range groups {
+			asked[g] = true
+		}
+	}
+	is.Equal(len(asked), 300)
+}
+
 // TestManyNewGroups guards against groups that get their primaries one after the
 // other when an installation starts: 240 of them took 14 s.
 func TestManyNewGroups(t *testing.T) {
--- a/internal/directoryrpc/messages.go
+++ b/internal/directoryrpc/messages.go
@@ -110,7 +110,7 @@
 	// Suspected, on groups whose primary is failing, and on switching groups. It is
 	// false from control of an earlier release, which needs all.
 	AsksReports bool     `codec:"q"`
-	Suspected   []string `codec:"u"` // groups whose primary some host fails to reach
+	Suspected   []string `codec:"u"` // groups whose primary some host fails to reach; not all if there are many
 	HostCount   int      `codec:"n"` // number of entry hosts that share the servers
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -242,18 +243,28 @@
 	return out
 }
 
+// maxFailingReports bounds the reports on failing primaries in one request. When
+// hundreds of hosts start at the same time, many connection attempts to busy servers
+// time out, and the reports of all hosts would use up the links of control.
+const maxFailingReports = 64
+
 // NeededReports returns the observations that the directory needs: of groups that
 // it asks for, that are switching or whose primary is failing. Their number does
-// not grow with that of the groups.
+// not grow with that of the groups: of the failing primaries, those that have failed
+// for longest come first.
 func (g *Gateway) NeededReports(asked []string) []directoryrpc.Report {
 	now := clock.Now()
-	var out []directoryrpc.Report
+	var out, failing []directoryrpc.Report
 	for name, gv := range g.view.Load().groups {
-		if gv.switching && gv.generation > 0 || gv.primary != nil && gv.primary.failingFor(now) > 0 || slices.Contains(asked, name) {
+		switch {
+		case gv.switching && gv.generation > 0, slices.Contains(asked, name):
 			out = append(out, gv.report(now))
+		case gv.primary != nil && gv.primary.failingFor(now) > 0:
+			failing = append(failing, gv.report(now))
 		}
 	}
-	return out
+	slices.SortFunc(failing, func(a, b directoryrpc.Report) int { return cmp.Compare(b.FailingFor, a.FailingFor) })
+	return append(out, failing[:min(len(failing), maxFailingReports)]...)
 }
 
 // runMaintenance trims the pools, probes failing servers and rolls back idle
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -1,13 +1,17 @@
 package gateway_test
 
 import (
+	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/arbutusring/arbutusring/internal/clock"
+	"github.com/arbutusring/arbutusring/internal/directoryrpc"
 	"github.com/arbutusring/arbutusring/internal/gateway"
 	"github.com/arbutusring/arbutusring/internal/statement"
+	"github.com/arbutusring/arbutusring/pkg/database"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
 	"github.com/arbutusring/arbutusring/pkg/logpos"
 	"github.com/matryer/is"
@@ -309,6 +313,36 @@
 	})
 }
 
+// TestReportsOfManyFailingPrimaries guards against requests that grow with the number
+// of primaries that fail, as after a power loss, and against a change of a primary
+// that waits because the report on its group is left out.
+func TestReportsOfManyFailingPrimaries(t *testing.T) {
+	runWithGateway(t, func(t *testing.T, is *is.I, group *fakeGroup, g *gateway.Gateway) {
+		s, cfg := group.state(2, 1, "s1", false), config()
+		for i := range 300 {
+			name := fmt.Sprint("group", i)
+			id := "server of " + name
+			s.Servers[id] = directoryrpc.Server{ID: id, Group: name, Address: id, DataCentre: "d1", Slots: 3}
+			s.Groups[name] = directoryrpc.Group{Name: name, Primary: id, Generation: 2, Switching: i == 299}
+			cfg.Databases[name] = database.Database{Name: name, Group: name, Consistency: database.Primary, StatementTimeout: 800 * time.Millisecond}
+			group.servers[id] = &fakeServer{id: id, down: true, connLimit: 10, slots: make(chan struct{}, 1)}
+		}
+		g.SetState(s, cfg)
+		for i := range 299 {
+			c := open(t, g, fmt.Sprint("group", i))
+			go c.write("a")
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(300 * time.Millisecond)
+		reports := g.NeededReports([]string{"group298"})
+		is.Equal(len(reports), 66)                                                                             // 64 that fail, one that is asked for and one that is switching
+		is.True(slices.ContainsFunc(reports, func(r directoryrpc.Report) bool { return r.Group == "group0" })) // fails for longest
+		is.True(slices.ContainsFunc(reports, func(r directoryrpc.Report) bool { return r.Group == "group298" }))
+		is.True(slices.ContainsFunc(reports, func(r directoryrpc.Report) bool { return r.Group == "group299" }))
+		time.Sleep(time.Second)
+	})
+}
+
 // TestNeededReports guards against requests to control that grow with the number of
 // groups, and against a group that control needs and that is left out.
 func TestNeededReports(t *testing.T) {
