--- a/internal/directory/cluster_test.go
+++ b/internal/directory/cluster_test.go
@@ -31,6 +31,7 @@
 	demoted         []string
 	refusePromotion map[string]bool // servers whose promotion fails with errkind.Conflict
 	syncReplicas    int             // value of the setting sync_replicas
+	panics          bool            // proposals of configurations panic
 
 	ctx     context.Context // ends with the test
 	cancel  context.CancelFunc
@@ -100,8 +101,11 @@
 func (c *testCluster) propose(_ context.Context, entry []byte) ([]byte, error) {
 	c.mu.Lock()
 	c.index++
-	index := c.index
+	index, panics := c.index, c.panics
 	c.mu.Unlock()
+	if panics {
+		panic("test")
+	}
 	time.Sleep(5 * time.Millisecond) // disk latency
 	return c.d.Apply(index, entry), nil
 }
--- a/internal/directory/service.go
+++ b/internal/directory/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"time"
 
 	"github.com/arbutusring/arbutusring/internal/controlrpc"
@@ -32,6 +33,17 @@
 	d *Directory
 }
 
+// recoverCall ends a call that panicked with errkind.OutcomeUnknown instead of
+// ending the process. It must be deferred.
+func (s *Service) recoverCall(answer *controlrpc.Answer) {
+	v := recover()
+	if v == nil {
+		return
+	}
+	s.d.opts.Events.Event("panic").Interface("panic", v).Bytes("stack", debug.Stack()).Msg("recovered from a panic; the outcome of the call is unknown")
+	*answer = controlrpc.Answer{Kind: errkind.OutcomeUnknown, Detail: "internal error"}
+}
+
 // requireLeader returns the leadership of this host. If this host is not the
 // leader, it returns nil and sets answer to errkind.NotLeader with the address of
 // the leader.
@@ -55,6 +67,7 @@
 // Sync renews the lease of an entry host and waits for a newer state. If the host
 // is leaving, Sync only ends its lease.
 func (s *Service) Sync(args *directoryrpc.SyncArgs, reply *directoryrpc.SyncReply) error {
+	defer s.recoverCall(&reply.Answer)
 	l := s.requireLeader(&reply.Answer)
 	if l == nil {
 		return nil
@@ -165,6 +178,7 @@
 // Announce stores or removes a backend server if the announcement changes
 // anything.
 func (s *Service) Announce(args *directoryrpc.AnnounceArgs, reply *directoryrpc.AnnounceReply) error {
+	defer s.recoverCall(&reply.Answer)
 	l := s.requireLeader(&reply.Answer)
 	if l == nil {
 		return nil
@@ -189,6 +203,7 @@
 
 // Register stores the data centre of a control host.
 func (s *Service) Register(args *directoryrpc.RegisterArgs, reply *directoryrpc.RegisterReply) error {
+	defer s.recoverCall(&reply.Answer)
 	if l := s.requireLeader(&reply.Answer); l != nil {
 		s.proposeAndReply(l, &reply.Answer, Command{Control: &PutControl{ID: args.ID, DataCentre: args.DataCentre}})
 	}
@@ -197,6 +212,7 @@
 
 // Put puts a configuration into force if its version is the highest.
 func (s *Service) Put(args *directoryrpc.PutArgs, reply *directoryrpc.PutReply) error {
+	defer s.recoverCall(&reply.Answer)
 	l := s.requireLeader(&reply.Answer)
 	if l == nil {
 		return nil
@@ -216,6 +232,7 @@
 
 // Get returns the newest acknowledged configuration.
 func (s *Service) Get(_ *directoryrpc.GetArgs, reply *directoryrpc.GetReply) error {
+	defer s.recoverCall(&reply.Answer)
 	l := s.requireLeader(&reply.Answer)
 	if l == nil {
 		return nil
--- a/internal/directory/switchover_test.go
+++ b/internal/directory/switchover_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/arbutusring/arbutusring/internal/directoryrpc"
 	"github.com/arbutusring/arbutusring/internal/statement"
+	"github.com/arbutusring/arbutusring/pkg/errkind"
 	"github.com/matryer/is"
 )
 
@@ -139,3 +140,18 @@
 		is.True(get.Kind != "")
 	})
 }
+
+// TestPanicInCall guards against a call of a host that ends the process of a control
+// host, and with it those of all others that it is repeated at.
+func TestPanicInCall(t *testing.T) {
+	runWithCluster(t, func(is *is.I, c *testCluster, h *testHost) {
+		c.withLock(func() { c.panics = true })
+		reply := new(directoryrpc.PutReply)
+		is.NoErr(c.d.Service().Put(&directoryrpc.PutArgs{Version: 5, Document: []byte("x")}, reply))
+		is.Equal(reply.Kind, errkind.OutcomeUnknown)
+		c.withLock(func() { c.panics = false })
+		reply = new(directoryrpc.PutReply)
+		is.NoErr(c.d.Service().Put(&directoryrpc.PutArgs{Version: 5, Document: []byte("x")}, reply))
+		is.Equal(reply.Kind, errkind.OK)
+	})
+}
