gateway: a host that looks for the leader sends only what must not be missing

Change: without contact a host reports on switching groups only and asks for no wait; the next request, to the leader, has the rest.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -243,6 +243,19 @@
 	return out
 }
 
+// SwitchingReports returns the observations of groups that are switching, without
+// which the host must not confirm a state.
+func (g *Gateway) SwitchingReports() []directoryrpc.Report {
+	now := clock.Now()
+	var out []directoryrpc.Report
+	for _, gv := range g.view.Load().groups {
+		if gv.switching && gv.generation > 0 {
+			out = append(out, gv.report(now))
+		}
+	}
+	return out
+}
+
 // maxFailingReports bounds the reports on failing primaries in one request. When
 // hundreds of hosts start at the same time, many connection attempts to busy servers
 // time out, and the reports of all hosts would use up the links of control.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -356,9 +356,10 @@
 		is.True(asked[0].LastAnswerAge > 0)
 		is.Equal(len(g.Reports()), 1)
 		g.SetState(group.state(2, 2, "s1", true), config())
-		switching := g.NeededReports(nil)
-		is.Equal(len(switching), 1)
-		is.Equal(switching[0].Position, logpos.Position{Term: 1, LSN: 1})
+		for _, switching := range [][]directoryrpc.Report{g.NeededReports(nil), g.SwitchingReports()} {
+			is.Equal(len(switching), 1)
+			is.Equal(switching[0].Position, logpos.Position{Term: 1, LSN: 1})
+		}
 	})
 }
 
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -57,6 +57,7 @@
 
 	// Used by loopSync only.
 	config      *database.Config // parsed document of state; nil before the first
+	connected   bool             // the last request was answered by the leader
 	asksReports bool             // as in the last reply
 	suspected   []string         // as in the last reply
 
@@ -150,11 +151,10 @@
 
 // loopSync renews the lease and applies each new state until ctx ends.
 func (p *Gateway) loopSync(ctx context.Context) {
-	connected := false
 	for ctx.Err() == nil {
 		err := p.sync(ctx)
-		if ok := err == nil; ok != connected && ctx.Err() == nil {
-			connected = ok
+		if ok := err == nil; ok != p.connected && ctx.Err() == nil {
+			p.connected = ok
 			kind := "control_regained"
 			if !ok {
 				kind = "control_lost"
@@ -183,11 +183,15 @@
 	args := &directoryrpc.SyncArgs{
 		Host: p.host, Version: state.Version, ConfigVersion: state.ConfigVersion, Reports: p.reports(), Wait: syncWait, Delta: true,
 	}
-	if slices.ContainsFunc(args.Reports, func(r directoryrpc.Report) bool { return r.FailingFor > 0 }) {
+	failing := slices.ContainsFunc(args.Reports, func(r directoryrpc.Report) bool { return r.FailingFor > 0 })
+	switch {
+	case !p.connected:
+		args.Wait = 0 // the next request has the other reports
+	case failing:
 		// A request that reports a failing primary is not canceled when a
 		// primary fails: the lease of this host would never be renewed.
 		args.Wait = failingSyncWait
-	} else {
+	default:
 		stop := make(chan struct{})
 		defer close(stop)
 		p.syncTasks.wg.Go(func() { p.runCancelOnPrimaryFailure(stop, cancel) })
@@ -213,12 +217,17 @@
 	return nil
 }
 
-// reports returns the reports that control needs.
+// reports returns the reports that control needs. While this host looks for the
+// leader they are as few as possible, because the request goes to every control host,
+// and those of all hosts together would use up the links of control.
 func (p *Gateway) reports() []directoryrpc.Report {
-	if p.asksReports {
-		return p.gateway.NeededReports(p.suspected)
+	switch {
+	case !p.asksReports:
+		return p.gateway.Reports()
+	case !p.connected:
+		return p.gateway.SwitchingReports()
 	}
-	return p.gateway.Reports()
+	return p.gateway.NeededReports(p.suspected)
 }
 
 // runCancelOnPrimaryFailure cancels a sync request that control holds when a
