--- a/internal/directoryrpc/client.go
+++ b/internal/directoryrpc/client.go
@@ -10,6 +10,9 @@
 const (
 	// syncRoundTrip is added to the wait of a long poll for the round trip.
 	syncRoundTrip = 300 * time.Millisecond
+	// wholeStateTimeout is added for a host without a state: the whole state takes up
+	// to 0.2 s until control sends it, and the rest to arrive on a busy link.
+	wholeStateTimeout = 900 * time.Millisecond
 	// attemptTimeout bounds a call to one address, so that a control host that
 	// does not answer leaves time for the others.
 	attemptTimeout = 500 * time.Millisecond
@@ -37,9 +40,13 @@
 
 // Sync renews the lease of a host and waits for a newer state. If the known leader
 // does not answer, Sync tries again without the wait, because the lease would
-// expire in the meantime.
+// expire in the meantime. A host without a state has no lease; it waits longer for
+// the transfer of the whole state.
 func (c *Client) Sync(ctx context.Context, args *SyncArgs) (*SyncReply, error) {
 	timeout := args.Wait + syncRoundTrip
+	if args.Version == 0 && !args.Leaving {
+		return do[SyncReply](ctx, c, "Directory.Sync", args, timeout+wholeStateTimeout)
+	}
 	firstCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	reply, err := do[SyncReply](firstCtx, c, "Directory.Sync", args, timeout)
--- a/internal/directoryrpc/client_test.go
+++ b/internal/directoryrpc/client_test.go
@@ -39,15 +39,37 @@
 			}
 		}
 		c := directoryrpc.NewClient([]string{"a"}, call)
-		_, err := c.Sync(t.Context(), new(directoryrpc.SyncArgs)) // the client stores a as the leader
+		_, err := c.Sync(t.Context(), &directoryrpc.SyncArgs{Version: 1}) // the client stores a as the leader
 		is.NoErr(err)
 		c.SetAddresses([]string{"a", "b", "c", "d"})
 		frozen, begun = true, time.Now()
 		ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
 		defer cancel()
-		_, err = c.Sync(ctx, &directoryrpc.SyncArgs{Wait: 500 * time.Millisecond})
+		_, err = c.Sync(ctx, &directoryrpc.SyncArgs{Version: 1, Wait: 500 * time.Millisecond})
 		is.NoErr(err)
 		// One attempt at the frozen host, a pause and two round trips, but no long poll.
 		is.True(time.Since(begun) < electedAfter+550*time.Millisecond)
 	})
 }
+
+// TestFirstSyncWaitsForTheState guards against a host that starts and gives up before
+// the whole state has arrived, and then asks for it again: at 300 hosts none got it.
+func TestFirstSyncWaitsForTheState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		calls := 0
+		call := func(ctx context.Context, _, _ string, _, _ any) error {
+			calls++
+			select {
+			case <-time.After(time.Second): // admission and transfer
+				return nil
+			case <-ctx.Done():
+				return errkind.Wrap(errkind.ServerLost, ctx.Err(), "a")
+			}
+		}
+		c := directoryrpc.NewClient([]string{"a"}, call)
+		_, err := c.Sync(t.Context(), &directoryrpc.SyncArgs{Delta: true})
+		is.NoErr(err)
+		is.Equal(calls, 1)
+	})
+}
