directory: at most 32 groups, or a ninth, switch at the same time

After all processes were killed, connection attempts of 300 hosts keep the servers busy, so that hosts and the leader take healthy primaries for lost. A group that switches takes no statements, and every host reports on it to every control host while it looks for a leader. Change: a bound on the switchovers in progress. A ninth of the groups is the loss of a data centre at the design size. Ruled out: a bound on reports of switching groups; a host must not confirm without them. Test: TestManyLostPrimaries, 200 primaries within 8 s, never more than 32 at a time.

--- a/internal/directory/leadership.go
+++ b/internal/directory/leadership.go
@@ -41,6 +41,7 @@
 
 	liveHosts   atomic.Int64 // hosts with a lease, as of the last check
 	wholeStates *rate.Limiter
+	switchovers atomic.Int64 // in progress
 
 	byGroup        map[string][]directoryrpc.Server // servers of byGroupVersion; used by run only
 	byGroupVersion uint64
@@ -164,18 +165,43 @@
 	return m
 }
 
-// startSwitchover starts a switchover in the background.
+// While a group switches, its primary takes no statements. When hundreds of hosts
+// start at the same time, primaries are too busy for new connections and look lost;
+// without a bound on the switchovers in progress all groups would be stopped at once.
+const (
+	// alwaysSwitchovers is how many may always be in progress. A switchover takes
+	// about a second.
+	alwaysSwitchovers = 32
+	// maxSwitchoverFraction is the fraction of the groups that may switch at the same
+	// time if that is more: the primaries of one of nine data centres.
+	maxSwitchoverFraction = 1.0 / 9
+)
+
+// startSwitchover starts a switchover in the background, unless too many are in
+// progress. The next check of the groups tries again.
 func (l *leadership) startSwitchover(g directoryrpc.Group, c cause) {
+	limit := max(alwaysSwitchovers, int64(maxSwitchoverFraction*float64(len(l.byGroup))))
+	if l.switchovers.Add(1) > limit {
+		l.switchovers.Add(-1)
+		return
+	}
 	sw := &switchover{leadership: l, group: g.Name, cause: c, refusedAt: make(map[string]time.Time)}
-	l.startChange(g.Name, sw.run)
+	started := l.startChange(g.Name, func() {
+		defer l.switchovers.Add(-1)
+		sw.run()
+	})
+	if !started {
+		l.switchovers.Add(-1)
+	}
 }
 
 // startChange runs a change of a group in the background, unless one is in progress.
-func (l *leadership) startChange(group string, run func()) {
+// It reports whether the change was started.
+func (l *leadership) startChange(group string, run func()) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.inProcess[group] {
-		return
+		return false
 	}
 	l.inProcess[group] = true
 	l.workers.Go(func() {
@@ -184,6 +210,7 @@
 		defer l.mu.Unlock()
 		delete(l.inProcess, group)
 	})
+	return true
 }
 
 // propose proposes a command to the log and waits until it is applied.
--- a/internal/directory/switchover_test.go
+++ b/internal/directory/switchover_test.go
@@ -1,6 +1,7 @@
 package directory_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -155,3 +156,45 @@
 		is.Equal(reply.Kind, errkind.OK)
 	})
 }
+
+// TestManyLostPrimaries guards against hundreds of groups that take no statements at
+// the same time because their primaries look lost, and against lost primaries that
+// are never replaced because others are replaced first.
+func TestManyLostPrimaries(t *testing.T) {
+	runWithCluster(t, func(is *is.I, c *testCluster, h *testHost) {
+		const groups = 200
+		for i := range groups {
+			for r, role := range []statement.Role{statement.Primary, statement.Replica} {
+				id := fmt.Sprint("m", i, "-", r)
+				c.withLock(func() { c.status[id] = statement.ServerStatus{Role: role, Term: 1, Received: pos(1, 100)} })
+				is.NoErr(c.d.Service().Announce(&directoryrpc.AnnounceArgs{Server: directoryrpc.Server{
+					ID: id, Group: fmt.Sprint("m", i), Address: id + ":1", Slots: 3, Role: role, Born: 1, Sequence: 1,
+				}}, new(directoryrpc.AnnounceReply)))
+			}
+		}
+		time.Sleep(time.Second)
+		for i := range groups { // the servers leave, so no report of a host is needed
+			id := fmt.Sprint("m", i, "-0")
+			c.withLock(func() { c.down[id] = true })
+			go func() {
+				_ = c.d.Service().Announce(&directoryrpc.AnnounceArgs{Gone: true, Server: directoryrpc.Server{ID: id, Born: 1}}, new(directoryrpc.AnnounceReply))
+			}()
+		}
+		most, replaced := 0, 0
+		for end := time.Now().Add(8 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+			switching := 0
+			replaced = 0
+			for name, g := range c.d.State().Groups {
+				if g.Switching {
+					switching++
+				}
+				if g.Primary == name+"-1" {
+					replaced++
+				}
+			}
+			most = max(most, switching)
+		}
+		is.True(most <= 32)
+		is.Equal(replaced, groups)
+	})
+}
