--- a/internal/directory/doc.go
+++ b/internal/directory/doc.go
@@ -19,13 +19,24 @@
 // new leader does not know the leases that its predecessor granted and waits
 // for a full TTL, extended by the clock drift.
 //
+// # Changes and reports
+//
+// The reply to Sync carries the objects that changed since the version of the host,
+// encoded once for all hosts of that version. A host that starts gets a whole state,
+// which is kept encoded, and the changes since. Changes of groups and of the
+// configuration are sent at once; others are collected. A host reports only on groups
+// that switch, whose primary it fails to reach, or that the leader asks about because
+// another host fails to reach their primary.
+//
 // # Switchover
 //
 // A switchover is planned if the primary is leaving or some hosts can't reach
 // it: the new primary must first have received every log position that a host
 // has seen. It is forced if the primary is lost or acts as a replica: the most
 // advanced replica is promoted. The target is logged before it is promoted, so
-// that the next leader continues with the same one.
+// that the next leader continues with the same one. Positions that a crashed or
+// silent host did not report are unknown: a planned switchover then needs an answer of
+// the old primary, until another primary has been named.
 //
 // # Usage
 //
