directoryrpc: the first request waits longer only after it failed

Cause: since a host without a state waited 1.2 s for each control host. Change: 0.3 s first, doubled up to 1.2 s with each call that fails. Ruled out: 0.3 s always; no host gets the whole state when hundreds start.

--- a/internal/directoryrpc/client.go
+++ b/internal/directoryrpc/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/arbutusring/arbutusring/internal/controlrpc"
@@ -10,9 +11,9 @@
 const (
 	// syncRoundTrip is added to the wait of a long poll for the round trip.
 	syncRoundTrip = 300 * time.Millisecond
-	// wholeStateTimeout is added for a host without a state: the whole state takes up
-	// to 0.2 s until control sends it, and the rest to arrive on a busy link.
-	wholeStateTimeout = 900 * time.Millisecond
+	// maxWholeStateShift limits how often the time for the round trip is doubled for a
+	// host without a state, to 1.2 s.
+	maxWholeStateShift = 2
 	// attemptTimeout bounds a call to one address, so that a control host that
 	// does not answer leaves time for the others.
 	attemptTimeout = 500 * time.Millisecond
@@ -27,7 +28,8 @@
 // Client calls the leader of the control hosts. controlrpc.Client finds the
 // leader.
 type Client struct {
-	leader *controlrpc.Client
+	leader           *controlrpc.Client
+	failedFirstSyncs atomic.Int32 // consecutive ones
 }
 
 // NewClient returns a client for the control hosts with the given rpc addresses.
@@ -40,12 +42,12 @@
 
 // Sync renews the lease of a host and waits for a newer state. If the known leader
 // does not answer, Sync tries again without the wait, because the lease would
-// expire in the meantime. A host without a state has no lease; it waits longer for
-// the transfer of the whole state.
+// expire in the meantime. A host without a state waits longer for the transfer of the
+// whole state with each call that fails.
 func (c *Client) Sync(ctx context.Context, args *SyncArgs) (*SyncReply, error) {
 	timeout := args.Wait + syncRoundTrip
 	if args.Version == 0 && !args.Leaving {
-		return do[SyncReply](ctx, c, "Directory.Sync", args, timeout+wholeStateTimeout)
+		return c.firstSync(ctx, args)
 	}
 	firstCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -58,6 +60,20 @@
 	return do[SyncReply](ctx, c, "Directory.Sync", &retry, renewAttemptTimeout)
 }
 
+// firstSync is Sync for a host without a state. Its timeout starts short, because a
+// control host that has not started or is frozen does not answer, and doubles
+// with each failure, because many hosts may need the whole state at the same time.
+func (c *Client) firstSync(ctx context.Context, args *SyncArgs) (*SyncReply, error) {
+	shift := min(c.failedFirstSyncs.Load(), maxWholeStateShift)
+	reply, err := do[SyncReply](ctx, c, "Directory.Sync", args, args.Wait+syncRoundTrip<<shift)
+	if err == nil {
+		c.failedFirstSyncs.Store(0)
+	} else {
+		c.failedFirstSyncs.Add(1)
+	}
+	return reply, err
+}
+
 // Announce sends the announcement of a backend server.
 func (c *Client) Announce(ctx context.Context, args *AnnounceArgs) (*AnnounceReply, error) {
 	return do[AnnounceReply](ctx, c, "Directory.Announce", args, attemptTimeout)
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -26,8 +26,6 @@
 	syncWait = 500 * time.Millisecond
 	// syncTimeout bounds a sync request with its retries at other control hosts.
 	syncTimeout = 1500 * time.Millisecond
-	// firstSyncTimeout is the same for a host that has no state yet.
-	firstSyncTimeout = 3 * time.Second
 	// syncRetryDelay keeps failing sync requests from spinning.
 	syncRetryDelay = 50 * time.Millisecond
 	// maxOverloadDelay is the longest delay after control refused to send the whole
@@ -180,11 +178,7 @@
 	p.mu.Lock()
 	state := p.state
 	p.mu.Unlock()
-	timeout := syncTimeout
-	if state.Version == 0 {
-		timeout = firstSyncTimeout
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	args := &directoryrpc.SyncArgs{
 		Host: p.host, Version: state.Version, ConfigVersion: state.ConfigVersion, Reports: p.reports(), Wait: syncWait, Delta: true,
