--- a/internal/directory/switchover.go
+++ b/internal/directory/switchover.go
@@ -103,7 +103,7 @@
 }
 
 // awaitRelease waits until no host uses the old primary. ok is false if the
-// leadership ended first; allConfirmed is as in sessions.released.
+// leadership ended first; complete is as in sessions.positionsComplete.
 func (sw *switchover) awaitRelease() (complete, ok bool) {
 	l := sw.leadership
 	version := l.machine.UrgentVersion() // at least that of the switching group
