--- a/review/standins/group.go
+++ b/review/standins/group.go
@@ -38,6 +38,12 @@
 	at                      time.Time
 }
 
+// arrival is a read, write or transaction that a client has begun at a member.
+type arrival struct {
+	member, sender, request string
+	at                      time.Time
+}
+
 // group is the shared state of the members of one service. One lock guards all of
 // them: they are stand-ins, not a database.
 type group struct {
@@ -49,6 +55,7 @@
 	members    map[string]*member // by id
 	promotions []promotion
 	commits    []commit
+	arrivals   []arrival
 	receipts   int
 }
 
--- a/review/standins/installation.go
+++ b/review/standins/installation.go
@@ -214,13 +214,13 @@
 				m.controls = append(m.controls, controlAddress{c.name, address(c.ip, in.ports.control)})
 			}
 		}
-		ln, err := net.Listen("tcp", m.address)
-		if err != nil {
+		var err error
+		if m.listener, err = net.Listen("tcp", m.address); err != nil {
 			return err
 		}
 		in.group.members[id] = m
 		in.members = append(in.members, m)
-		go m.loop(ln)
+		go m.loop()
 		go m.loopHeartbeats(in.done)
 	}
 	go in.group.loop(in.done)
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -38,7 +38,8 @@
 }
 
 var scenarios = map[string]scenario{
-	"lapsed-lease": {prepare: prepareLapsedLease, run: runLapsedLease},
+	"lapsed-lease":      {prepare: prepareLapsedLease, run: runLapsedLease},
+	"foreign-heartbeat": {run: runForeignHeartbeat},
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/standins/member.go
+++ b/review/standins/member.go
@@ -23,6 +23,7 @@
 	controls []controlAddress
 	slots    chan struct{}
 	soon     chan struct{} // capacity 1; asks for a heartbeat at once
+	listener net.Listener
 
 	// Guarded by group.mu:
 	up           bool
@@ -32,6 +33,7 @@
 	log          []entry
 	reachedSince time.Time // when an old primary began to reach the new one
 	connections  int
+	conns        []net.Conn // all that were accepted
 	sequence     int
 	lastCoreConn time.Time // when control last tried to connect
 	drainingAt   time.Time // when the draining state was acknowledged; zero if it was not
@@ -105,7 +107,7 @@
 	if !m.group.net.await(m.id, c.machine, heartbeatTimeout) {
 		return false
 	}
-	status := post(ctx, "http://"+c.address+fmt.Sprintf(m.wire.Paths["heartbeat"], m.id), body)
+	status := post(ctx, "http://"+c.address+m.path("heartbeat"), body)
 	if status/100 != 2 {
 		return false
 	}
@@ -118,6 +120,27 @@
 	return true
 }
 
+// path returns the path of a call about the member.
+func (m *member) path(call string) string { return fmt.Sprintf(m.wire.Paths[call], m.id) }
+
+// leave ends the member: it deregisters, closes its connections and is gone.
+func (m *member) leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), heartbeatTimeout)
+	defer cancel()
+	body := fmt.Appendf(nil, `{"born":%d}`, m.born)
+	status := post(ctx, "http://"+m.controls[0].address+m.path("deregister"), body)
+	m.group.rec.say("member %s deregisters (status %d) and ends", m.id, status)
+	m.group.mu.Lock()
+	m.up = false
+	conns := m.conns
+	m.conns = nil
+	m.group.mu.Unlock()
+	_ = m.listener.Close()
+	for _, c := range conns {
+		_ = c.Close()
+	}
+}
+
 // post returns the status of a POST call, or 0 without a response.
 func post(ctx context.Context, url string, body []byte) int {
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
@@ -134,12 +157,15 @@
 }
 
 // loop serves connections until the listener is closed.
-func (m *member) loop(ln net.Listener) {
+func (m *member) loop() {
 	for {
-		c, err := ln.Accept()
+		c, err := m.listener.Accept()
 		if err != nil {
 			return
 		}
+		m.group.mu.Lock()
+		m.conns = append(m.conns, c)
+		m.group.mu.Unlock()
 		s := &memberConn{member: m, conn: c, state: "I", prepared: make(map[string]string)}
 		go s.run()
 	}
@@ -244,12 +270,16 @@
 // execute runs one statement and returns the whole answer.
 func (s *memberConn) execute(id, text string) string {
 	m := s.member
+	arrived := time.Now()
 	m.slots <- struct{}{}
 	time.Sleep(statementTime)
 	defer func() { <-m.slots }()
 	g := m.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if s.state == "I" && id != "-" {
+		g.arrivals = append(g.arrivals, arrival{m.id, s.sender, id, arrived})
+	}
 	answer := s.run1(id, text)
 	if !strings.HasSuffix(text, s.word("status")) {
 		g.rec.add("member %s (%s, term %d) ran for %s: %s %s -> %s", m.id, m.role, m.term, s.sender, id, text, strings.TrimSpace(strings.ReplaceAll(answer, "\r\n", " | ")))
--- a/review/standins/wire.go
+++ b/review/standins/wire.go
@@ -21,6 +21,8 @@
 	Settings  map[string]string `json:"settings"`
 	Heartbeat any               `json:"heartbeat"`
 	Config    any               `json:"config"`
+
+	ForeignHeartbeat any `json:"foreign_heartbeat"` // lacks fields that every member sends
 }
 
 func loadWireNames() (*wireNames, error) {
