--- a/review/standins/client.go
+++ b/review/standins/client.go
@@ -35,14 +35,15 @@
 	at      time.Time
 }
 
-// openSession connects to an entry host.
-func openSession(w *wireNames, rec *record, name, host, address, database string) (*session, error) {
-	c, err := net.DialTimeout("tcp", address, answerTimeout)
+// openSession connects to an entry host and waits for the answer to the first line,
+// for at most limit.
+func openSession(w *wireNames, rec *record, name, host, address, database string, limit time.Duration) (*session, error) {
+	c, err := net.DialTimeout("tcp", address, limit)
 	if err != nil {
 		return nil, err
 	}
 	s := &session{wire: w, rec: rec, name: name, host: host, conn: c, r: bufio.NewReader(c)}
-	_ = c.SetDeadline(time.Now().Add(answerTimeout))
+	_ = c.SetDeadline(time.Now().Add(limit))
 	if _, err := fmt.Fprintf(c, "%s %s %s\r\n", w.Words["connect"], database, name); err != nil {
 		return nil, err
 	}
--- a/review/standins/foreign_heartbeat.go
+++ b/review/standins/foreign_heartbeat.go
@@ -23,8 +23,7 @@
 	time.Sleep(3 * time.Second)
 	primary := in.members[0]
 	if trouble {
-		status := in.sendForeignHeartbeat(primary)
-		in.rec.say("another writer sends an incomplete heartbeat for %s to core-1: status %d", primary.id, status)
+		in.sendForeignHeartbeat(primary, in.group.service, "primary", 1, time.Now().UnixMilli())
 	}
 	time.Sleep(2 * time.Second)
 	in.rec.say("member %s begins its planned shutdown", primary.id)
@@ -42,16 +41,17 @@
 	return in.checkDrained(primary, acked), nil
 }
 
-// sendForeignHeartbeat sends a heartbeat without the software version and the time
-// until the member is warm, and returns the status of the response.
-func (in *installation) sendForeignHeartbeat(m *member) int {
+// sendForeignHeartbeat sends a heartbeat under the id and address of m, without the
+// software version and the time until the member is warm.
+func (in *installation) sendForeignHeartbeat(m *member, service, role string, sequence int, born int64) {
 	body := fill(in.wire.ForeignHeartbeat, map[string]any{
-		"service": in.group.service, "address": m.address, "zone": m.zone, "state": "ready", "role": "primary",
-		"sequence": 1, "born": time.Now().UnixMilli(),
+		"service": service, "address": m.address, "zone": m.zone, "state": "ready", "role": role, "sequence": sequence, "born": born,
 	})
+	in.rec.say("another writer sends to core-1 as %s: %s", m.id, body)
 	ctx, cancel := context.WithTimeout(context.Background(), heartbeatTimeout)
 	defer cancel()
-	return post(ctx, "http://"+in.controls()[0]+m.path("heartbeat"), body)
+	status := post(ctx, "http://"+in.controls()[0]+m.path("heartbeat"), body)
+	in.rec.say("the other writer gets status %d", status)
 }
 
 // awaitDraining waits until the draining state of the member is acknowledged.
--- a/review/standins/infrastructure.go
+++ b/review/standins/infrastructure.go
@@ -13,10 +13,10 @@
 
 // infrastructure is a stand-in for the platform's promotion service.
 type infrastructure struct {
-	wire  *wireNames
-	net   *network
-	rec   *record
-	group *group
+	wire   *wireNames
+	net    *network
+	rec    *record
+	groups []*group
 
 	mu    sync.Mutex
 	calls []promotionCall
@@ -74,7 +74,10 @@
 	i.mu.Lock()
 	i.calls = append(i.calls, c)
 	i.mu.Unlock()
-	running := i.group.promote(body.ID)
+	running := false
+	for _, g := range i.groups {
+		running = running || g.service == body.Service && g.promote(body.ID)
+	}
 	i.rec.say("infrastructure got a promotion of %s from %s with token %s; it runs: %v", c.id, c.holder, c.token, running)
 	if !running {
 		http.Error(w, "not running", http.StatusConflict)
--- a/review/standins/installation.go
+++ b/review/standins/installation.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"syscall"
 	"time"
@@ -49,10 +51,11 @@
 	rec      *record
 	net      *network
 	infra    *infrastructure
-	group    *group
+	group    *group // the first service
+	second   *group // the second service, whose members are started only for some cases
 	machines []*machine
-	members  []*member
-	prefix   string // first two bytes of the addresses
+	members  []*member // of the first service
+	prefix   string    // first two bytes of the addresses
 	ports    ports
 	root     string // of the repository
 	dir      string // temporary folder
@@ -81,13 +84,14 @@
 		return nil, err
 	}
 	in := &installation{
-		wire: w, rec: rec, net: newNetwork(), root: root, dir: dir, done: make(chan struct{}), version: 1,
+		wire: w, rec: rec, net: newNetwork(), root: root, dir: dir, done: make(chan struct{}),
 		prefix: fmt.Sprintf("127.%d", 20+rand.IntN(200)),
 		ports:  ports{front: 18784, ready: 18785, control: 18782, internal: 17440},
 	}
 	in.net.addProcess(os.Getpid(), "test")
 	in.group = &group{service: "huvo11a", net: in.net, rec: rec, members: make(map[string]*member)}
-	in.infra = &infrastructure{wire: w, net: in.net, rec: rec, group: in.group}
+	in.second = &group{service: "kafi81c", net: in.net, rec: rec, members: make(map[string]*member)}
+	in.infra = &infrastructure{wire: w, net: in.net, rec: rec, groups: []*group{in.group, in.second}}
 	for i, zone := range zones {
 		in.machines = append(in.machines, &machine{name: fmt.Sprintf("core-%d", i+1), ip: in.ip(i+1, 1), zone: zone, core: true})
 	}
@@ -183,7 +187,7 @@
 	}
 	in.rec.say("starting the installation at %s", in.prefix)
 	go func() { _ = in.infra.serve(infra) }()
-	if err := in.startMembers(); err != nil {
+	if in.members, err = in.startMembers(in.group, "i-7f3a91c", 31, "first"); err != nil {
 		return err
 	}
 	for _, m := range in.machines {
@@ -199,12 +203,16 @@
 	return in.configure()
 }
 
-func (in *installation) startMembers() error {
-	for i, id := range []string{"i-7f3a91c1", "i-7f3a91c2", "i-7f3a91c3"} {
+// startMembers starts three members of a group, the first of which is the primary.
+// host is the last byte of their addresses, and value that of the one item that
+// they hold.
+func (in *installation) startMembers(g *group, idPrefix string, host int, value string) ([]*member, error) {
+	var members []*member
+	for i, zone := range zones {
 		m := &member{
-			group: in.group, wire: in.wire, id: id, zone: zones[i], address: address(in.ip(i+1, 31), 18080), born: time.Now().UnixMilli(),
+			group: g, wire: in.wire, id: fmt.Sprintf("%s%d", idPrefix, i+1), zone: zone, address: address(in.ip(i+1, host), 18080), born: time.Now().UnixMilli(),
 			slots: make(chan struct{}, memberSlots), soon: make(chan struct{}, 1), up: true, role: "replica", term: 1,
-			log: []entry{{term: 1, item: "1a0", value: "first"}},
+			log: []entry{{term: 1, item: "1a0", value: value}},
 		}
 		if i == 0 {
 			m.role = "primary"
@@ -216,15 +224,15 @@
 		}
 		var err error
 		if m.listener, err = net.Listen("tcp", m.address); err != nil {
-			return err
+			return nil, err
 		}
-		in.group.members[id] = m
-		in.members = append(in.members, m)
+		g.members[m.id] = m
+		members = append(members, m)
 		go m.loop()
 		go m.loopHeartbeats(in.done)
 	}
-	go in.group.loop(in.done)
-	return nil
+	go g.loop(in.done)
+	return members, nil
 }
 
 // startProcess starts the process of a role with the command and the template of
@@ -276,33 +284,55 @@
 // startTimeout bounds the start of an installation.
 const startTimeout = 30 * time.Second
 
-// configure sends the configuration until it is acknowledged, and waits until
-// every entry host reports ready.
+// addedRoute is a route that a later configuration adds.
+type addedRoute struct {
+	priority  int
+	timeoutMS int
+}
+
+// configure puts the first configuration into force and waits until every entry
+// host reports ready.
 func (in *installation) configure() error {
-	body := fill(in.wire.Config, map[string]any{"version": in.version, "service": in.group.service})
 	deadline := time.Now().Add(startTimeout)
+	if err := in.putConfig(nil, deadline); err != nil {
+		return err
+	}
+	for _, m := range in.machines {
+		for !in.ready(m) {
+			if time.Now().After(deadline) {
+				return fmt.Errorf("%s is not ready", m.name)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	in.rec.say("every entry host is ready")
+	return nil
+}
+
+// putConfig sends the next version of the configuration until it is acknowledged.
+// It has the added route unless that is nil.
+func (in *installation) putConfig(added *addedRoute, deadline time.Time) error {
+	in.version++
+	values := map[string]any{"version": in.version, "service": in.group.service, "second_service": in.second.service}
+	document := maps.Clone(in.wire.Config)
+	if added != nil {
+		values["priority"], values["timeout"] = added.priority, added.timeoutMS
+		document["routes"] = append(slices.Clone(document["routes"].([]any)), in.wire.AddedRoute)
+	}
+	body := fill(document, values)
 	for i := 0; ; i++ {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		status := post(ctx, "http://"+in.controls()[i%3]+in.wire.Paths["put_config"], body)
 		cancel()
 		if status == http.StatusOK {
-			break
+			in.rec.say("configuration %d is acknowledged", in.version)
+			return nil
 		}
 		if time.Now().After(deadline) {
 			return fmt.Errorf("the configuration was not acknowledged; last status %d", status)
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
-	for _, m := range in.machines {
-		for !in.ready(m) {
-			if time.Now().After(deadline) {
-				return fmt.Errorf("%s is not ready", m.name)
-			}
-			time.Sleep(50 * time.Millisecond)
-		}
-	}
-	in.rec.say("configuration %d is acknowledged and every entry host is ready", in.version)
-	return nil
 }
 
 func (in *installation) ready(m *machine) bool {
@@ -322,8 +352,13 @@
 
 // open opens a client's session at an entry host.
 func (in *installation) open(client, host, database string) (*session, error) {
+	return in.openWithin(client, host, database, answerTimeout)
+}
+
+// openWithin is open with a limit for the answer to the first line.
+func (in *installation) openWithin(client, host, database string, limit time.Duration) (*session, error) {
 	m := in.machine(host)
-	return openSession(in.wire, in.rec, client, host, address(m.ip, in.ports.front), database)
+	return openSession(in.wire, in.rec, client, host, address(m.ip, in.ports.front), database, limit)
 }
 
 // stopTimeout is how long a process may take to stop before it is killed.
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -40,6 +40,8 @@
 var scenarios = map[string]scenario{
 	"lapsed-lease":      {prepare: prepareLapsedLease, run: runLapsedLease},
 	"foreign-heartbeat": {run: runForeignHeartbeat},
+	"many-ranks":        {run: runManyRanks},
+	"moved-member":      {prepare: prepareMovedMember, run: runMovedMember},
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/standins/wire.go
+++ b/review/standins/wire.go
@@ -12,16 +12,17 @@
 //go:embed wire.json
 var wireJSON []byte
 
-// wireNames are the names of the platform's protocols. A string "$name" in
-// Heartbeat or Config is replaced by the value of that name.
+// wireNames are the names of the platform's protocols. A string "$name" in a
+// document, such as Heartbeat, is replaced by the value of that name.
 type wireNames struct {
 	Words     map[string]string `json:"words"`
 	Paths     map[string]string `json:"paths"`
 	Headers   map[string]string `json:"headers"`
 	Settings  map[string]string `json:"settings"`
 	Heartbeat any               `json:"heartbeat"`
-	Config    any               `json:"config"`
+	Config    map[string]any    `json:"config"`
 
+	AddedRoute       any `json:"added_route"`
 	ForeignHeartbeat any `json:"foreign_heartbeat"` // lacks fields that every member sends
 }
 
