--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -2,4 +2,4 @@
 # Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x review/bin/standins ] && [ -x target/arbutusring ] || { echo "build first: the line build of deploy/system.toml, then review/build.sh"; exit 2; }
-exec review/bin/standins lapsed-lease review/1/record.txt
+exec review/bin/standins lost-disks review/1/record.txt
--- a/review/standins/installation.go
+++ b/review/standins/installation.go
@@ -44,8 +44,8 @@
 // signal sends a signal to the process.
 func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
 
-// installation is a small deployment: three zones, one machine with a disk in
-// each, two more entry hosts, one service with three members, and the platform.
+// installation is a small deployment: three zones, machines with a disk in each, two
+// more entry hosts, a service with three members, and the platform.
 type installation struct {
 	wire     *wireNames
 	rec      *record
@@ -63,14 +63,18 @@
 	version  int // of the newest configuration
 }
 
+// seedCount is the number of control addresses that the settings name.
+const seedCount = 3
+
 var zones = []string{"munster-cork", "leinster-dublin", "connacht-galway"}
 
 func regions() map[string]any {
 	return map[string]any{"munster-cork": "munster", "leinster-dublin": "leinster", "connacht-galway": "connacht"}
 }
 
-// newInstallation prepares an installation. It starts nothing.
-func newInstallation(rec *record) (*installation, error) {
+// newInstallation prepares an installation with cores machines that have a disk. It
+// starts nothing.
+func newInstallation(rec *record, cores int) (*installation, error) {
 	w, err := loadWireNames()
 	if err != nil {
 		return nil, err
@@ -92,14 +96,15 @@
 	in.group = &group{service: "huvo11a", net: in.net, rec: rec, members: make(map[string]*member)}
 	in.second = &group{service: "kafi81c", net: in.net, rec: rec, members: make(map[string]*member)}
 	in.infra = &infrastructure{wire: w, net: in.net, rec: rec, groups: []*group{in.group, in.second}}
-	for i, zone := range zones {
-		in.machines = append(in.machines, &machine{name: fmt.Sprintf("core-%d", i+1), ip: in.ip(i+1, 1), zone: zone, core: true})
+	for i := range cores {
+		at := i % len(zones)
+		in.machines = append(in.machines, &machine{name: fmt.Sprintf("core-%d", i+1), ip: in.ip(at+1, 1+2*(i/len(zones))), zone: zones[at], core: true})
 	}
 	for i, zone := range []string{zones[2], zones[0]} {
 		in.machines = append(in.machines, &machine{name: fmt.Sprintf("edge-%d", i+1), ip: in.ip(3-2*i, 2), zone: zone})
 	}
 	for _, m := range in.machines {
-		m.seeds = in.controls()
+		m.seeds = in.controls()[:seedCount]
 	}
 	return in, nil
 }
@@ -235,16 +240,21 @@
 	return members, nil
 }
 
-// startProcess starts the process of a role with the command and the template of
-// the deploy file.
-func (in *installation) startProcess(m *machine, role string, bootstrap bool) (*process, error) {
+// folder returns the folder of a process.
+func (in *installation) folder(m *machine, role string) string {
+	return filepath.Join(in.dir, m.name, role)
+}
+
+// writeSettings writes the settings of a process with the template of the deploy
+// file and returns the file.
+func (in *installation) writeSettings(m *machine, role string, bootstrap bool) (string, error) {
 	template, err := os.ReadFile(filepath.Join(in.root, "deploy", role+".tmpl"))
 	if err != nil {
-		return nil, err
+		return "", err
 	}
-	folder := filepath.Join(in.dir, m.name, role)
+	folder := in.folder(m, role)
 	if err := os.MkdirAll(filepath.Join(folder, "data"), 0o700); err != nil {
-		return nil, err
+		return "", err
 	}
 	fields := map[string]any{
 		"node_name": m.name, "zone": m.zone, "region": regions()[m.zone], "zones": regions(), "ip": m.ip,
@@ -258,12 +268,23 @@
 	}
 	text, err := renderTemplate(string(template), fields)
 	if err != nil {
-		return nil, err
+		return "", err
 	}
 	file := filepath.Join(folder, "node.conf")
-	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+	temp := file + ".new"
+	if err := os.WriteFile(temp, []byte(text), 0o600); err != nil {
+		return "", err
+	}
+	return file, os.Rename(temp, file)
+}
+
+// startProcess starts the process of a role with the command of the deploy file.
+func (in *installation) startProcess(m *machine, role string, bootstrap bool) (*process, error) {
+	file, err := in.writeSettings(m, role, bootstrap)
+	if err != nil {
 		return nil, err
 	}
+	folder := in.folder(m, role)
 	log, err := os.OpenFile(filepath.Join(folder, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, err
@@ -322,7 +343,7 @@
 	body := fill(document, values)
 	for i := 0; ; i++ {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		status := post(ctx, "http://"+in.controls()[i%3]+in.wire.Paths["put_config"], body)
+		status := post(ctx, "http://"+in.controls()[i%len(in.controls())]+in.wire.Paths["put_config"], body)
 		cancel()
 		if status == http.StatusOK {
 			in.rec.say("configuration %d is acknowledged", in.version)
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -14,6 +14,7 @@
 package main
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"os"
@@ -33,6 +34,7 @@
 // scenario is the part of a case that differs between cases. It returns whether the
 // rule was broken.
 type scenario struct {
+	cores   int                          // machines with a disk; 0 for 3
 	prepare func(in *installation) error // before the start; may be nil
 	run     func(in *installation, trouble bool) (broken bool, err error)
 }
@@ -42,6 +44,7 @@
 	"foreign-heartbeat": {run: runForeignHeartbeat},
 	"many-ranks":        {run: runManyRanks},
 	"moved-member":      {prepare: prepareMovedMember, run: runMovedMember},
+	"lost-disks":        {cores: lostDisksCores, run: runLostDisks},
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
@@ -71,7 +74,7 @@
 	if err != nil {
 		return false, err
 	}
-	in, err := newInstallation(rec)
+	in, err := newInstallation(rec, cmp.Or(sc.cores, seedCount))
 	if err != nil {
 		return false, err
 	}
