--- a/review/standins/infrastructure.go
+++ b/review/standins/infrastructure.go
@@ -58,10 +58,13 @@
 	return n, err
 }
 
-func (i *infrastructure) serve(ln net.Listener) error {
+// run serves until the process ends.
+func (i *infrastructure) run(ln net.Listener) {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+i.wire.Paths["promote"], i.promote)
-	return http.Serve(&machineListener{ln, i.net}, mux)
+	if err := http.Serve(&machineListener{ln, i.net}, mux); err != nil {
+		i.rec.say("the platform's service ended: %v", err)
+	}
 }
 
 func (i *infrastructure) promote(w http.ResponseWriter, r *http.Request) {
--- a/review/standins/installation.go
+++ b/review/standins/installation.go
@@ -54,8 +54,9 @@
 	group    *group // the first service
 	second   *group // the second service, whose members are started only for some cases
 	machines []*machine
-	members  []*member // of the first service
-	prefix   string    // first two bytes of the addresses
+	members  []*member    // of the first service
+	prefix   string       // first two bytes of the addresses
+	platform net.Listener // address of the platform
 	ports    ports
 	root     string // of the repository
 	dir      string // temporary folder
@@ -66,6 +67,9 @@
 // seedCount is the number of control addresses that the settings name.
 const seedCount = 3
 
+// memberPort is the port of the members.
+const memberPort = 18080
+
 var zones = []string{"munster-cork", "leinster-dublin", "connacht-galway"}
 
 func regions() map[string]any {
@@ -89,8 +93,10 @@
 	}
 	in := &installation{
 		wire: w, rec: rec, net: newNetwork(), root: root, dir: dir, done: make(chan struct{}),
-		prefix: fmt.Sprintf("127.%d", 20+rand.IntN(200)),
-		ports:  ports{front: 18784, ready: 18785, control: 18782, internal: 17440},
+		ports: ports{front: 18784, ready: 18785, control: 18782, internal: 17440},
+	}
+	if err := in.reserve(); err != nil {
+		return nil, err
 	}
 	in.net.addProcess(os.Getpid(), "test")
 	in.group = &group{service: "huvo11a", net: in.net, rec: rec, members: make(map[string]*member)}
@@ -109,6 +115,39 @@
 	return in, nil
 }
 
+// reserveAttempts bounds the search for addresses that no other process uses.
+const reserveAttempts = 100
+
+// reserve chooses addresses whose ports are free, and keeps the one of the platform
+// open, so that another case that runs at the same time chooses others.
+func (in *installation) reserve() error {
+	var err error
+	for range reserveAttempts {
+		in.prefix = fmt.Sprintf("127.%d", 20+rand.IntN(200))
+		if in.platform, err = net.Listen("tcp", address(in.ip(9, 1), in.ports.control)); err != nil {
+			continue
+		}
+		if err = in.checkPorts(); err == nil {
+			return nil
+		}
+		_ = in.platform.Close()
+	}
+	return err
+}
+
+// checkPorts returns an error if a port of the machines is in use, for example by a
+// process that listens on all addresses.
+func (in *installation) checkPorts() error {
+	for _, port := range []int{in.ports.front, in.ports.ready, in.ports.control, in.ports.internal, memberPort} {
+		ln, err := net.Listen("tcp", address(in.ip(1, 1), port))
+		if err != nil {
+			return err
+		}
+		_ = ln.Close()
+	}
+	return nil
+}
+
 func (in *installation) ip(zone, host int) string {
 	return fmt.Sprintf("%s.%d.%d", in.prefix, zone, host)
 }
@@ -186,12 +225,9 @@
 // start starts the members, the platform and all processes, and puts the first
 // configuration into force.
 func (in *installation) start() error {
-	infra, err := net.Listen("tcp", address(in.ip(9, 1), in.ports.control))
-	if err != nil {
-		return err
-	}
 	in.rec.say("starting the installation at %s", in.prefix)
-	go func() { _ = in.infra.serve(infra) }()
+	go in.infra.run(in.platform)
+	var err error
 	if in.members, err = in.startMembers(in.group, "i-7f3a91c", 31, "first"); err != nil {
 		return err
 	}
@@ -215,7 +251,7 @@
 	var members []*member
 	for i, zone := range zones {
 		m := &member{
-			group: g, wire: in.wire, id: fmt.Sprintf("%s%d", idPrefix, i+1), zone: zone, address: address(in.ip(i+1, host), 18080), born: time.Now().UnixMilli(),
+			group: g, wire: in.wire, id: fmt.Sprintf("%s%d", idPrefix, i+1), zone: zone, address: address(in.ip(i+1, host), memberPort), born: time.Now().UnixMilli(),
 			slots: make(chan struct{}, memberSlots), soon: make(chan struct{}, 1), up: true, role: "replica", term: 1,
 			log: []entry{{term: 1, item: "1a0", value: value}},
 		}
--- a/review/standins/member.go
+++ b/review/standins/member.go
@@ -280,15 +280,16 @@
 	if s.state == "I" && id != "-" {
 		g.arrivals = append(g.arrivals, arrival{m.id, s.sender, id, arrived})
 	}
-	answer := s.run1(id, text)
+	answer := s.answer(id, text)
 	if !strings.HasSuffix(text, s.word("status")) {
 		g.rec.add("member %s (%s, term %d) ran for %s: %s %s -> %s", m.id, m.role, m.term, s.sender, id, text, strings.TrimSpace(strings.ReplaceAll(answer, "\r\n", " | ")))
 	}
 	return answer + s.word("ready") + " " + s.state + " " + m.position() + "\r\n"
 }
 
-// run1 runs one statement. The caller holds group.mu.
-func (s *memberConn) run1(id, text string) string {
+// answer runs one statement and returns its answer up to the READY line. The caller
+// holds group.mu.
+func (s *memberConn) answer(id, text string) string {
 	m := s.member
 	word, rest, _ := strings.Cut(text, " ")
 	if word == s.word("wait") {
