--- a/review/standins/installation.go
+++ b/review/standins/installation.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"slices"
 	"strconv"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -62,6 +63,7 @@
 	dir      string // temporary folder
 	done     chan struct{}
 	version  int // of the newest configuration
+	stopOnce sync.Once
 }
 
 // seedCount is the number of control addresses that the settings name.
@@ -423,7 +425,9 @@
 
 // stop ends all processes, and removes the temporary folder unless it is to be
 // kept.
-func (in *installation) stop(keep bool) {
+func (in *installation) stop(keep bool) { in.stopOnce.Do(func() { in.end(keep) }) }
+
+func (in *installation) end(keep bool) {
 	close(in.done)
 	var processes []*process
 	for _, m := range in.machines {
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -18,6 +18,8 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -65,6 +67,26 @@
 	return exitHeld
 }
 
+// guard ends a case that takes too long or gets a signal, and its processes with it.
+type guard struct {
+	in   *installation
+	rec  *record
+	keep bool
+}
+
+func (g *guard) run() {
+	interrupts := make(chan os.Signal, 1)
+	signal.Notify(interrupts, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	select {
+	case s := <-interrupts:
+		g.rec.say("ended by signal %v", s)
+	case <-time.After(caseTimeout):
+		g.rec.say("the case took too long")
+	}
+	g.in.stop(g.keep)
+	os.Exit(exitFailed)
+}
+
 func runCase(name, recordPath string, trouble, keep bool) (broken bool, err error) {
 	sc, ok := scenarios[name]
 	if !ok {
@@ -79,12 +101,8 @@
 		return false, err
 	}
 	defer in.stop(keep)
-	timer := time.AfterFunc(caseTimeout, func() {
-		rec.say("the case took too long")
-		in.stop(keep)
-		os.Exit(exitFailed)
-	})
-	defer timer.Stop()
+	g := &guard{in: in, rec: rec, keep: keep}
+	go g.run()
 	if sc.prepare != nil {
 		if err := sc.prepare(in); err != nil {
 			return false, err
