consensus: a host that lost its disk finds the leader whatever seeds it knows

Cause: a host with an empty log sends hello messages to the seeds of its settings only, and only the leader heeds them: a follower answers "rejected" without saying who leads. If no seed leads, nothing else tells the host. The leader keeps sending to the incarnation that the host had before, at the same address, and the host drops these messages unread.

Evidence: the directory of the wiped machine stays "initialised": false until the end, and the leader requests no change of the members.

Ruled out: the driver of the membership (it adds whoever Joining lists) and the time to catch up (the host isn't a member at all).

Change: a host with an empty log asks its seeds and the hosts that it learns of. A rejection names the members; a message to an earlier incarnation of the host and a hello of another empty host name their senders. What was learned is bounded and forgotten once a leader makes contact. Changed settings replace the seeds of a host that still waits (Node.SetSeeds). Members is a known field of the message, so hosts of both builds can be mixed.

--- a/internal/consensus/bootstrap.go
+++ b/internal/consensus/bootstrap.go
@@ -29,30 +29,22 @@
 	return slices.MinFunc(m.opts.Bootstrap, func(a, b Member) int { return strings.Compare(a.ID, b.ID) }).ID
 }
 
-// tickHello sends hello messages, which state that the log is empty. With them
-// the coordinator collects replies, the other bootstrap members request the
-// first membership, and joining hosts ask to be added.
+// tickHello sends hello messages while the log is empty. With them the coordinator
+// collects replies, the other bootstrap members request the first membership, and
+// joining hosts ask to be added.
 func (m *Machine) tickHello(now time.Time) {
 	if now.Before(m.nextHelloAt) {
 		return
 	}
 	m.nextHelloAt = now.Add(m.opts.MinElectionTimeout)
 	m.formMembership(now)
-	if !m.Empty() {
-		return
-	}
-	for _, to := range m.opts.Bootstrap {
-		if to.ID != m.self.ID {
-			m.send(Message{
-				Kind: MessageHello, To: Member{ID: to.ID, Address: to.Address},
-				Members: m.opts.Bootstrap, Transfer: m.coordinator() == m.self.ID,
-			})
-		}
+	if m.Empty() {
+		m.sendHellos()
 	}
 }
 
-// handleHello answers a host with an empty log. While its own log is empty, the
-// host replies only to its coordinator, and accepts only the first incarnation
+// handleHello answers a host with an empty log. While its own log is empty,
+// the host replies only to its coordinator, and accepts only the first incarnation
 // of it; bootstrapVote makes that choice durable.
 func (m *Machine) handleHello(now time.Time, msg Message) {
 	if msg.From.Incarnation == "" || msg.From.key() == m.self.key() {
@@ -62,6 +54,7 @@
 		m.answerHello(now, msg)
 		return
 	}
+	m.learnPeers(msg.From) // it may find the leader first
 	if !msg.Transfer || m.coordinator() != msg.From.ID || !m.sameBootstrap(msg.Members) {
 		return
 	}
@@ -71,8 +64,9 @@
 	m.send(Message{Kind: MessageHelloReply, To: msg.From, Reject: m.bootstrapVote != msg.From.key()})
 }
 
-// answerHello sends the first membership to a host that belongs to it. A
-// leader records any other host, which Joining lists so that it can be added.
+// answerHello sends the first membership to a host with an empty log that belongs to
+// it. Any other host that is not a member is told the members, one of which leads,
+// and the leader records it, so that Joining lists it to be added.
 func (m *Machine) answerHello(now time.Time, msg Message) {
 	if first := m.log.entriesFrom(1, 1, 0); len(first) == 1 && first[0].Kind == entryMembers {
 		if ms, err := decodeMembers(first[0].Data); err == nil {
@@ -88,7 +82,7 @@
 	if m.role == Leader {
 		m.joining[msg.From.key()] = joiningHost{member: msg.From, lastHello: now}
 	}
-	m.send(Message{Kind: MessageHelloReply, To: msg.From, Reject: true})
+	m.send(Message{Kind: MessageHelloReply, To: msg.From, Reject: true, Members: m.members()})
 }
 
 // sameBootstrap reports whether other lists the same host ids as the bootstrap
@@ -106,6 +100,9 @@
 }
 
 func (m *Machine) handleHelloReply(now time.Time, msg Message) {
+	if msg.Reject {
+		m.learnPeers(msg.Members...)
+	}
 	if msg.Reject || !m.Empty() || m.coordinator() != m.self.ID {
 		return
 	}
--- a/internal/consensus/consensus.go
+++ b/internal/consensus/consensus.go
@@ -40,6 +40,14 @@
 // belong to the membership; it is added as a learner, even if bootstrap is
 // still set.
 //
+// # Joining
+//
+// A host with an empty log asks to be added. It sends hello messages to its seeds,
+// which need not include the leader, and to the hosts that it learns of: every
+// member that it asks names the members, and members still send messages to the
+// incarnation that it had before it lost its disk. The leader lists it in
+// Status.Joining; the driver of the membership adds it.
+//
 // # Usage
 //
 //	node, err := consensus.Start(consensus.Options{
--- a/internal/consensus/machine.go
+++ b/internal/consensus/machine.go
@@ -56,6 +56,10 @@
 
 	incomingSnapshot *incomingSnapshot // snapshot being received
 
+	// While no leader makes contact:
+	seeds []Member            // see SetSeeds
+	peers map[Member]struct{} // with id and address only
+
 	// While the log is empty:
 	nextHelloAt  time.Time
 	helloReplies map[string]Member // at the coordinator: senders of replies, by host id
@@ -141,6 +145,9 @@
 		return
 	}
 	if msg.To.Incarnation != m.self.Incarnation {
+		if m.Empty() {
+			m.learnPeers(msg.From) // this host was a member before it lost its disk
+		}
 		return
 	}
 	switch msg.Kind {
--- a/internal/consensus/message.go
+++ b/internal/consensus/message.go
@@ -53,7 +53,7 @@
 	// hello of the bootstrap coordinator.
 	Transfer bool `codec:"v"`
 
-	Members []Member `codec:"m"` // snapshot: membership; hello: bootstrap members
+	Members []Member `codec:"m"` // snapshot, rejecting hello reply: membership; hello: bootstrap members
 	Offset  uint64   `codec:"p"` // snapshot: offset of Data; reply: bytes received
 	Size    uint64   `codec:"z"` // snapshot: total bytes
 	Data    []byte   `codec:"d"`
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -44,15 +44,15 @@
 	view atomic.Pointer[view]
 
 	// Owned by the loop:
-	pending          map[uint64]*proposal // by index of the entry
-	waiters          []*waiter
-	reportedLeader   bool   // last value passed to OnLeader
-	reportedTerm     uint64 // term of the last reported leadership
-	applied          uint64 // index of the last applied entry
-	snapshotPending  bool   // a snapshot is being written
-	writes           writeStats
-	addWarningLogged bool   // the warning that this host must be added was logged
-	snapshot         uint64 // index of the newest durable snapshot
+	pending         map[uint64]*proposal // by index of the entry
+	waiters         []*waiter
+	reportedLeader  bool   // last value passed to OnLeader
+	reportedTerm    uint64 // term of the last reported leadership
+	applied         uint64 // index of the last applied entry
+	snapshotPending bool   // a snapshot is being written
+	writes          writeStats
+	joinLogged      bool   // that this host asks to be added was logged since the last contact with a leader
+	snapshot        uint64 // index of the newest durable snapshot
 }
 
 // Start opens the data folder and starts the node.
@@ -272,6 +272,12 @@
 // Members returns the membership in force at this node.
 func (n *Node) Members() []Member { return slices.Clone([]Member(n.view.Load().members)) }
 
+// SetSeeds replaces the further hosts, besides Options.Bootstrap, that are asked to
+// add this one while no leader makes contact.
+func (n *Node) SetSeeds(ctx context.Context, seeds []Member) error {
+	return n.call(ctx, func(time.Time) { n.machine.SetSeeds(seeds) })
+}
+
 // Status returns the state of the node. After the node has stopped, it returns
 // the last published state, with fewer fields set.
 func (n *Node) Status() Status {
--- a/internal/consensus/node_loop.go
+++ b/internal/consensus/node_loop.go
@@ -63,11 +63,11 @@
 // reading taken before the message was sent would shorten the time for which
 // this host refuses votes, on which the lease of the sender depends.
 func (n *Node) step(m Message) {
-	if m.Kind == MessageHelloReply && m.Reject && n.machine.Empty() && !n.addWarningLogged && !n.opts.Join {
-		n.addWarningLogged = true
+	if m.Kind == MessageHelloReply && m.Reject && !n.joinLogged {
+		n.joinLogged = true
 		n.opts.Logger.Warn().Str("id", n.self.ID).Str("incarnation", n.self.Incarnation).Str("peer", m.From.ID).
-			Msg("the data folder is empty, but the peer is already initialised or has replied to another incarnation; " +
-				"this host must be added as a learner")
+			Bool("empty", n.machine.Empty()).Int("members", len(m.Members)).
+			Msg("this host is not a member of the replicated log; it asks the members to add it")
 	}
 	n.machine.Step(clock.Now(), m)
 }
@@ -182,6 +182,9 @@
 	if failed != nil {
 		v.role, v.leader, v.leaseUntil, v.termStarted = Follower, Member{}, time.Time{}, false
 	}
+	if v.leader.ID != "" {
+		n.joinLogged = false
+	}
 	old := n.view.Swap(v)
 	if old == nil || old.role != v.role || old.term != v.term || old.leader.key() != v.leader.key() {
 		n.opts.Logger.Info().Str("id", n.self.ID).Str("role", string(v.role)).Uint64("term", v.term).
--- a/internal/consensus/options.go
+++ b/internal/consensus/options.go
@@ -15,7 +15,7 @@
 
 	// Bootstrap lists the initial voters by id and address, including this host.
 	// It is used only while the log is empty. With Join it only lists the hosts
-	// that are asked to add this one.
+	// that are asked to add this one; see SetSeeds.
 	//
 	// With more than one member, a host that lost its disk learns from the others
 	// that the cluster exists. If the list contains only this host, there is no
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -81,7 +81,7 @@
 	if m.role != Follower {
 		m.becomeFollower(now, m.term)
 	}
-	m.leader, m.lastLeaderContact = msg.From, now
+	m.leader, m.lastLeaderContact, m.peers = msg.From, now, nil
 	m.resetElection(now)
 	return true
 }
--- a/internal/consensus/sim_test.go
+++ b/internal/consensus/sim_test.go
@@ -55,6 +55,7 @@
 	id, incarnation  string
 	incarnationCount int
 	join             bool
+	seeds            []consensus.Member // nil for the bootstrap members; only with join
 	machine          *consensus.Machine
 	paused           bool
 	inbox            []consensus.Message // messages received while paused
@@ -112,6 +113,9 @@
 		Bootstrap: s.bootstrap, Join: h.join,
 		HardState: h.hardState, Snapshot: h.snapshot, Entries: slices.Clone(h.entries),
 	}
+	if h.seeds != nil {
+		opts.Bootstrap = h.seeds
+	}
 	opts.Disable(s.disabled)
 	m, err := consensus.NewMachine(opts, h.localTime(s.now))
 	if err != nil {
--- a/internal/process/directory.go
+++ b/internal/process/directory.go
@@ -231,7 +231,10 @@
 	p.mu.Lock()
 	p.seeds = slices.Clone(cfg.Control.PeerAddresses())
 	p.mu.Unlock()
-	p.opts.Events.Event("reloaded").Strs("control", p.addresses()).Msg("settings reloaded")
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	err := p.node.SetSeeds(ctx, bootstrapMembers(cfg.Control))
+	p.opts.Events.Event("reloaded").Strs("control", p.addresses()).Err(err).Msg("settings reloaded")
 }
 
 // DirectoryDump is the state of a directory process.
