consensus: a host that was removed while it was down asks to be added again

What callers saw: nothing at first. With two control hosts in a data centre, one that does not answer for 2 s (a freeze, a slow restart) is removed in favour of the other.

Cause: only a host with an empty log sent hello messages. A removed host with a log starts pre-votes that the others refuse, or waits for good if it learned of its removal; the leader sends it nothing any more.

Evidence: the three cases "removed while it was down / was paused / ran" of TestReturnWithoutLeaderAsSeed fail without this change.

Change: a host that no leader has contacted for four election timeouts sends hello messages too, with the last index of its log, to its seeds and to the members in its log. The first membership is sent to hosts with an empty log only. The leader treats such a host like any other that joins: it is added as a learner, under the incarnation that it has, and keeps its term and vote.

--- a/internal/consensus/bootstrap.go
+++ b/internal/consensus/bootstrap.go
@@ -15,7 +15,7 @@
 // joiningTTL is how long Joining lists a host after its last hello message.
 const joiningTTL = 10 * time.Second
 
-// joiningHost is a host with an empty log that asks to be added.
+// joiningHost is a host that asks to be added.
 type joiningHost struct {
 	member    Member
 	lastHello time.Time
@@ -43,7 +43,7 @@
 	}
 }
 
-// handleHello answers a host with an empty log. While its own log is empty,
+// handleHello answers a host that no leader contacts. While its own log is empty,
 // the host replies only to its coordinator, and accepts only the first incarnation
 // of it; bootstrapVote makes that choice durable.
 func (m *Machine) handleHello(now time.Time, msg Message) {
@@ -68,7 +68,7 @@
 // it. Any other host that is not a member is told the members, one of which leads,
 // and the leader records it, so that Joining lists it to be added.
 func (m *Machine) answerHello(now time.Time, msg Message) {
-	if first := m.log.entriesFrom(1, 1, 0); len(first) == 1 && first[0].Kind == entryMembers {
+	if first := m.log.entriesFrom(1, 1, 0); msg.Index == 0 && len(first) == 1 && first[0].Kind == entryMembers {
 		if ms, err := decodeMembers(first[0].Data); err == nil {
 			if _, ok := ms.find(msg.From.key()); ok {
 				m.send(Message{Kind: MessageBootstrap, To: msg.From, Entries: first})
--- a/internal/consensus/consensus.go
+++ b/internal/consensus/consensus.go
@@ -42,11 +42,12 @@
 //
 // # Joining
 //
-// A host with an empty log asks to be added. It sends hello messages to its seeds,
-// which need not include the leader, and to the hosts that it learns of: every
-// member that it asks names the members, and members still send messages to the
-// incarnation that it had before it lost its disk. The leader lists it in
-// Status.Joining; the driver of the membership adds it.
+// A host that no leader contacts asks to be added: one whose log is empty, and one
+// that was removed from the membership. It sends hello messages to its seeds, which
+// need not include the leader, to the members in its log, and to the hosts that it
+// learns of: every member that it asks names the members, and members still send
+// messages to the incarnation that it had before it lost its disk. The leader lists
+// it in Status.Joining; the driver of the membership adds it.
 //
 // # Usage
 //
--- a/internal/consensus/discovery.go
+++ b/internal/consensus/discovery.go
@@ -4,10 +4,16 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 )
 
-// maxPeers bounds the hosts that a host without contact to a leader learns of.
-const maxPeers = 64
+const (
+	// maxPeers bounds the hosts that a host without contact to a leader learns of.
+	maxPeers = 64
+	// lostContactTimeouts is the number of election timeouts without contact to a
+	// leader after which a host with a log asks to be added. Elections are faster.
+	lostContactTimeouts = 4
+)
 
 // SetSeeds replaces the further hosts that are asked for the leader, besides the
 // bootstrap members.
@@ -36,7 +42,7 @@
 	if known == nil {
 		known = make(map[Member]struct{})
 	}
-	for _, to := range slices.Concat(m.opts.Bootstrap, m.seeds) {
+	for _, to := range slices.Concat(m.opts.Bootstrap, m.seeds, m.members()) {
 		if to.ID != m.self.ID {
 			known[Member{ID: to.ID, Address: to.Address}] = struct{}{}
 		}
@@ -44,8 +50,14 @@
 	order := func(a, b Member) int { return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Address, b.Address)) }
 	for _, to := range slices.SortedFunc(maps.Keys(known), order) {
 		m.send(Message{
-			Kind: MessageHello, To: to,
+			Kind: MessageHello, To: to, Index: m.log.lastIndex(),
 			Members: m.opts.Bootstrap, Transfer: m.coordinator() == m.self.ID,
 		})
 	}
 }
+
+// outOfContact reports whether no leader has made contact for so long that this
+// host may have been removed from the membership.
+func (m *Machine) outOfContact(now time.Time) bool {
+	return now.Sub(m.lastLeaderContact) > lostContactTimeouts*m.opts.MinElectionTimeout
+}
--- a/internal/consensus/discovery_test.go
+++ b/internal/consensus/discovery_test.go
@@ -19,6 +19,17 @@
 	s.startHost(h)
 }
 
+// removeHost removes a member and runs until that is committed.
+func (s *sim) removeHost(id string) {
+	l, h := s.leader(), s.hosts[id]
+	self := consensus.Member{ID: h.id, Incarnation: h.incarnation, Address: h.id}
+	if _, _, err := l.machine.ProposeChange(l.localTime(s.now), consensus.Change{Kind: consensus.Remove, Member: self}); err != nil {
+		s.fail("remove %s: %v", id, err)
+	}
+	s.output(l)
+	s.run(2 * time.Second)
+}
+
 // admitJoining lets the leader add the hosts that ask to join, one change a second,
 // until the time has passed.
 func (s *sim) admitJoining(d time.Duration) {
@@ -56,7 +67,8 @@
 }
 
 // TestReturnWithoutLeaderAsSeed guards against a host that never becomes a member
-// again after it lost its disk, because the leader is not one of its seeds.
+// again after it lost its disk, or was removed while it was down, because the leader
+// is not one of its seeds.
 func TestReturnWithoutLeaderAsSeed(t *testing.T) {
 	// p, q and r are followers; n has never been a member. play returns the hosts that
 	// must be members afterwards.
@@ -108,6 +120,23 @@
 			s.hosts[n].machine.SetSeeds([]consensus.Member{{ID: q, Address: q}})
 			return []string{n}
 		}},
+		{"removed while it was down", func(s *sim, p, q, r, n string) []string {
+			s.crash(s.hosts[p])
+			s.removeHost(p)
+			s.restartWith(p, p)
+			return []string{p}
+		}},
+		{"removed while it was paused", func(s *sim, p, q, r, n string) []string {
+			s.hosts[p].paused = true
+			s.removeHost(p)
+			s.hosts[p].inbox = nil
+			s.resume(s.hosts[p])
+			return []string{p}
+		}},
+		{"removed while it ran", func(s *sim, p, q, r, n string) []string {
+			s.removeHost(p)
+			return []string{p}
+		}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/consensus/machine.go
+++ b/internal/consensus/machine.go
@@ -206,6 +206,9 @@
 		m.tickLeader(now)
 	case !now.Before(m.electionAt):
 		m.resetElection(now)
+		if m.outOfContact(now) {
+			m.sendHellos()
+		}
 		if m.electable() {
 			m.preCampaign(now)
 		}
--- a/internal/consensus/message.go
+++ b/internal/consensus/message.go
@@ -16,7 +16,7 @@
 	MessageSnapshot      MessageKind = "snapshot" // one chunk
 	MessageSnapshotReply MessageKind = "snapshot_reply"
 	MessageTimeoutNow    MessageKind = "timeout_now" // asks the receiver to take over leadership
-	MessageHello         MessageKind = "hello"       // from a host with an empty log
+	MessageHello         MessageKind = "hello"       // from a host that no leader contacts
 	MessageHelloReply    MessageKind = "hello_reply"
 	MessageBootstrap     MessageKind = "bootstrap" // carries log entry 1, the first membership
 )
@@ -32,7 +32,7 @@
 	// Index and LogTerm identify an entry. Vote requests: the last entry of the
 	// candidate. Append: the entry before Entries. Append reply: the last entry
 	// known to match, or the Index of the rejected append. Snapshot: the last
-	// entry that it includes.
+	// entry that it includes. Hello: the last entry of the sender.
 	Index   uint64 `codec:"i"`
 	LogTerm uint64 `codec:"l"`
 
