gateway: a lapse of the lease ends what was in use at an earlier primary

Cause: a use of a primary stays valid while its generation is above the released one, and only Release raises that, for a group that this host sees switching. A host that was without a lease isn't waited for. When it gets a lease again, its state already names another primary in one step, so nothing is released, and the host confirms a state that it does not keep. Transactions, statements in progress, statements in the queue and samples of the earlier primary all went on. The same held for a host that came back while the switchover was under way: it had 0.4 to 0.9 s of grace at a primary that was being superseded.

Change: group.update ends all uses of earlier generations, and discards samples, when the primary is another one or when the group has changed while the host had no lease. The event group_changed says whether the host had its lease and how many uses were cut off. An answer within a transaction is checked against the lease like any other.

--- a/internal/gateway/doc.go
+++ b/internal/gateway/doc.go
@@ -22,6 +22,10 @@
 // group switches, Release waits for work in progress and aborts what does not end
 // in time. Only then may the host confirm the new state.
 //
+// A host whose lease has ended isn't waited for. If a group has changed by the time
+// that the host gets a lease again, its transactions, statements and samples at the
+// earlier primary end at once, even if the same server is the primary.
+//
 // # Outcomes
 //
 // A refusal guarantees that the statement or transaction has no effect. It is
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -79,7 +79,9 @@
 }
 
 // SetState applies a state of the directory and its configuration. A state older
-// than the current one is ignored.
+// than the current one is ignored. SetState must be called before RenewLease with
+// the lease that came with the state: without a lease, no use of a primary that the
+// state replaces may go on.
 func (g *Gateway) SetState(s directoryrpc.State, cfg *database.Config) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -88,6 +90,7 @@
 		return
 	}
 	v := &view{state: s, cfg: cfg, groups: make(map[string]*groupView), changed: make(chan struct{})}
+	leased := g.hasLease()
 	g.updateMembers(v)
 	for name, gv := range v.groups {
 		gv.group = g.group(name)
@@ -95,10 +98,10 @@
 		prev := old.state.Groups[name]
 		gv.generation, gv.switching = cur.Generation, cur.Switching || cur.Generation == 0
 		gv.primary = g.members[cur.Primary]
-		gv.group.update(cur.Generation, gv.switching, prev.Primary == cur.Primary)
+		aborted := gv.group.update(cur.Generation, gv.switching, prev.Primary == cur.Primary, leased)
 		if prev.Generation != cur.Generation {
 			g.opts.Events.Event("group_changed").Str("group", name).Uint64("generation", cur.Generation).Uint64("state_version", s.Version).
-				Str("primary", cur.Primary).Bool("switching", gv.switching).Msg("directory published a new generation of the group")
+				Str("primary", cur.Primary).Bool("switching", gv.switching).Bool("leased", leased).Int("cut_off", aborted).Msg("directory published a new generation of the group")
 		}
 	}
 	if cfg.Version != old.cfg.Version {
--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -36,16 +36,23 @@
 
 func newGroup(name string) *group { return &group{name: name, uses: make(map[*primaryUse]struct{})} }
 
-// update applies the directory's state of the group. It discards the samples of
-// an earlier primary, which may include commits that its successor never
-// received. samePrimary reports whether the primary has stayed the same.
-func (g *group) update(generation uint64, switching, samePrimary bool) {
+// update applies the directory's state of the group. samePrimary reports whether
+// the primary has stayed the same, and leased whether the host still has its lease.
+//
+// If the primary is another one, or may have been another one because the group
+// has changed while the host had no lease, update aborts the uses of earlier
+// generations at once and returns how many these were. It also discards the samples
+// of the earlier primary, which may include commits that its successor never
+// received. Otherwise the uses continue until Release ends them.
+func (g *group) update(generation uint64, switching, samePrimary, leased bool) (aborted int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if generation != g.generation && !samePrimary {
+	if generation != g.generation && (!samePrimary || !leased) {
+		_, aborted = g.abortUses(true, true)
 		g.samples, g.sampleClaimed = staleness.Samples{}, time.Time{}
 	}
 	g.generation, g.switching = generation, switching
+	return aborted
 }
 
 // beginUse registers a use of the primary of the given generation. It fails if
@@ -156,7 +163,9 @@
 	aborted := 0
 	for start := time.Now(); ; {
 		waited := time.Since(start)
+		g.mu.Lock()
 		left, n := g.abortUses(waited > idleGrace, waited > busyGrace || !responding())
+		g.mu.Unlock()
 		if aborted += n; left == 0 {
 			return aborted
 		}
@@ -173,10 +182,8 @@
 
 // abortUses aborts the idle uses, the busy ones, or both, and returns how many
 // are left and how many were aborted. Once none is left, answers of this
-// generation are no longer returned to callers.
+// generation are no longer returned to callers. The caller holds mu.
 func (g *group) abortUses(idle, busy bool) (left, aborted int) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
 	for u := range g.uses {
 		if u.busy && !busy || !u.busy && !idle {
 			left++
--- a/internal/gateway/operationtx.go
+++ b/internal/gateway/operationtx.go
@@ -134,7 +134,7 @@
 	if o.request.Kind == statement.Commit {
 		return o.finishCommit(a, sent)
 	}
-	if t.primaryUse != nil && !t.primaryUse.pause() {
+	if t.primaryUse != nil && (!t.primaryUse.pause() || !o.gateway.hasLease()) {
 		o.dropTransaction()
 		return s.failureAnswer(errkind.New(errkind.TransactionLost, "the primary of group %q has changed", o.db.Group))
 	}
