--- a/internal/owner/commit_test.go
+++ b/internal/owner/commit_test.go
@@ -36,6 +36,11 @@
 			time.Sleep(200 * time.Millisecond)
 			r.grantLease(time.Hour, true, 1)
 		}, owner.Disabled{}, errkind.OK},
+		{"expired, primary of a later term", func(r *harness) {
+			r.grantLease(100*time.Millisecond, true, 1)
+			time.Sleep(200 * time.Millisecond)
+			r.grantLease(time.Hour, true, 2)
+		}, lease, errkind.OutcomeUnknown},
 		{"primary role revoked", func(r *harness) { r.revoke(0, 1) }, lease, errkind.OutcomeUnknown},
 		{"lease revoked", func(r *harness) { r.revoke(1, 0) }, owner.Disabled{}, errkind.OutcomeUnknown},
 		{"no longer primary, finishes in time", func(r *harness) { r.grantLease(time.Hour, false, 2) }, owner.Disabled{}, errkind.OK},
--- a/internal/owner/tx_test.go
+++ b/internal/owner/tx_test.go
@@ -97,6 +97,11 @@
 			time.Sleep(60 * time.Millisecond)
 			r.grantLease(time.Hour, true, 1)
 		}, true},
+		{"lease expired, later term", func(r *harness) {
+			r.grantLease(time.Millisecond, true, 1)
+			time.Sleep(2 * time.Millisecond)
+			r.grantLease(time.Hour, true, 2)
+		}, true},
 		{"role lost, finishes in time", func(r *harness) { r.grantLease(time.Hour, false, 1) }, false},
 		{"role lost, time passes", func(r *harness) {
 			r.grantLease(50*time.Millisecond, true, 1)
