gateway: the position of an answer is recorded in the step that ends its use

What callers could see: an acknowledged write is missing after a switchover.

Cause: a use ended first and its position was recorded a moment later, without the lock. In between the group could be released and the host could confirm the switchover with a report that lacks the position, although the answer is returned to the caller; the directory then takes a server without the write for complete. The newest position was also recorded for answers of uses that had been ended.

Change: primaryUse.finish ends the use, decides on the answer and records the position under one lock; abandon ends a use without an answer. A position of a use that is no longer valid is ignored.

--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -25,7 +25,7 @@
 }
 
 // primaryUse is a statement or a transaction in progress at a primary. Its answer
-// may be returned to the caller only if end, or pause within a transaction,
+// may be returned to the caller only if finish, or pause within a transaction,
 // returns true.
 type primaryUse struct {
 	group      *group
@@ -95,26 +95,48 @@
 	return u.generation > u.group.releasedGeneration
 }
 
-// end ends the use and reports whether the answer may be returned to the caller.
-func (u *primaryUse) end() bool {
+// abandon ends a use whose answer is not returned to the caller. It does nothing if
+// u is nil.
+func (u *primaryUse) abandon() {
+	if u == nil {
+		return
+	}
 	u.group.mu.Lock()
 	defer u.group.mu.Unlock()
 	delete(u.group.uses, u)
-	return u.generation > u.group.releasedGeneration
 }
 
-// addSample records a position of the primary's log that includes every write
-// acknowledged before the given time.
-func (g *group) addSample(generation uint64, at time.Time, pos logpos.Position) {
-	if pos == (logpos.Position{}) {
-		return
+// finish ends a use and reports whether its answer may be returned to the caller. It
+// then has recorded pos, the log position of the answer to a statement sent at the
+// given time: once the group is released, its reports include every acknowledged
+// write.
+func (u *primaryUse) finish(sentAt time.Time, pos logpos.Position) bool {
+	u.group.mu.Lock()
+	defer u.group.mu.Unlock()
+	delete(u.group.uses, u)
+	return u.recordPosition(sentAt, pos)
+}
+
+// observe records a log position like finish, and the use goes on.
+func (u *primaryUse) observe(sentAt time.Time, pos logpos.Position) {
+	u.group.mu.Lock()
+	defer u.group.mu.Unlock()
+	u.recordPosition(sentAt, pos)
+}
+
+// recordPosition records a position of the primary's log that includes every write
+// acknowledged before sentAt, and reports whether the use is still valid. A position
+// of a primary that may have been superseded is ignored. The caller holds group.mu.
+func (u *primaryUse) recordPosition(sentAt time.Time, pos logpos.Position) bool {
+	g := u.group
+	if u.generation <= g.releasedGeneration {
+		return false
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.latestPosition = g.latestPosition.Max(pos)
-	if generation > g.releasedGeneration {
-		g.samples.Add(staleness.Sample{At: at, Pos: pos})
+	if pos != (logpos.Position{}) {
+		g.latestPosition = g.latestPosition.Max(pos)
+		g.samples.Add(staleness.Sample{At: sentAt, Pos: pos})
 	}
+	return true
 }
 
 // requiredPosition returns the position that a server must have applied for a
--- a/internal/gateway/operation.go
+++ b/internal/gateway/operation.go
@@ -269,21 +269,15 @@
 			return a, true
 		}
 	}
-	valid := true
-	endUse := func() {
-		if u != nil {
-			valid = u.end() && o.gateway.hasLease()
-		}
-	}
 	pc, slot, err := o.acquire(rt)
 	if err != nil {
-		endUse()
+		u.abandon()
 		o.recordError(err)
 		o.tried[rt.member] = true
 		return a, true
 	}
-	if u != nil && !u.attach(pc) || rt.needsPrimary && !o.gateway.hasLease() {
-		endUse()
+	if u != nil && (!u.attach(pc) || !o.gateway.hasLease()) {
+		u.abandon()
 		rt.member.pool.put(pc)
 		rt.member.sched.Release(slot)
 		o.recordError(errkind.New(errkind.NoPrimary, "the primary of group %q is being changed", rt.group.name))
@@ -299,9 +293,10 @@
 	a, err = pc.do(o.answerDeadline(rt), r)
 	rt.member.endStatement(err == nil)
 	took := time.Since(begun)
-	endUse()
+	valid := err == nil && o.finishUse(u, sent, a)
 	rt.member.sched.Release(slot)
 	if err != nil {
+		u.abandon()
 		rt.member.pool.drop(pc)
 		o.recordFailure(rt, err)
 		return o.handleNoAnswer(rt, err)
@@ -313,7 +308,7 @@
 	} else {
 		rt.member.pool.put(pc)
 	}
-	return o.handleAnswer(rt, a, sent, valid)
+	return o.handleAnswer(rt, a, valid)
 }
 
 // answerDeadline returns when to stop waiting for an answer. If any server may run
@@ -344,7 +339,7 @@
 // handleAnswer converts the answer of a server to the answer for the caller. The
 // second result reports whether to retry the statement instead. valid reports
 // whether the primary use and the lease were still valid when the answer arrived.
-func (o *operation) handleAnswer(rt route, a statement.Answer, sent time.Time, valid bool) (statement.Answer, bool) {
+func (o *operation) handleAnswer(rt route, a statement.Answer, valid bool) (statement.Answer, bool) {
 	if a.Failure != nil {
 		return o.handleFailure(rt, a)
 	}
@@ -355,14 +350,29 @@
 	case !valid:
 		return o.session.failureAnswer(errkind.New(errkind.OutcomeUnknown, "the primary of group %q changed during the write", o.db.Group)), false
 	}
-	o.recordPosition(rt, a, sent)
+	o.recordPosition(rt, a)
 	a.State = o.session.state()
 	return a, false
 }
 
-// recordPosition records the log position that was returned with an answer, and
-// counts the statement.
-func (o *operation) recordPosition(rt route, a statement.Answer, sent time.Time) {
+// finishUse ends a use of a primary, which is nil for a replica, with its answer. It
+// reports whether the answer may be returned to the caller.
+func (o *operation) finishUse(u *primaryUse, sent time.Time, a statement.Answer) bool {
+	switch {
+	case u == nil:
+		return true
+	case !o.gateway.hasLease():
+		u.abandon()
+		return false
+	case a.Failure != nil:
+		a.Position = logpos.Position{}
+	}
+	return u.finish(sent, a.Position)
+}
+
+// recordPosition updates the token of the session with the log position that was
+// returned with an answer, and counts the statement.
+func (o *operation) recordPosition(rt route, a statement.Answer) {
 	s := o.session
 	if !rt.needsPrimary {
 		o.gateway.metrics.replicaReads.Inc(1)
@@ -372,7 +382,6 @@
 		return
 	}
 	o.gateway.metrics.primaryStatements.Inc(1)
-	rt.group.addSample(rt.generation, sent, a.Position)
 	switch {
 	case !o.isRead:
 		s.token = s.token.Max(a.Position)
--- a/internal/gateway/operationtx.go
+++ b/internal/gateway/operationtx.go
@@ -46,9 +46,7 @@
 	}
 	pc, slot, err := o.acquire(rt)
 	if err != nil {
-		if u != nil {
-			u.end()
-		}
+		u.abandon()
 		o.tried[rt.member] = true
 		return err
 	}
@@ -57,9 +55,7 @@
 	defer rt.member.sched.Release(slot)
 	err = o.sendBegin(rt, u, pc)
 	if err != nil {
-		if u != nil {
-			u.end()
-		}
+		u.abandon()
 		rt.member.pool.drop(pc)
 		o.tried[rt.member] = true
 		return err
@@ -94,8 +90,8 @@
 	if a.State != statement.Open {
 		return errkind.New(errkind.ConnectFailed, "server %s did not open a transaction", rt.member.server.ID)
 	}
-	if rt.needsPrimary && o.gateway.hasLease() {
-		rt.group.addSample(rt.generation, sent, a.Position)
+	if u != nil && o.gateway.hasLease() {
+		u.observe(sent, a.Position)
 	}
 	return nil
 }
@@ -160,7 +156,7 @@
 // rolls it back.
 func (o *operation) dropTransaction() {
 	t := o.session.tx
-	m, pc, _ := t.detach()
+	m, pc := t.detachUnfinished()
 	m.pool.drop(pc)
 	t.failed = true
 	o.gateway.metrics.abortedTransactions.Inc(1)
@@ -193,14 +189,13 @@
 	s := o.session
 	t := s.tx
 	s.tx = nil
-	u := t.primaryUse
-	m, pc, valid := t.detach()
+	m, pc, u := t.detach()
+	valid := o.finishUse(u, sent, a)
 	if a.State == statement.Idle {
 		m.pool.put(pc)
 	} else {
 		m.pool.drop(pc)
 	}
-	valid = valid && (u == nil || o.gateway.hasLease())
 	if a.Failure != nil {
 		a.State = s.state()
 		return a
@@ -212,11 +207,8 @@
 		}
 		return s.failureAnswer(errkind.New(kind, "the primary of group %q changed during the commit", o.db.Group))
 	}
-	if u != nil {
-		u.group.addSample(u.generation, sent, a.Position)
-		if t.wrote {
-			s.token = s.token.Max(a.Position)
-		}
+	if u != nil && t.wrote {
+		s.token = s.token.Max(a.Position)
 	}
 	a.State = s.state()
 	return a
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -28,13 +28,19 @@
 // bound reports whether the transaction has been begun at a server.
 func (t *transaction) bound() bool { return t.conn != nil }
 
-// detach removes the connection from the transaction. It also reports whether
-// the use of the primary was still valid.
-func (t *transaction) detach() (*member, *pooledConn, bool) {
+// detach removes the connection from the transaction. The use of a primary, which
+// may be nil, is left to the caller.
+func (t *transaction) detach() (*member, *pooledConn, *primaryUse) {
 	m, pc, u := t.member, t.conn, t.primaryUse
 	t.member, t.conn, t.primaryUse = nil, nil, nil
-	valid := u == nil || u.end()
-	return m, pc, valid
+	return m, pc, u
+}
+
+// detachUnfinished is detach for a transaction that does not commit.
+func (t *transaction) detachUnfinished() (*member, *pooledConn) {
+	m, pc, u := t.detach()
+	u.abandon()
+	return m, pc
 }
 
 // fail rolls the transaction back and marks it as failed. The caller still has
@@ -49,7 +55,7 @@
 	if !t.bound() {
 		return
 	}
-	m, pc, _ := t.detach()
+	m, pc := t.detachUnfinished()
 	r := rollback{m, pc}
 	go r.run()
 }
