gateway: one queue for each rank number in use, not for each number up to the highest

Cause: each server got a queue for every number from 0 to the highest rank, and Scheduler.Configure looked up each of them among the old ones and back by comparing names, so its time grew with the square of the number. SetState did so for each server under the lock of the gateway, at every change of the state.

Ruled out: refusing such a configuration, since it is valid; a bound on the number, since it tells nothing about the work.

Change: schedule.RankTable maps the numbers in use to at most 16 queues in the same order; numbers from the 16th on share the last one. The floors of all of them together are at most one half, so that many ranks leave the first one its priority. The table is made once for each configuration. With consecutive numbers, queues and floors are as before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -89,7 +89,10 @@
 	if s.Version < old.state.Version {
 		return
 	}
-	v := &view{state: s, cfg: cfg, groups: make(map[string]*groupView), changed: make(chan struct{})}
+	v := &view{state: s, cfg: cfg, ranks: old.ranks, groups: make(map[string]*groupView), changed: make(chan struct{})}
+	if cfg != old.cfg {
+		v.ranks = ranksInUse(cfg)
+	}
 	leased := g.hasLease()
 	g.updateMembers(v)
 	for name, gv := range v.groups {
@@ -116,7 +119,7 @@
 // changed its address gets a new member, with new connections. The caller holds
 // mu.
 func (g *Gateway) updateMembers(v *view) {
-	specs := ranks(v.cfg)
+	specs := rankSpecs(v.ranks)
 	for id, m := range g.members {
 		current, known := v.state.Servers[id]
 		if known && current.Address == m.server.Address && current.Born == m.server.Born {
@@ -171,7 +174,7 @@
 	}
 	g.hosts = hosts
 	v := g.view.Load()
-	specs := ranks(v.cfg)
+	specs := rankSpecs(v.ranks)
 	for _, m := range g.members {
 		m.configure(specs, v.cfg.Groups[m.server.Group], hosts)
 	}
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -99,30 +98,22 @@
 	m.setDraining(s.Draining)
 	m.assumedRTT, m.regionPenalty = opts.Place.distance(s.DataCentre)
 	m.pool = newPool(func(ctx context.Context) (Conn, error) { return opts.Connect(ctx, s) })
-	m.sched = schedule.New(schedule.Options{Slots: max(1, s.Slots), Ranks: ranks(nil), Window: floorWindow, AssumedServiceTime: assumedServiceTime})
+	m.sched = schedule.New(schedule.Options{Slots: max(1, s.Slots), Ranks: rankSpecs(schedule.RankTable{}), Window: floorWindow, AssumedServiceTime: assumedServiceTime})
 	return m
 }
 
-// rankName returns the name of a rank in the scheduler.
-func rankName(rank int) string { return strconv.Itoa(rank) }
-
-// ranks returns the scheduler ranks of a configuration, highest priority first.
-func ranks(cfg *database.Config) []schedule.RankSpec {
-	highest := 0
-	if cfg != nil {
-		for _, db := range cfg.Databases {
-			highest = max(highest, db.Rank)
-		}
-	}
-	var out []schedule.RankSpec
-	for r := 0; r <= highest; r++ {
-		spec := schedule.RankSpec{Name: rankName(r), QueueLimit: rankQueueLimit}
-		if r > 0 {
-			spec.Floor = minRankShare
-		}
-		out = append(out, spec)
+// ranksInUse returns the table of the ranks in a configuration.
+func ranksInUse(cfg *database.Config) schedule.RankTable {
+	inUse := make([]int, 0, len(cfg.Databases))
+	for _, db := range cfg.Databases {
+		inUse = append(inUse, db.Rank)
 	}
-	return out
+	return schedule.NewRankTable(inUse)
+}
+
+// rankSpecs returns the scheduler ranks of a server.
+func rankSpecs(t schedule.RankTable) []schedule.RankSpec {
+	return t.Specs(minRankShare, rankQueueLimit)
 }
 
 // maxInFlight returns how many statements outside of open transactions one host
--- a/internal/gateway/operation.go
+++ b/internal/gateway/operation.go
@@ -210,7 +210,7 @@
 	startWithin := left - min(answerReserveFactor*m.expectedAnswerTime(), left/2)
 	startCtx, cancelStart := context.WithTimeout(ctx, startWithin)
 	defer cancelStart()
-	slot, err := m.sched.Acquire(startCtx, rankName(o.db.Rank), begun.Add(startWithin))
+	slot, err := m.sched.Acquire(startCtx, o.gateway.view.Load().ranks.Name(o.db.Rank), begun.Add(startWithin))
 	o.queued += time.Since(begun)
 	o.gateway.metrics.queueWait.Update(int64(time.Since(begun)))
 	if err != nil {
@@ -435,7 +435,8 @@
 func (o *operation) recordResult(a *statement.Answer) {
 	took := clock.Now().Sub(o.started)
 	kind := resultKind(a)
-	o.gateway.metrics.count(o.db.Rank, kind, took)
+	v := o.gateway.view.Load()
+	o.gateway.metrics.count(v.ranks.Lowest(o.db.Rank), kind, took)
 	e := o.gateway.opts.Events.Sample("statement_done")
 	if kind != errkind.OK {
 		e = o.gateway.opts.Events.Event("statement_failed")
@@ -443,7 +444,6 @@
 	if e == nil {
 		return
 	}
-	v := o.gateway.view.Load()
 	e = e.Str("request", o.request.ID).Str("database", o.session.name).Str("group", o.db.Group).Stringer("statement", o.request.Kind).
 		Int("rank", o.db.Rank).Int("attempts", o.attempts).Dur("took_ms", took).Dur("queued_ms", o.queued).
 		Uint64("config_version", v.cfg.Version).Uint64("state_version", v.state.Version).
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/arbutusring/arbutusring/internal/directoryrpc"
+	"github.com/arbutusring/arbutusring/internal/schedule"
 	"github.com/arbutusring/arbutusring/pkg/database"
 )
 
@@ -12,6 +13,7 @@
 type view struct {
 	state   directoryrpc.State
 	cfg     *database.Config
+	ranks   schedule.RankTable // of cfg
 	groups  map[string]*groupView
 	changed chan struct{} // closed when a newer view replaces this one
 }
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -40,6 +40,7 @@
 	slots              int
 	busy               int
 	ranks              []*rankQueue
+	byName             map[string]*rankQueue
 	chargedUntil       time.Time // time up to which slot time has been charged
 	bucket             int
 	bucketEnd          time.Time
@@ -69,19 +70,19 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.advance()
-	old := s.ranks
-	s.ranks = nil
+	old := s.byName
+	s.ranks, s.byName = nil, make(map[string]*rankQueue, len(ranks))
 	for _, spec := range ranks {
-		r := findRank(old, spec.Name)
+		r := old[spec.Name]
 		if r == nil {
 			r = new(rankQueue)
 		}
 		r.spec = spec
-		s.ranks = append(s.ranks, r)
+		s.ranks, s.byName[spec.Name] = append(s.ranks, r), r
 	}
-	for _, r := range old {
-		if findRank(s.ranks, r.spec.Name) == nil {
-			refuseAll(r, errkind.New(errkind.Overloaded, "traffic rank %q was removed", r.spec.Name))
+	for name, r := range old {
+		if s.byName[name] == nil {
+			refuseAll(r, errkind.New(errkind.Overloaded, "traffic rank %q was removed", name))
 		}
 	}
 	s.slots = max(1, slots)
@@ -115,7 +116,7 @@
 		return nil, nil, s.closeErr
 	}
 	s.advance()
-	r := findRank(s.ranks, rank)
+	r := s.byName[rank]
 	if r == nil {
 		r = s.ranks[len(s.ranks)-1]
 	}
@@ -318,15 +319,6 @@
 	}
 }
 
-func findRank(ranks []*rankQueue, name string) *rankQueue {
-	for _, r := range ranks {
-		if r.spec.Name == name {
-			return r
-		}
-	}
-	return nil
-}
-
 func refuseAll(r *rankQueue, err error) {
 	for r.head != nil {
 		w := r.head
