process: a directory parses the configuration once, not at each step of a switchover

What callers could see: after the loss of a data centre with a long configuration in force, switchovers take longer, because the leader computes.

Cause: for the number of synchronous replicas each switchover decompressed and parsed the whole document in each round of status calls, ten times a second and group.

Change: configCache keeps the parsed configuration of the version in force.

--- a/internal/process/directory.go
+++ b/internal/process/directory.go
@@ -47,6 +47,7 @@
 	node      *consensus.Node
 	sender    *sender
 	client    *directoryrpc.Client
+	configs   configCache
 
 	mu    sync.Mutex
 	seeds []string // control addresses of the settings
@@ -59,7 +60,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Directory{base: b, opts: opts, seeds: opts.Settings.Control.PeerAddresses()}
+	p := &Directory{base: b, opts: opts, configs: configCache{parse: opts.Adapter.ParseConfig}, seeds: opts.Settings.Control.PeerAddresses()}
 	if err := p.start(); err != nil {
 		p.abort()
 		return nil, err
@@ -167,11 +168,7 @@
 // syncReplicas returns the number of synchronous replicas that the configuration
 // in force sets for group, or 0 if there is no readable configuration.
 func (p *Directory) syncReplicas(s directoryrpc.State, group string) int {
-	document, err := directoryrpc.Decompress(s.Document)
-	if err != nil || len(document) == 0 {
-		return 0
-	}
-	cfg, err := p.opts.Adapter.ParseConfig(document)
+	cfg, err := p.configs.get(s)
 	if err != nil {
 		p.log.Error().Err(err).Uint64("config_version", s.ConfigVersion).Msg("configuration in force can't be parsed; using no synchronous replicas")
 		return 0
--- a/internal/process/export_test.go
+++ b/internal/process/export_test.go
@@ -1,6 +1,16 @@
 package process
 
-import "github.com/arbutusring/arbutusring/internal/consensus"
+import (
+	"github.com/arbutusring/arbutusring/internal/consensus"
+	"github.com/arbutusring/arbutusring/internal/directoryrpc"
+	"github.com/arbutusring/arbutusring/pkg/database"
+)
+
+// CachedConfig returns a function that returns the configuration of a state through a
+// cache that parses documents with parse.
+func CachedConfig(parse func(document []byte) (*database.Config, error)) func(directoryrpc.State) (*database.Config, error) {
+	return (&configCache{parse: parse}).get
+}
 
 // NextVoter returns the id of the learner that a leader promotes, or "" for none.
 func NextVoter(st consensus.Status, dataCentres map[string]string) string {
