entry, owner: work that grows linearly with the declared ranks

What callers could see on the PostgreSQL path: after an accepted configuration with thousands of traffic ranks, entry hosts and owners compute for long at each change of the state, and an entry host may be ended for its memory.

Cause: each rank got a list of its own of all ranks before it, each lookup of a rank searched the list of all of them, and the order of ranks was compared by a difference that overflows.

The overflow was found by reading.

Change: the lists are prefixes of one list, Config indexes its ranks, and Config.RanksInOrder compares without overflow, for entry and owner.

--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"sync"
 
 	"github.com/arbutusring/arbutusring/internal/controlrpc"
@@ -15,8 +16,8 @@
 	groups  map[string]*groupView
 	changed chan struct{} // closed when a newer view replaces this one
 
-	// ranksAhead lists for each rank the ranks that owners serve before it or
-	// together with it, itself included.
+	// ranksAhead lists for each rank the ranks that owners serve before it, and
+	// itself.
 	ranksAhead map[string][]string
 
 	effective sync.Map // effectiveKey -> policy.Effective
@@ -25,12 +26,10 @@
 func newView(e *Entry, state controlrpc.State, cfg *policy.Config) *view {
 	v := &view{state: state, cfg: cfg, groups: make(map[string]*groupView), changed: make(chan struct{})}
 	v.ranksAhead = make(map[string][]string)
-	for _, r := range cfg.Ranks() {
-		for _, other := range cfg.Ranks() {
-			if other.Order <= r.Order {
-				v.ranksAhead[r.Name] = append(v.ranksAhead[r.Name], other.Name)
-			}
-		}
+	var names []string // those of all ranks share it
+	for _, r := range cfg.RanksInOrder() {
+		names = append(names, r.Name)
+		v.ranksAhead[r.Name] = slices.Clip(names)
 	}
 	for _, declared := range cfg.DatabaseGroups {
 		v.groups[declared.Name] = v.newGroupView(e, declared.Name, state.Groups[declared.Name])
--- a/internal/owner/viewbuilder.go
+++ b/internal/owner/viewbuilder.go
@@ -1,7 +1,6 @@
 package owner
 
 import (
-	"slices"
 	"time"
 
 	"github.com/arbutusring/arbutusring/internal/controlrpc"
@@ -30,9 +29,7 @@
 			v.drainingSince = old.drainingSince
 		}
 	}
-	ranks := slices.Clone(cfg.Ranks())
-	slices.SortFunc(ranks, func(a, b policy.TrafficRank) int { return a.Order - b.Order })
-	for i, r := range ranks {
+	for i, r := range cfg.RanksInOrder() {
 		eff, ok := cfg.Effective(spec.Group, r.Name)
 		if !ok {
 			// The host holds a lease for a group that the configuration
--- a/pkg/policy/effective.go
+++ b/pkg/policy/effective.go
@@ -1,5 +1,10 @@
 package policy
 
+import (
+	"cmp"
+	"slices"
+)
+
 // implicitRank is used when the configuration declares no ranks.
 var implicitRank = TrafficRank{Name: "default", Default: true}
 
@@ -20,14 +25,20 @@
 	return c.TrafficRanks
 }
 
+// RanksInOrder returns the ranks in the order in which they are served.
+func (c *Config) RanksInOrder() []TrafficRank {
+	ranks := slices.Clone(c.Ranks())
+	slices.SortStableFunc(ranks, func(a, b TrafficRank) int { return cmp.Compare(a.Order, b.Order) })
+	return ranks
+}
+
 // Rank returns the rank of that name; the empty name gives the default rank.
 func (c *Config) Rank(name string) (TrafficRank, bool) {
-	for _, r := range c.Ranks() {
-		if r.Name == name || (name == "" && r.Default) {
-			return r, true
-		}
+	i, ok := c.indexed().ranks[name]
+	if !ok {
+		return TrafficRank{}, false
 	}
-	return TrafficRank{}, false
+	return c.Ranks()[i], true
 }
 
 // Effective returns the values in effect for a rank at a group. It returns
--- a/pkg/policy/index.go
+++ b/pkg/policy/index.go
@@ -1,8 +1,11 @@
 package policy
 
+import "slices"
+
 // index speeds up lookups in a Config. It is immutable.
 type index struct {
 	groups   map[string]int // name to index in Config.DatabaseGroups
+	ranks    map[string]int // name to index in Config.Ranks; the empty name for the default rank
 	policies []compiledPolicy
 }
 
@@ -29,6 +32,13 @@
 	for i := len(c.DatabaseGroups) - 1; i >= 0; i-- {
 		x.groups[c.DatabaseGroups[i].Name] = i // the first group of a repeated name wins
 	}
+	x.ranks = make(map[string]int, len(c.TrafficRanks)+1)
+	for i, r := range slices.Backward(c.Ranks()) {
+		x.ranks[r.Name] = i
+	}
+	if i := slices.IndexFunc(c.Ranks(), func(r TrafficRank) bool { return r.Name == "" || r.Default }); i >= 0 {
+		x.ranks[""] = i
+	}
 	for i := range c.Policies {
 		p := &c.Policies[i]
 		groups, errGroups := ParseSelector(p.Groups)
--- a/pkg/policy/policy_test.go
+++ b/pkg/policy/policy_test.go
@@ -206,3 +206,28 @@
 		}
 	}
 }
+
+// TestRanksInOrder guards against an order of the ranks that overflows.
+func TestRanksInOrder(t *testing.T) {
+	is := is.New(t)
+	cfg, err := policy.Parse("F", `
+		[[traffic_rank]]
+		name = "last"
+		order = 9223372036854775807
+		[[traffic_rank]]
+		name = "first"
+		order = -9223372036854775808
+		[[traffic_rank]]
+		name = "middle"
+		order = 0
+		default = true`)
+	is.NoErr(err)
+	var names []string
+	for _, r := range cfg.RanksInOrder() {
+		names = append(names, r.Name)
+	}
+	is.Equal(names, []string{"first", "middle", "last"})
+	r, ok := cfg.Rank("")
+	is.True(ok)
+	is.Equal(r.Name, "middle")
+}
