process: several hosts that lost their disks vote again in time

What callers could see: two control hosts lose their disks at once, which must be borne; catch_up_s (6 s) later the next two do, and no majority is left (RECOVER).

Cause: the leader makes at most one change of the membership a second, and each host needs three: its earlier incarnation is removed, the new one is added and then promoted. Two hosts need six.

Change: the leader checks again at once after a change that was committed. There is still one change at a time.

--- a/internal/process/membership.go
+++ b/internal/process/membership.go
@@ -9,7 +9,8 @@
 )
 
 // membershipInterval is how often the leader checks whether the membership must
-// change.
+// change. After a change it checks at once: several hosts may have to be replaced,
+// with three changes each, before the next ones are lost.
 const membershipInterval = time.Second
 
 // membership maintains the members of the replicated log. Only the leader acts.
@@ -36,31 +37,29 @@
 // so that the membership never lacks more than that one vote.
 func (p *membership) loop(ctx context.Context) {
 	for ctx.Err() == nil {
-		if p.node.IsLeader() {
-			p.reconcile(ctx, p.node.Status())
+		if !p.node.IsLeader() || !p.reconcile(ctx, p.node.Status()) {
+			pause(ctx, membershipInterval)
 		}
-		pause(ctx, membershipInterval)
 	}
 }
 
-// reconcile makes the next change of the membership, if any.
-func (p *membership) reconcile(ctx context.Context, st consensus.Status) {
+// reconcile makes the next change of the membership, if any, and reports whether it
+// was made.
+func (p *membership) reconcile(ctx context.Context, st consensus.Status) bool {
 	if len(st.Joining) > 0 {
 		joining := st.Joining[0]
 		if old, ok := otherIncarnation(st, joining); ok {
-			p.change(ctx, consensus.Change{Kind: consensus.Remove, Member: old})
-			return
+			return p.change(ctx, consensus.Change{Kind: consensus.Remove, Member: old})
 		}
-		p.change(ctx, consensus.Change{Kind: consensus.AddLearner, Member: joining})
-		return
+		return p.change(ctx, consensus.Change{Kind: consensus.AddLearner, Member: joining})
 	}
 	if m, ok := p.nextVoter(st); ok {
-		p.change(ctx, consensus.Change{Kind: consensus.Promote, Member: m})
-		return
+		return p.change(ctx, consensus.Change{Kind: consensus.Promote, Member: m})
 	}
 	if replaced, ok := p.replacedMember(st); ok {
-		p.change(ctx, consensus.Change{Kind: consensus.Remove, Member: replaced})
+		return p.change(ctx, consensus.Change{Kind: consensus.Remove, Member: replaced})
 	}
+	return false
 }
 
 // nextVoter returns the learner to promote, if any. The number of voters is kept
@@ -138,7 +137,8 @@
 	return consensus.Member{}, false
 }
 
-func (p *membership) change(ctx context.Context, c consensus.Change) {
+// change requests a change and reports whether it was committed.
+func (p *membership) change(ctx context.Context, c consensus.Change) bool {
 	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
 	defer cancel()
 	err := p.node.ChangeMembers(ctx, c)
@@ -148,4 +148,5 @@
 	}
 	line.Err(err).Str("event", "membership_change").Str("change", string(c.Kind)).Str("member", c.Member.ID).
 		Str("incarnation", c.Member.Incarnation).Msg("requested a change of the control members")
+	return err == nil
 }
--- /dev/null
+++ b/internal/process/rejoin_test.go
@@ -0,0 +1,131 @@
+package process_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/arbutusring/arbutusring/internal/consensus"
+	"github.com/arbutusring/arbutusring/internal/directory"
+	"github.com/arbutusring/arbutusring/internal/loopback"
+	"github.com/arbutusring/arbutusring/internal/process"
+	"github.com/arbutusring/arbutusring/pkg/settings"
+	"github.com/matryer/is"
+)
+
+// catchUpTime is how long a control host that has lost its disk may take until it
+// counts again, on deployments that bear the loss of two at once.
+const catchUpTime = 6 * time.Second
+
+// directories is a set of directory processes, two in each of three data centres.
+type directories struct {
+	t         *testing.T
+	dir       string
+	ids       []string
+	addresses map[string]string
+	running   map[string]*process.Directory
+}
+
+func startDirectories(t *testing.T, n int) *directories {
+	d := &directories{t: t, dir: t.TempDir(), addresses: make(map[string]string), running: make(map[string]*process.Directory)}
+	for i := range n {
+		id := fmt.Sprint("c", i)
+		d.ids = append(d.ids, id)
+		d.addresses[id] = loopback.FreeAddress(t)
+	}
+	for _, id := range d.ids {
+		d.start(id, true, d.ids[:3])
+	}
+	t.Cleanup(func() {
+		for id := range d.running {
+			d.kill(id)
+		}
+	})
+	return d
+}
+
+// start starts a process whose settings name the given hosts as seeds.
+func (d *directories) start(id string, bootstrap bool, seeds []string) {
+	cfg := settings.Settings{
+		Host:    settings.Host{ID: id, Name: id, DataCentre: fmt.Sprint("d", slices.Index(d.ids, id)%3), Region: "r"},
+		Listen:  settings.Listen{Peers: d.addresses[id], Operators: "127.0.0.1:0"},
+		Control: settings.Control{DataFolder: filepath.Join(d.dir, id), Bootstrap: bootstrap, Members: make(map[string]string)},
+	}
+	for _, seed := range seeds {
+		cfg.Control.Members[seed] = d.addresses[seed]
+		cfg.Control.Addresses = append(cfg.Control.Addresses, d.addresses[seed])
+	}
+	p, err := process.StartDirectory(process.DirectoryOptions{Settings: cfg, Adapter: process.Adapter{
+		ControlRoutes: func(process.ControlPlane) map[string]http.HandlerFunc { return nil },
+		Promote:       func(string) func(context.Context, directory.Promotion) error { return nil },
+	}})
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	d.running[id] = p
+}
+
+// kill stops a process without a hand-over.
+func (d *directories) kill(id string) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = d.running[id].Stop(ctx) // the error says what was not finished
+	delete(d.running, id)
+}
+
+// leaderStatus returns the status of the leader, which knows the members; false if there
+// is none.
+func (d *directories) leaderStatus() (consensus.Status, bool) {
+	for _, p := range d.running {
+		if st := p.Dump().Log; st.Role == consensus.Leader && st.LeaseValid {
+			return st, true
+		}
+	}
+	return consensus.Status{}, false
+}
+
+// voters returns the number of voters that run with the incarnation that votes.
+func (d *directories) voters() int {
+	st, _ := d.leaderStatus()
+	n := 0
+	for _, m := range st.Members {
+		if p := d.running[m.ID]; p != nil && !m.Learner && p.Dump().Log.Incarnation == m.Incarnation {
+			n++
+		}
+	}
+	return n
+}
+
+// TestLostDisksReturn guards against control hosts that do not become voters again in
+// time after they lost their disks, two at once and again and again, whatever seeds
+// their settings name then.
+func TestLostDisksReturn(t *testing.T) {
+	is := is.New(t)
+	d := startDirectories(t, 6)
+	eventually(t, "five of the six hosts vote", func() bool { return d.voters() == 5 })
+	for range 3 {
+		st, ok := d.leaderStatus()
+		is.True(ok)
+		var lost []string // two voters that don't lead
+		for _, m := range st.Members {
+			if m.ID != st.ID && !m.Learner && len(lost) < 2 {
+				lost = append(lost, m.ID)
+			}
+		}
+		for _, id := range lost {
+			d.kill(id)
+			is.NoErr(os.RemoveAll(filepath.Join(d.dir, id)))
+		}
+		begun := time.Now()
+		for _, id := range lost {
+			d.start(id, false, lost)
+		}
+		eventually(t, "five hosts vote again", func() bool { return d.voters() == 5 })
+		is.True(time.Since(begun) < catchUpTime)
+	}
+}
