eventlog: a line has a bounded length

What operators could see: a database name or a request id of hundreds of kilobytes, which a configuration and a caller may choose, in every line about its statements: 20 lines a second of each kind, and 2,000 lines in memory. A process may use 184 to 804 MB.

Evidence: TestLongLine fails before the change.

Change: of a line longer than 16 KiB an event log_line_cut with its first 4 KiB is written.

--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -6,7 +6,7 @@
 // events of one kind don't displace the others. Events above the limit are
 // counted, not formatted. Writing never blocks: lines are buffered in a ring of
 // fixed size, and when the output is too slow the oldest lines are dropped and
-// counted.
+// counted. Of a line longer than 16 KiB only the beginning is written.
 //
 // # Usage
 //
@@ -73,7 +73,7 @@
 		_ = opts.Registry.Register("log.lines_dropped", l.dropped) // fails for a second log with this registry, whose counter is then not exported
 	}
 	l.writer = diode.NewWriter(opts.Output, bufferLines, 0, func(missed int) { l.countDropped(int64(missed)) })
-	l.logger = zerolog.New(l.writer).Level(opts.Level).With().Timestamp().Str("host", opts.Host).Logger()
+	l.logger = zerolog.New(newLineLimiter(l.writer, opts.Host)).Level(opts.Level).With().Timestamp().Str("host", opts.Host).Logger()
 	return l
 }
 
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -93,3 +93,27 @@
 	is.Equal(kinds["rare"], 1)
 	is.Equal(metrics.GetOrRegisterCounter("log.lines_dropped", reg).Count(), int64(1000-kinds["flood"]))
 }
+
+// TestLongLine guards against memory and output that grow with the length of a name
+// that a caller or a configuration chose.
+func TestLongLine(t *testing.T) {
+	is := is.New(t)
+	out := new(output)
+	log := eventlog.New(eventlog.Options{Output: out, Host: "h"})
+	log.Event("statement_failed").Str("request", "r1").Str("database", strings.Repeat("\"x", 500_000)).Msg("")
+	log.Event("statement_failed").Str("request", "r2").Str("database", strings.Repeat("x", 10_000)).Msg("")
+	is.NoErr(log.Close())
+	lines := out.lines()
+	is.Equal(len(lines), 2)
+	var cut struct {
+		Event, Host, Head string
+		Bytes             int
+	}
+	is.NoErr(json.Unmarshal([]byte(lines[0]), &cut))
+	is.Equal(cut.Event, "log_line_cut")
+	is.Equal(cut.Host, "h")
+	is.True(cut.Bytes > 1_000_000)
+	is.True(strings.Contains(cut.Head, `"request":"r1"`))
+	is.True(len(lines[0]) < 16<<10)
+	is.True(strings.Contains(lines[1], `"request":"r2"`) && len(lines[1]) > 10_000)
+}
