--- a/internal/consensus/discovery.go
+++ b/internal/consensus/discovery.go
@@ -38,10 +38,8 @@
 
 // sendHellos asks every known host for the leader and, if it leads, to be added.
 func (m *Machine) sendHellos() {
-	known := maps.Clone(m.peers)
-	if known == nil {
-		known = make(map[Member]struct{})
-	}
+	known := make(map[Member]struct{})
+	maps.Copy(known, m.peers)
 	for _, to := range slices.Concat(m.opts.Bootstrap, m.seeds, m.members()) {
 		if to.ID != m.self.ID {
 			known[Member{ID: to.ID, Address: to.Address}] = struct{}{}
--- a/internal/gateway/operation.go
+++ b/internal/gateway/operation.go
@@ -350,7 +350,7 @@
 	case !valid:
 		return o.session.failureAnswer(errkind.New(errkind.OutcomeUnknown, "the primary of group %q changed during the write", o.db.Group)), false
 	}
-	o.recordPosition(rt, a)
+	o.recordSuccess(rt, a)
 	a.State = o.session.state()
 	return a, false
 }
@@ -370,9 +370,9 @@
 	return u.finish(sent, a.Position)
 }
 
-// recordPosition updates the token of the session with the log position that was
+// recordSuccess updates the token of the session with the log position that was
 // returned with an answer, and counts the statement.
-func (o *operation) recordPosition(rt route, a statement.Answer) {
+func (o *operation) recordSuccess(rt route, a statement.Answer) {
 	s := o.session
 	if !rt.needsPrimary {
 		o.gateway.metrics.replicaReads.Inc(1)
--- a/internal/schedule/ranktable_test.go
+++ b/internal/schedule/ranktable_test.go
@@ -1,6 +1,7 @@
 package schedule_test
 
 import (
+	"fmt"
 	"math"
 	"slices"
 	"testing"
@@ -61,7 +62,7 @@
 	is := is.New(t)
 	specs := make([]schedule.RankSpec, 50_000)
 	for i := range specs {
-		specs[i] = schedule.RankSpec{Name: "rank " + string(rune('a'+i%26)) + time.Duration(i).String(), QueueLimit: 10}
+		specs[i] = schedule.RankSpec{Name: fmt.Sprint("rank ", i), QueueLimit: 10}
 	}
 	s := schedule.New(schedule.Options{Slots: 3, Ranks: specs})
 	begun := time.Now()
