gateway: a group whose servers have all left is still followed

Cause: a state without servers of a group had no view of it, so a switchover that began meanwhile released nothing, and the host confirmed it. When a server was back, the primary was compared with the one of the last state and not with the one that the uses had begun at.

Evidence: both cases of TestGroupWithoutServers fail before the change.

Change: every group of the state has a view, and a group keeps the id of its primary to compare with.

Result: the tests of gateway pass.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -94,6 +94,9 @@
 		v.ranks = ranksInUse(cfg)
 	}
 	leased := g.hasLease()
+	for name := range s.Groups { // also those whose servers have all left
+		v.groups[name] = new(groupView)
+	}
 	g.updateMembers(v)
 	for name, gv := range v.groups {
 		gv.group = g.group(name)
@@ -101,7 +104,7 @@
 		prev := old.state.Groups[name]
 		gv.generation, gv.switching = cur.Generation, cur.Switching || cur.Generation == 0
 		gv.primary = g.members[cur.Primary]
-		aborted := gv.group.update(cur.Generation, gv.switching, prev.Primary == cur.Primary, leased)
+		aborted := gv.group.update(cur.Generation, cur.Primary, gv.switching, leased)
 		if prev.Generation != cur.Generation {
 			g.opts.Events.Event("group_changed").Str("group", name).Uint64("generation", cur.Generation).Uint64("state_version", s.Version).
 				Str("primary", cur.Primary).Bool("switching", gv.switching).Bool("leased", leased).Int("cut_off", aborted).Msg("directory published a new generation of the group")
--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -16,6 +16,7 @@
 
 	mu                 sync.Mutex
 	generation         uint64 // of the directory's group record
+	primary            string // server id
 	switching          bool
 	releasedGeneration uint64 // answers of uses up to this generation are discarded
 	uses               map[*primaryUse]struct{}
@@ -36,22 +37,22 @@
 
 func newGroup(name string) *group { return &group{name: name, uses: make(map[*primaryUse]struct{})} }
 
-// update applies the directory's state of the group. samePrimary reports whether
-// the primary has stayed the same, and leased whether the host still has its lease.
+// update applies the directory's state of the group. leased reports whether the host
+// still has its lease.
 //
 // If the primary is another one, or may have been another one because the group
 // has changed while the host had no lease, update aborts the uses of earlier
 // generations at once and returns how many these were. It also discards the samples
 // of the earlier primary, which may include commits that its successor never
 // received. Otherwise the uses continue until Release ends them.
-func (g *group) update(generation uint64, switching, samePrimary, leased bool) (aborted int) {
+func (g *group) update(generation uint64, primary string, switching, leased bool) (aborted int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if generation != g.generation && (!samePrimary || !leased) {
+	if generation != g.generation && (primary != g.primary || !leased) {
 		_, aborted = g.abortUses(true, true)
 		g.samples, g.sampleClaimed = staleness.Samples{}, time.Time{}
 	}
-	g.generation, g.switching = generation, switching
+	g.generation, g.primary, g.switching = generation, primary, switching
 	return aborted
 }
 
--- a/internal/gateway/lapse_test.go
+++ b/internal/gateway/lapse_test.go
@@ -136,3 +136,43 @@
 		}
 	})
 }
+
+// TestGroupWithoutServers guards against a transaction that outlives its primary because
+// the host does not look at a group whose servers have all left for a moment.
+func TestGroupWithoutServers(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		states  func(group *fakeGroup) []directoryrpc.State
+		release bool
+	}{
+		{"a switchover begins meanwhile", func(group *fakeGroup) []directoryrpc.State {
+			return []directoryrpc.State{withoutServers(group.state(2, 2, "s1", true))}
+		}, true},
+		{"another primary is named meanwhile", func(group *fakeGroup) []directoryrpc.State {
+			return []directoryrpc.State{withoutServers(group.state(2, 4, "s2", false)), group.state(3, 4, "s2", false)}
+		}, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			runWithGateway(t, func(t *testing.T, is *is.I, group *fakeGroup, g *gateway.Gateway) {
+				c := open(t, g, "urgent")
+				defer c.Close()
+				c.do(statement.Begin, "BEGIN")
+				is.Equal(failureKind(c.write("a")), errkind.OK)
+				for _, s := range tc.states(group) {
+					g.SetState(s, config())
+				}
+				if tc.release {
+					g.Release()
+				}
+				is.Equal(failureKind(c.do(statement.Commit, "COMMIT")), errkind.TransactionLost)
+				is.Equal(len(group.server("s1").log), 0)
+			})
+		})
+	}
+}
+
+// withoutServers returns a state without its servers.
+func withoutServers(s directoryrpc.State) directoryrpc.State {
+	s.Servers = nil
+	return s
+}
