--- a/internal/process/rejoin_test.go
+++ b/internal/process/rejoin_test.go
@@ -129,3 +129,32 @@
 		is.True(time.Since(begun) < catchUpTime)
 	}
 }
+
+// TestRemovedHostReturns guards against a control host that stays outside for good after
+// the other one of its data centre replaced it while it was down.
+func TestRemovedHostReturns(t *testing.T) {
+	is := is.New(t)
+	d := startDirectories(t, 6)
+	eventually(t, "five of the six hosts vote", func() bool { return d.voters() == 5 })
+	st, ok := d.leaderStatus()
+	is.True(ok)
+	removed := ""
+	for i, id := range d.ids {
+		if other := d.ids[(i+3)%6]; id != st.ID && isVoter(st, id) && isVoter(st, other) {
+			removed = id
+		}
+	}
+	d.kill(removed)
+	isMember := func() bool {
+		st, ok := d.leaderStatus()
+		return ok && slices.ContainsFunc(st.Members, func(m consensus.MemberStatus) bool { return m.ID == removed })
+	}
+	eventually(t, "the host is removed", func() bool { _, ok := d.leaderStatus(); return ok && !isMember() })
+	d.start(removed, false, []string{removed})
+	eventually(t, "the host is a member again", isMember)
+}
+
+// isVoter reports whether a host votes.
+func isVoter(st consensus.Status, id string) bool {
+	return slices.ContainsFunc(st.Members, func(m consensus.MemberStatus) bool { return m.ID == id && !m.Learner })
+}
