--- a/internal/consensus/bootstrap.go
+++ b/internal/consensus/bootstrap.go
@@ -54,7 +54,7 @@
 		m.answerHello(now, msg)
 		return
 	}
-	m.learnPeers(msg.From) // it may find the leader first
+	m.learnPeers(msg.From) // the sender may find the leader first
 	if !msg.Transfer || m.coordinator() != msg.From.ID || !m.sameBootstrap(msg.Members) {
 		return
 	}
--- a/internal/consensus/discovery_test.go
+++ b/internal/consensus/discovery_test.go
@@ -70,70 +70,70 @@
 // again after it lost its disk, or was removed while it was down, because the leader
 // is not one of its seeds.
 func TestReturnWithoutLeaderAsSeed(t *testing.T) {
-	// p, q and r are followers; n has never been a member. play returns the hosts that
+	// p and q are followers; n has never been a member. play returns the hosts that
 	// must be members afterwards.
 	for _, tc := range []struct {
 		name string
-		play func(s *sim, p, q, r, n string) []string
+		play func(s *sim, p, q, n string) []string
 	}{
-		{"the seed is a follower", func(s *sim, p, q, r, n string) []string {
+		{"the seed is a follower", func(s *sim, p, q, n string) []string {
 			s.loseDisk(s.hosts[p])
 			s.restartWith(p, q)
 			return []string{p}
 		}},
-		{"a new host, the seed is a follower", func(s *sim, p, q, r, n string) []string {
+		{"a new host, the seed is a follower", func(s *sim, p, q, n string) []string {
 			s.restartWith(n, q)
 			return []string{n}
 		}},
-		{"no seed is up", func(s *sim, p, q, r, n string) []string {
+		{"no seed is up", func(s *sim, p, q, n string) []string {
 			s.loseDisk(s.hosts[p])
 			s.restartWith(p, n)
 			return []string{p}
 		}},
-		{"the only seed is the host itself", func(s *sim, p, q, r, n string) []string {
+		{"the only seed is the host itself", func(s *sim, p, q, n string) []string {
 			s.loseDisk(s.hosts[p])
 			s.restartWith(p, p)
 			return []string{p}
 		}},
-		{"the seed lost its disk too", func(s *sim, p, q, r, n string) []string {
+		{"the seed lost its disk too", func(s *sim, p, q, n string) []string {
 			s.loseDisk(s.hosts[p])
 			s.restartWith(p, p)
 			s.restartWith(n, p)
 			return []string{p, n}
 		}},
-		{"a new host is a seed of one that lost its disk", func(s *sim, p, q, r, n string) []string {
+		{"a new host is a seed of one that lost its disk", func(s *sim, p, q, n string) []string {
 			s.loseDisk(s.hosts[p])
 			s.restartWith(n, n)
 			s.restartWith(p, n)
 			return []string{p, n}
 		}},
-		{"two lost their disks and are seeds of each other", func(s *sim, p, q, r, n string) []string {
+		{"two lost their disks and are seeds of each other", func(s *sim, p, q, n string) []string {
 			s.loseDisk(s.hosts[p])
 			s.loseDisk(s.hosts[q])
 			s.restartWith(p, q)
 			s.restartWith(q, p)
 			return []string{p, q}
 		}},
-		{"the seeds are exchanged while the host waits", func(s *sim, p, q, r, n string) []string {
+		{"the seeds are exchanged while the host waits", func(s *sim, p, q, n string) []string {
 			s.restartWith(n, n)
 			s.admitJoining(3 * time.Second)
 			s.hosts[n].machine.SetSeeds([]consensus.Member{{ID: q, Address: q}})
 			return []string{n}
 		}},
-		{"removed while it was down", func(s *sim, p, q, r, n string) []string {
+		{"removed while it was down", func(s *sim, p, q, n string) []string {
 			s.crash(s.hosts[p])
 			s.removeHost(p)
 			s.restartWith(p, p)
 			return []string{p}
 		}},
-		{"removed while it was paused", func(s *sim, p, q, r, n string) []string {
+		{"removed while it was paused", func(s *sim, p, q, n string) []string {
 			s.hosts[p].paused = true
 			s.removeHost(p)
 			s.hosts[p].inbox = nil
 			s.resume(s.hosts[p])
 			return []string{p}
 		}},
-		{"removed while it ran", func(s *sim, p, q, r, n string) []string {
+		{"removed while it ran", func(s *sim, p, q, n string) []string {
 			s.removeHost(p)
 			return []string{p}
 		}},
@@ -146,7 +146,7 @@
 			s.propose()
 			l := s.leader()
 			followers := slices.DeleteFunc(slices.Clone(s.ids[:5]), func(id string) bool { return id == l.id })
-			hosts := tc.play(s, followers[0], followers[1], followers[2], "f")
+			hosts := tc.play(s, followers[0], followers[1], "f")
 			s.admitJoining(8 * time.Second)
 			s.checkMembers(is, hosts...)
 			is.Equal(s.leader(), l) // the return caused no election
