consensus, process: failed elections and refused calls to control leave a line

The record of the incident could not tell a control host that counts but never answers from an election that fails among hosts that do answer: a candidate logged its role only. A read of the configuration that was answered 503 left no line at all, so a leader that isn't found could not be seen either.

election_failed names the voters that granted, refused or did not answer, at most once a second. control_call_failed has the call, the leader and the addresses that this host knows, within the bound of its kind. membership_change has the number of voters after the change. No decision changes.

--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -90,6 +90,13 @@
 	return n >= m.members().quorum()
 }
 
+// recordRefusal records that a voter refused its vote, unless it has granted one.
+func (m *Machine) recordRefusal(key string) {
+	if _, answered := m.votes[key]; !answered && m.votes != nil {
+		m.votes[key] = false
+	}
+}
+
 // upToDate reports whether the log of the candidate is at least as up to date as
 // the log of this host.
 func (m *Machine) upToDate(msg Message) bool {
@@ -110,6 +117,7 @@
 
 func (m *Machine) handlePreVoteReply(now time.Time, msg Message) {
 	if msg.Reject {
+		m.recordRefusal(msg.From.key())
 		if msg.Term > m.term {
 			m.becomeFollower(now, msg.Term)
 		}
@@ -140,6 +148,9 @@
 }
 
 func (m *Machine) handleVoteReply(now time.Time, msg Message) {
+	if msg.Reject {
+		m.recordRefusal(msg.From.key())
+	}
 	if m.role == Candidate && !msg.Reject && m.countVote(msg.From.key()) {
 		m.becomeLeader(now)
 	}
--- a/internal/consensus/machine.go
+++ b/internal/consensus/machine.go
@@ -43,7 +43,8 @@
 	lastLeaderContact time.Time // last message from a leader, or the start of the machine
 	electionAt        time.Time // when an election starts unless a leader makes contact
 
-	votes map[string]bool // as candidate, by member key
+	votes          map[string]bool // as candidate, by member key; false for a refusal
+	failedElection *FailedElection // for the next Output
 
 	// As leader:
 	progress           map[string]*progress // of the other members, by key
@@ -205,6 +206,7 @@
 	case m.role == Leader:
 		m.tickLeader(now)
 	case !now.Before(m.electionAt):
+		m.recordFailedElection()
 		m.resetElection(now)
 		if m.outOfContact(now) {
 			m.sendHellos()
@@ -267,6 +269,7 @@
 	}
 	out.Messages, m.messages = m.messages, nil
 	out.Violations, m.violations = m.violations, nil
+	out.FailedElection, m.failedElection = m.failedElection, nil
 	return out
 }
 
--- a/internal/consensus/machine_test.go
+++ b/internal/consensus/machine_test.go
@@ -112,3 +112,29 @@
 	is.True(s.leader() != nil && s.leader().machine.Term() > 2)
 	s.settle()
 }
+
+// TestFailedElectionNamesVoters guards against an election without a majority that
+// leaves no trace of which voters refused and which did not answer.
+func TestFailedElectionNamesVoters(t *testing.T) {
+	is := is.New(t)
+	s := newSim(1, "", 4, 0)
+	s.run(200 * time.Millisecond)
+	m := s.hosts["a"].machine
+	now := s.hosts["a"].localTime(s.now).Add(2 * simElectionTimeout)
+	m.Tick(now)
+	is.Equal(m.Role(), consensus.PreCandidate)
+	is.True(m.Output(now).FailedElection == nil) // it has only begun
+	reply := func(id string, reject bool, term uint64) {
+		m.Step(now, consensus.Message{
+			Kind: consensus.MessagePreVoteReply, Reject: reject, Term: term,
+			From: consensus.Member{ID: id, Incarnation: s.hosts[id].incarnation},
+			To:   consensus.Member{ID: "a", Incarnation: s.hosts["a"].incarnation},
+		})
+	}
+	reply("b", false, m.Term()+1)
+	reply("c", true, m.Term())
+	m.Tick(now.Add(2 * simElectionTimeout))
+	is.Equal(m.Output(now).FailedElection, &consensus.FailedElection{
+		Term: m.Term(), PreVote: true, Quorum: 3, Granted: []string{"a@a1", "b@b1"}, Refused: []string{"c@c1"}, Silent: []string{"d@d1"},
+	})
+}
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -53,6 +53,8 @@
 	writes          writeStats
 	joinLogged      bool   // that this host asks to be added was logged since the last contact with a leader
 	snapshot        uint64 // index of the newest durable snapshot
+
+	failedElectionLogged time.Time // last log line about a failed election
 }
 
 // Start opens the data folder and starts the node.
--- a/internal/consensus/node_loop.go
+++ b/internal/consensus/node_loop.go
@@ -104,6 +104,7 @@
 	for _, v := range out.Violations {
 		n.opts.Logger.Error().Str("event", "protocol_violation").Str("id", n.self.ID).Str("violation", v).Msg("ignoring a message that contradicts the protocol")
 	}
+	n.logFailedElection(out.FailedElection)
 	if err := n.write(out); err != nil {
 		return err
 	}
@@ -124,6 +125,21 @@
 	return n.maybeSnapshot()
 }
 
+// failedElectionLogInterval is the shortest time between two log lines about failed
+// elections, which may follow each other within the election timeout.
+const failedElectionLogInterval = time.Second
+
+// logFailedElection logs which voters kept this host from being elected.
+func (n *Node) logFailedElection(f *FailedElection) {
+	if f == nil || clock.Now().Sub(n.failedElectionLogged) < failedElectionLogInterval {
+		return
+	}
+	n.failedElectionLogged = clock.Now()
+	n.opts.Logger.Warn().Str("event", "election_failed").Str("id", n.self.ID).Uint64("term", f.Term).Bool("pre_vote", f.PreVote).
+		Int("quorum", f.Quorum).Strs("granted", f.Granted).Strs("refused", f.Refused).Strs("silent", f.Silent).
+		Msg("too few voters granted their vote in time")
+}
+
 // write makes the state, the snapshot and the entries of the output durable, and
 // restores an installed snapshot.
 func (n *Node) write(out Output) error {
--- a/internal/consensus/output.go
+++ b/internal/consensus/output.go
@@ -16,4 +16,7 @@
 	// Violations describes received messages that contradict the protocol and were
 	// ignored: a peer is faulty, or a disk has lost what was synced.
 	Violations []string
+	// FailedElection is the last election that this host started and that found no
+	// majority in time; nil for none.
+	FailedElection *FailedElection
 }
--- a/internal/process/directory.go
+++ b/internal/process/directory.go
@@ -184,36 +184,53 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	sentAt := time.Now()
 	reply, err := p.leaderClient().Announce(ctx, &directoryrpc.AnnounceArgs{Server: s, Gone: gone})
-	if err != nil {
-		return err
+	if err == nil {
+		err = kindError(reply.Kind, reply.Detail)
 	}
-	return kindError(reply.Kind, reply.Detail)
+	p.logFailedCall("announce", sentAt, err)
+	return err
 }
 
 func (p *Directory) put(ctx context.Context, version uint64, document []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	sentAt := time.Now()
 	reply, err := p.leaderClient().Put(ctx, &directoryrpc.PutArgs{Version: version, Document: directoryrpc.Compress(document)})
-	if err != nil {
-		return err
+	if err == nil {
+		err = kindError(reply.Kind, reply.Detail)
 	}
-	return kindError(reply.Kind, reply.Detail)
+	p.logFailedCall("put", sentAt, err)
+	return err
 }
 
 func (p *Directory) get(ctx context.Context) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	sentAt := time.Now()
 	reply, err := p.leaderClient().Get(ctx, &directoryrpc.GetArgs{})
-	if err != nil {
-		return nil, err
+	if err == nil {
+		err = kindError(reply.Kind, reply.Detail)
 	}
-	if err := kindError(reply.Kind, reply.Detail); err != nil || reply.Version == 0 {
+	p.logFailedCall("get", sentAt, err)
+	if err != nil || reply.Version == 0 {
 		return nil, err
 	}
 	return directoryrpc.Decompress(reply.Document)
 }
 
+// logFailedCall logs a call to the leader on behalf of a backend server or operator
+// that failed with err, with the leader and the members that this host knows of.
+func (p *Directory) logFailedCall(call string, sentAt time.Time, err error) {
+	if err == nil {
+		return
+	}
+	leader, _ := p.node.Leader()
+	p.opts.Events.Event("control_call_failed").Str("call", call).Str("leader", leader.Address).Strs("asked", p.addresses()).
+		Dur("took_ms", time.Since(sentAt)).Err(err).Msg("a call to the control leader failed")
+}
+
 // kindError returns the error that a reply carries, or nil for errkind.OK.
 func kindError(kind errkind.Kind, detail string) error {
 	if kind == errkind.OK {
--- a/internal/process/membership.go
+++ b/internal/process/membership.go
@@ -147,6 +147,6 @@
 		line = p.log.Warn()
 	}
 	line.Err(err).Str("event", "membership_change").Str("change", string(c.Kind)).Str("member", c.Member.ID).
-		Str("incarnation", c.Member.Incarnation).Msg("requested a change of the control members")
+		Str("incarnation", c.Member.Incarnation).Int("voters", countVoters(p.node.Status())).Msg("requested a change of the control members")
 	return err == nil
 }
--- a/internal/process/rejoin_test.go
+++ b/internal/process/rejoin_test.go
@@ -1,19 +1,24 @@
 package process_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/arbutusring/arbutusring/internal/consensus"
 	"github.com/arbutusring/arbutusring/internal/directory"
+	"github.com/arbutusring/arbutusring/internal/eventlog"
 	"github.com/arbutusring/arbutusring/internal/loopback"
 	"github.com/arbutusring/arbutusring/internal/process"
+	"github.com/arbutusring/arbutusring/pkg/errkind"
 	"github.com/arbutusring/arbutusring/pkg/settings"
 	"github.com/matryer/is"
 )
@@ -158,3 +163,50 @@
 func isVoter(st consensus.Status, id string) bool {
 	return slices.ContainsFunc(st.Members, func(m consensus.MemberStatus) bool { return m.ID == id && !m.Learner })
 }
+
+// TestFailedReadIsLogged guards against a refused read of the configuration that leaves
+// no trace.
+func TestFailedReadIsLogged(t *testing.T) {
+	is := is.New(t)
+	var out lockedBuffer
+	events := eventlog.New(eventlog.Options{Output: &out, Host: "c0"})
+	var plane process.ControlPlane
+	p, err := process.StartDirectory(process.DirectoryOptions{
+		Settings: settings.Settings{
+			Host:    settings.Host{ID: "c0", Name: "c0", DataCentre: "d", Region: "r"},
+			Listen:  settings.Listen{Peers: "127.0.0.1:0", Operators: "127.0.0.1:0"},
+			Control: settings.Control{DataFolder: t.TempDir()}, // an empty host that nobody adds
+		},
+		Adapter: process.Adapter{
+			ControlRoutes: func(c process.ControlPlane) map[string]http.HandlerFunc { plane = c; return nil },
+			Promote:       func(string) func(context.Context, directory.Promotion) error { return nil },
+		},
+		Events: events,
+	})
+	is.NoErr(err)
+	_, err = plane.Get(t.Context())
+	is.Equal(errkind.Of(err), errkind.NotLeader)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_ = p.Stop(ctx) // the error says what was not finished
+	is.NoErr(events.Close())
+	is.True(strings.Contains(out.String(), `"event":"control_call_failed","call":"get"`))
+}
+
+// lockedBuffer is a buffer that the event log writes to in the background.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
