wal: the files of a log go through a small interface, so that a test can lose power

No change of behaviour. internal/wal used the os package directly, so the model test could only close and reopen a folder. fileSystem and file hold the seven operations that the log needs; osFiles is the only implementation outside of tests. The folder itself and its lock stay with the operating system.

--- a/internal/wal/files.go
+++ b/internal/wal/files.go
@@ -5,24 +5,11 @@
 	"path/filepath"
 )
 
-// syncDir makes the directory entries of a folder durable.
-func syncDir(dir string) error {
-	f, err := os.Open(dir)
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	err = f.Sync()
-	if cerr := f.Close(); err == nil {
-		err = cerr
-	}
-	return Error.Wrap(err)
-}
-
 // writeFileAtomic atomically and durably replaces the content of the file at path
 // with data.
-func writeFileAtomic(path string, data []byte) error {
+func writeFileAtomic(fs fileSystem, path string, data []byte) error {
 	temp := path + tempSuffix
-	f, err := os.OpenFile(temp, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
+	f, err := fs.OpenFile(temp, os.O_CREATE|os.O_TRUNC|os.O_WRONLY)
 	if err != nil {
 		return Error.Wrap(err)
 	}
@@ -36,20 +23,20 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	if err := os.Rename(temp, path); err != nil {
+	if err := fs.Rename(temp, path); err != nil {
 		return Error.Wrap(err)
 	}
-	return syncDir(filepath.Dir(path))
+	return Error.Wrap(fs.SyncDir(filepath.Dir(path)))
 }
 
 // removeTemporary removes the unfinished files that a crash left behind.
-func removeTemporary(dir string) error {
-	names, err := filepath.Glob(filepath.Join(dir, "*"+tempSuffix))
+func removeTemporary(fs fileSystem, dir string) error {
+	names, err := fs.Glob(filepath.Join(dir, "*"+tempSuffix))
 	if err != nil {
 		return Error.Wrap(err)
 	}
 	for _, path := range names {
-		if err := os.Remove(path); err != nil {
+		if err := fs.Remove(path); err != nil {
 			return Error.Wrap(err)
 		}
 	}
@@ -71,8 +58,8 @@
 		return Error.Wrap(err)
 	}
 	for _, parent := range parents {
-		if err := syncDir(parent); err != nil {
-			return err
+		if err := (osFiles{}).SyncDir(parent); err != nil {
+			return Error.Wrap(err)
 		}
 	}
 	return nil
--- a/internal/wal/identity.go
+++ b/internal/wal/identity.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"io/fs"
-	"os"
 	"path/filepath"
 )
 
@@ -27,11 +26,11 @@
 
 // loadIdentity reads the identity of the folder. If there is none and the folder
 // holds no log files, it creates one; created reports whether it did.
-func loadIdentity(dir, host string) (id Identity, created bool, err error) {
+func loadIdentity(files fileSystem, dir, host string) (id Identity, created bool, err error) {
 	path := filepath.Join(dir, identityFile)
-	b, err := os.ReadFile(path)
+	b, err := files.ReadFile(path)
 	if errors.Is(err, fs.ErrNotExist) {
-		id, err = createIdentity(dir, path, host)
+		id, err = createIdentity(files, dir, path, host)
 		return id, true, err
 	}
 	if err != nil {
@@ -51,9 +50,9 @@
 
 // createIdentity creates an identity with a random incarnation. It refuses a
 // folder that holds log files.
-func createIdentity(dir, path, host string) (Identity, error) {
+func createIdentity(files fileSystem, dir, path, host string) (Identity, error) {
 	for _, pattern := range []string{segmentPattern, snapshotPattern} {
-		names, err := filepath.Glob(filepath.Join(dir, pattern))
+		names, err := files.Glob(filepath.Join(dir, pattern))
 		if err != nil {
 			return Identity{}, Error.Wrap(err)
 		}
@@ -64,13 +63,13 @@
 	random := make([]byte, 16)
 	_, _ = rand.Read(random) // never returns an error: it aborts the program instead
 	id := Identity{Host: host, Incarnation: hex.EncodeToString(random)}
-	return id, id.save(dir)
+	return id, id.save(files, dir)
 }
 
-func (id *Identity) save(dir string) error {
+func (id *Identity) save(files fileSystem, dir string) error {
 	b, err := json.Marshal(id)
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	return writeFileAtomic(filepath.Join(dir, identityFile), append(b, '\n'))
+	return writeFileAtomic(files, filepath.Join(dir, identityFile), append(b, '\n'))
 }
--- a/internal/wal/log.go
+++ b/internal/wal/log.go
@@ -16,7 +16,7 @@
 	opts      Options
 	lock      *folderLock
 	segments  []segment // the last one is open for appending
-	file      *os.File
+	file      file
 	hardState HardState
 	buf       []byte
 
@@ -32,6 +32,9 @@
 	if opts.SegmentBytes <= 0 {
 		opts.SegmentBytes = defaultSegmentBytes
 	}
+	if opts.files == nil {
+		opts.files = osFiles{}
+	}
 	if err := makeDir(opts.Dir); err != nil {
 		return nil, nil, err
 	}
@@ -49,19 +52,19 @@
 }
 
 func (l *Log) load() (*Contents, error) {
-	dir := l.opts.Dir
-	if err := removeTemporary(dir); err != nil {
+	dir, files := l.opts.Dir, l.opts.files
+	if err := removeTemporary(files, dir); err != nil {
 		return nil, err
 	}
 	c := new(Contents)
 	var err error
-	if c.Identity, c.Created, err = loadIdentity(dir, l.opts.Host); err != nil {
+	if c.Identity, c.Created, err = loadIdentity(files, dir, l.opts.Host); err != nil {
 		return nil, err
 	}
-	if c.Snapshot, err = loadSnapshot(dir); err != nil {
+	if c.Snapshot, err = loadSnapshot(files, dir); err != nil {
 		return nil, err
 	}
-	if l.segments, err = listSegments(dir); err != nil {
+	if l.segments, err = listSegments(files, dir); err != nil {
 		return nil, err
 	}
 	if c.Identity.Ready && len(l.segments) == 0 {
@@ -70,7 +73,7 @@
 	r := new(replay)
 	for i := range l.segments {
 		last := i == len(l.segments)-1
-		truncatedBytes, err := l.segments[i].load(r, last)
+		truncatedBytes, err := l.segments[i].load(files, r, last)
 		if err != nil {
 			return nil, err
 		}
@@ -85,7 +88,7 @@
 		return c, err
 	}
 	c.Identity.Ready = true
-	return c, c.Identity.save(dir)
+	return c, c.Identity.save(files, dir)
 }
 
 // openLast opens the last segment for appending. It starts a new segment if
@@ -103,7 +106,7 @@
 		l.segments = l.segments[:n-1]
 		return l.startSegment(number)
 	}
-	f, err := os.OpenFile(last.path, os.O_WRONLY|os.O_APPEND, 0)
+	f, err := l.opts.files.OpenFile(last.path, os.O_WRONLY|os.O_APPEND)
 	if err != nil {
 		return Error.Wrap(err)
 	}
@@ -118,7 +121,7 @@
 // that older segments can be removed.
 func (l *Log) startSegment(number uint64) error {
 	path := segmentPath(l.opts.Dir, number)
-	f, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY|os.O_APPEND, 0o600)
+	f, err := l.opts.files.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY|os.O_APPEND)
 	if err != nil {
 		return Error.Wrap(err)
 	}
@@ -132,7 +135,7 @@
 	if err := l.flushRecord(); err != nil {
 		return err
 	}
-	return syncDir(l.opts.Dir)
+	return Error.Wrap(l.opts.files.SyncDir(l.opts.Dir))
 }
 
 // beginRecord starts a new record in buf.
@@ -197,10 +200,10 @@
 	if err := l.failure(); err != nil {
 		return err
 	}
-	if err := writeSnapshot(l.opts.Dir, s); err != nil {
+	if err := writeSnapshot(l.opts.files, l.opts.Dir, s); err != nil {
 		return l.recordFailure(err)
 	}
-	return l.recordFailure(removeOldSnapshots(l.opts.Dir, s.Index))
+	return l.recordFailure(removeOldSnapshots(l.opts.files, l.opts.Dir, s.Index))
 }
 
 // Reset empties the log: the next entry is index+1. A snapshot of index must
@@ -221,13 +224,13 @@
 		return err
 	}
 	for len(l.segments) > 1 && l.segments[0].maxIndex <= index {
-		if err := os.Remove(l.segments[0].path); err != nil {
+		if err := l.opts.files.Remove(l.segments[0].path); err != nil {
 			return l.recordFailure(Error.Wrap(err))
 		}
 		// Without the sync, a crash could restore this segment although the next
 		// one is gone.
-		if err := syncDir(l.opts.Dir); err != nil {
-			return l.recordFailure(err)
+		if err := l.opts.files.SyncDir(l.opts.Dir); err != nil {
+			return l.recordFailure(Error.Wrap(err))
 		}
 		l.segments = l.segments[1:]
 	}
--- a/internal/wal/segment.go
+++ b/internal/wal/segment.go
@@ -25,8 +25,8 @@
 
 // listSegments returns the segments in order, without reading them. It returns
 // an error if their numbers are not consecutive.
-func listSegments(dir string) ([]segment, error) {
-	names, err := filepath.Glob(filepath.Join(dir, segmentPattern))
+func listSegments(fs fileSystem, dir string) ([]segment, error) {
+	names, err := fs.Glob(filepath.Join(dir, segmentPattern))
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
@@ -46,8 +46,8 @@
 
 // load replays the segment. Only the last segment may end with a torn record;
 // load truncates it and returns the number of bytes removed.
-func (s *segment) load(r *replay, last bool) (truncatedBytes int64, err error) {
-	b, err := os.ReadFile(s.path)
+func (s *segment) load(fs fileSystem, r *replay, last bool) (truncatedBytes int64, err error) {
+	b, err := fs.ReadFile(s.path)
 	if err != nil {
 		return 0, Error.Wrap(err)
 	}
@@ -69,13 +69,13 @@
 	}
 	s.size = int64(off)
 	if off < len(b) {
-		return int64(len(b) - off), truncateFile(s.path, s.size)
+		return int64(len(b) - off), truncateFile(fs, s.path, s.size)
 	}
 	return 0, nil
 }
 
-func truncateFile(path string, size int64) error {
-	f, err := os.OpenFile(path, os.O_WRONLY, 0)
+func truncateFile(fs fileSystem, path string, size int64) error {
+	f, err := fs.OpenFile(path, os.O_WRONLY)
 	if err != nil {
 		return Error.Wrap(err)
 	}
--- a/internal/wal/snapshot.go
+++ b/internal/wal/snapshot.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io/fs"
-	"os"
 	"path/filepath"
 )
 
@@ -42,23 +41,23 @@
 
 // writeSnapshot writes s under a temporary name, syncs it, renames it and
 // syncs the folder. A crash leaves either no snapshot file or a complete one.
-func writeSnapshot(dir string, s *Snapshot) error {
+func writeSnapshot(files fileSystem, dir string, s *Snapshot) error {
 	record, err := encodeRecord(s.encode())
 	if err != nil {
 		return err
 	}
-	return writeFileAtomic(filepath.Join(dir, fmt.Sprintf(snapshotFormat, s.Index, s.Term)), record)
+	return writeFileAtomic(files, filepath.Join(dir, fmt.Sprintf(snapshotFormat, s.Index, s.Term)), record)
 }
 
 // loadSnapshot returns the newest snapshot, or nil if there is none. It refuses
 // a damaged snapshot, because the log entries that it replaces may be gone.
-func loadSnapshot(dir string) (*Snapshot, error) {
-	names, err := filepath.Glob(filepath.Join(dir, snapshotPattern))
+func loadSnapshot(files fileSystem, dir string) (*Snapshot, error) {
+	names, err := files.Glob(filepath.Join(dir, snapshotPattern))
 	if err != nil || len(names) == 0 {
 		return nil, Error.Wrap(err)
 	}
 	path := names[len(names)-1] // Glob sorts, and the index has a fixed width
-	b, err := os.ReadFile(path)
+	b, err := files.ReadFile(path)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
@@ -74,8 +73,8 @@
 }
 
 // removeOldSnapshots removes the snapshot files of entries before index.
-func removeOldSnapshots(dir string, index uint64) error {
-	names, err := filepath.Glob(filepath.Join(dir, snapshotPattern))
+func removeOldSnapshots(files fileSystem, dir string, index uint64) error {
+	names, err := files.Glob(filepath.Join(dir, snapshotPattern))
 	if err != nil {
 		return Error.Wrap(err)
 	}
@@ -84,7 +83,7 @@
 		if _, err := fmt.Sscanf(filepath.Base(path), snapshotFormat, &i, &t); err != nil || i >= index {
 			continue
 		}
-		if err := os.Remove(path); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		if err := files.Remove(path); err != nil && !errors.Is(err, fs.ErrNotExist) {
 			return Error.Wrap(err)
 		}
 	}
