wal: Open makes durable what it found before it returns

What callers saw: nothing yet; found by the extended model. A process that is killed between a write and its fsync, or between a rename and the sync of the folder, leaves data that the next process sees but that a loss of power drops.

Change: Open syncs the folder before it reads it, and the last segment before it returns or resets it.

--- a/internal/wal/log.go
+++ b/internal/wal/log.go
@@ -53,6 +53,11 @@
 
 func (l *Log) load() (*Contents, error) {
 	dir, files := l.opts.Dir, l.opts.files
+	// A process that was killed may have left names that are not durable yet. What
+	// follows depends on them.
+	if err := files.SyncDir(dir); err != nil {
+		return nil, Error.Wrap(err)
+	}
 	if err := removeTemporary(files, dir); err != nil {
 		return nil, err
 	}
@@ -111,6 +116,9 @@
 		return Error.Wrap(err)
 	}
 	l.file = f
+	if err := f.Sync(); err != nil { // the last record of a process that was killed
+		return Error.Wrap(err)
+	}
 	if uint64(len(r.entries)) == 0 && r.base > 0 {
 		return l.Reset(r.base, 0) // replay ignores the term
 	}
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -12,9 +12,11 @@
 // # Durability
 //
 // Save, SaveSnapshot and Reset return only after fsync of the file, and of the
-// folder if a file was created or renamed. After a failed write or fsync the log
-// refuses all further writes: the kernel may have dropped the dirty pages, so a
-// second fsync would report success for data that is not on disk.
+// folder if a file was created or renamed. Open syncs the folder and the last
+// segment before it returns what it found, because a process that was killed may
+// have written it without a sync. After a failed write or fsync the log refuses all
+// further writes: the kernel may have dropped the dirty pages, so a second fsync
+// would report success for data that is not on disk.
 //
 // # Records
 //
