consensus: the simulation loses the power of all hosts and up to two disks

TestElectionAfterPowerLoss plays a past (changes, transfers, lost disks, removed members, leaders cut off with an uncommitted change, a higher term that can't win), then all hosts lose power at once, up to two of 5 or 6 and more voters lose their disk, all return within 0.5 s, with 3% loss, disks whose first writes take 100 ms, senders with four workers that wait 300 ms for a machine without power, and messages of before that arrive up to 2 s late. A leader must have committed an entry of its term 3 s after the last host is back, and keep its leadership for 3 s more.

With two disks lost each of the others must vote, and a message of an election is sent once: one lost reply or one refusal right after a start costs a whole election timeout.

--- a/internal/consensus/sim_test.go
+++ b/internal/consensus/sim_test.go
@@ -35,6 +35,10 @@
 	cutLinks      map[[2]string]bool
 	commandCount  int // number of commands proposed
 
+	lose      func(msg consensus.Message) bool // further messages that are lost; nil for none
+	slowWrite time.Duration                    // duration of a write while slowWrites of the host is positive
+	senders   map[[2]string]*simSender         // nil: messages don't wait for each other
+
 	earlyDiskLoss   string // host that lost its disk before the first commit
 	keepIncarnation bool   // a host that lost its disk keeps its incarnation
 
@@ -60,6 +64,9 @@
 	paused           bool
 	inbox            []consensus.Message // messages received while paused
 	crashAt          int                 // step of the next output at which the process crashes; 0 for none
+	slowWrites       int                 // further writes that take slowWrite
+	busyUntil        time.Duration       // end of a slow write; 0 for none
+	returnAt         time.Duration       // while the machine has no power: when the process starts again
 
 	start  time.Duration // start of the process
 	origin time.Time     // local clock at start
@@ -139,6 +146,7 @@
 // crash ends the process of a host; its disk stays.
 func (s *sim) crash(h *simHost) {
 	h.machine, h.paused, h.inbox = nil, false, nil
+	h.busyUntil, h.slowWrites = 0, 0
 	h.leaseUntil = time.Time{}
 }
 
@@ -186,7 +194,7 @@
 		}
 		for _, id := range s.ids {
 			if h := s.hosts[id]; h.machine != nil && !h.paused {
-				next = min(next, h.nextTick())
+				next = min(next, max(h.nextTick(), h.busyUntil))
 			}
 		}
 		s.now = max(s.now, next)
@@ -199,7 +207,12 @@
 		}
 		for _, id := range s.ids {
 			h := s.hosts[id]
-			if h.machine != nil && !h.paused && h.nextTick() <= s.now {
+			if h.machine == nil || h.paused || h.busyUntil > s.now {
+				continue
+			}
+			if h.busyUntil > 0 {
+				s.endWrite(h)
+			} else if h.nextTick() <= s.now {
 				h.machine.Tick(h.localTime(s.now))
 				s.output(h)
 			}
@@ -207,11 +220,12 @@
 	}
 }
 
-// deliver passes a message to a host, or queues it while the host is paused.
+// deliver passes a message to a host, or queues it while the host is paused or
+// waits for its disk.
 func (s *sim) deliver(h *simHost, msg consensus.Message) {
 	switch {
 	case h.machine == nil:
-	case h.paused:
+	case h.paused, h.busyUntil > 0:
 		h.inbox = append(h.inbox, msg)
 	default:
 		h.machine.Step(h.localTime(s.now), msg)
@@ -256,6 +270,9 @@
 		s.checkSnapshot(h, out.Install)
 	}
 	s.persist(h, out.Entries)
+	if out.HardState != nil || out.Install != nil || len(out.Entries) > 0 {
+		s.startWrite(h)
+	}
 	if crashed(3) {
 		return
 	}
@@ -318,19 +335,29 @@
 
 // transmit sends a message, which may be lost, duplicated or delayed.
 func (s *sim) transmit(msg consensus.Message) {
-	if s.rand.Float64() < s.lossRate {
+	if s.rand.Float64() < s.lossRate || s.lose != nil && s.lose(msg) {
 		return
 	}
 	copies := 1
 	if s.rand.Float64() < s.duplicateRate {
 		copies = 2
 	}
+	var written time.Duration // what is left of the write that the message waits for
+	if h := s.hosts[msg.From.ID]; h.busyUntil > 0 {
+		written = h.busyUntil - s.now
+	}
 	for range copies {
 		delay := time.Millisecond + time.Duration(s.rand.Int64N(int64(20*time.Millisecond)))
 		if s.rand.Float64() < s.delayRate {
 			delay += time.Duration(s.rand.Int64N(int64(time.Second)))
 		}
-		at := s.now + delay
+		at := s.now + written + delay
+		if s.senders != nil {
+			var ok bool
+			if at, ok = s.queue(msg, s.now+written, delay); !ok {
+				continue
+			}
+		}
 		i, _ := slices.BinarySearchFunc(s.inTransit, at, func(m simMessage, at time.Duration) int { return int(m.at - at) })
 		s.inTransit = slices.Insert(s.inTransit, i, simMessage{at, msg})
 	}
