process: the decision on the membership has no side effects

reconcile decided and executed in one function, so a simulation could not use it. nextChange now returns the next change, or none, for a status; reconcile executes it. No change of behaviour.

--- a/internal/process/export_test.go
+++ b/internal/process/export_test.go
@@ -12,6 +12,12 @@
 	return (&configCache{parse: parse}).get
 }
 
+// NextChange returns the change of the membership that a leader makes next; false for
+// none.
+func NextChange(st consensus.Status, dataCentres map[string]string) (consensus.Change, bool) {
+	return (&membership{dataCentres: func() map[string]string { return dataCentres }, replaceTimeout: voterReplaceTimeout}).nextChange(st)
+}
+
 // NextVoter returns the id of the learner that a leader promotes, or "" for none.
 func NextVoter(st consensus.Status, dataCentres map[string]string) string {
 	m, _ := (&membership{dataCentres: func() map[string]string { return dataCentres }, replaceTimeout: voterReplaceTimeout}).nextVoter(st)
--- a/internal/process/membership.go
+++ b/internal/process/membership.go
@@ -37,7 +37,7 @@
 // so that the membership never lacks more than that one vote.
 func (p *membership) loop(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !p.node.IsLeader() || !p.reconcile(ctx, p.node.Status()) {
+		if !p.node.IsLeader() || !p.reconcile(ctx) {
 			pause(ctx, membershipInterval)
 		}
 	}
@@ -45,21 +45,27 @@
 
 // reconcile makes the next change of the membership, if any, and reports whether it
 // was made.
-func (p *membership) reconcile(ctx context.Context, st consensus.Status) bool {
+func (p *membership) reconcile(ctx context.Context) bool {
+	c, ok := p.nextChange(p.node.Status())
+	return ok && p.change(ctx, c)
+}
+
+// nextChange returns the next change of the membership, if any.
+func (p *membership) nextChange(st consensus.Status) (consensus.Change, bool) {
 	if len(st.Joining) > 0 {
 		joining := st.Joining[0]
 		if old, ok := otherIncarnation(st, joining); ok {
-			return p.change(ctx, consensus.Change{Kind: consensus.Remove, Member: old})
+			return consensus.Change{Kind: consensus.Remove, Member: old}, true
 		}
-		return p.change(ctx, consensus.Change{Kind: consensus.AddLearner, Member: joining})
+		return consensus.Change{Kind: consensus.AddLearner, Member: joining}, true
 	}
 	if m, ok := p.nextVoter(st); ok {
-		return p.change(ctx, consensus.Change{Kind: consensus.Promote, Member: m})
+		return consensus.Change{Kind: consensus.Promote, Member: m}, true
 	}
 	if replaced, ok := p.replacedMember(st); ok {
-		return p.change(ctx, consensus.Change{Kind: consensus.Remove, Member: replaced})
+		return consensus.Change{Kind: consensus.Remove, Member: replaced}, true
 	}
-	return false
+	return consensus.Change{}, false
 }
 
 // nextVoter returns the learner to promote, if any. The number of voters is kept
