consensus, process: learners become voters while entries are on their way

On a site with six control hosts the membership stayed at three voters and three learners while the log was busy, so the loss of two disks took the majority. Cause: nextVoter took a learner as caught up only if it held every committed entry at the instant of the check, once a second. With an entry always on its way (every 3 ms, 20 ms between regions) it never did. A learner that had stopped, on an idle log, counted as caught up; its promotion was refused each second, before the removal of members. Change: the status names the learners whose promotion the machine accepts (64 entries, an answer within the election timeout), and nextVoter uses that. The table of TestMembershipChanges sets the new field instead of relying on Match; its cases and expectations are the same. Safe: a promoted voter that lags counts only for entries that it holds, and the promotion commits after them.

--- a/internal/consensus/machine_status.go
+++ b/internal/consensus/machine_status.go
@@ -16,7 +16,7 @@
 		ms := MemberStatus{Member: member}
 		if p := m.progress[member.key()]; p != nil {
 			ms.Match, ms.SnapshotSent = p.match, p.snapshot != nil
-			ms.ContactAge = now.Sub(p.contact)
+			ms.ContactAge, ms.CaughtUp = now.Sub(p.contact), m.caughtUp(now, p)
 		} else if m.role == Leader {
 			ms.Match = m.log.lastIndex()
 		}
--- a/internal/consensus/membership_change.go
+++ b/internal/consensus/membership_change.go
@@ -127,14 +127,18 @@
 			return nil, errkind.New(errkind.Conflict, "%s is still a voter; remove it first", other.key())
 		}
 	}
-	p := m.progress[key]
-	if p == nil || p.match == 0 || p.match+maxPromoteLagEntries < m.log.lastIndex() || now.Sub(p.contact) > m.opts.MinElectionTimeout {
+	if !m.caughtUp(now, m.progress[key]) {
 		return nil, errkind.New(errkind.Conflict, "%s has not caught up yet", key)
 	}
 	member.Learner = false
 	return m.members().with(member), nil
 }
 
+// caughtUp reports whether a learner has caught up far enough to be promoted.
+func (m *Machine) caughtUp(now time.Time, p *progress) bool {
+	return p != nil && p.match > 0 && p.match+maxPromoteLagEntries >= m.log.lastIndex() && now.Sub(p.contact) <= m.opts.MinElectionTimeout
+}
+
 // stepDownIfRemoved steps down once the removal of this host is committed.
 func (m *Machine) stepDownIfRemoved() {
 	c := m.memberships[len(m.memberships)-1]
--- a/internal/process/membership.go
+++ b/internal/process/membership.go
@@ -77,7 +77,7 @@
 func (p *membership) nextVoter(st consensus.Status) (consensus.Member, bool) {
 	var caughtUp []consensus.Member
 	for _, m := range st.Members {
-		if m.Learner && m.Match > 0 && m.Match >= st.Commit {
+		if m.Learner && m.CaughtUp {
 			caughtUp = append(caughtUp, m.Member)
 		}
 	}
--- a/internal/process/membership_test.go
+++ b/internal/process/membership_test.go
@@ -36,7 +36,7 @@
 			dataCentres := make(map[string]string)
 			for _, word := range strings.Fields(tc.members) {
 				id, dataCentre, _ := strings.Cut(word, "@")
-				m := consensus.MemberStatus{Match: 9}
+				m := consensus.MemberStatus{Match: 9, CaughtUp: true}
 				m.Learner = strings.HasSuffix(id, "?")
 				if strings.HasSuffix(id, "!") {
 					m.ContactAge = 5 * time.Second
