controlrpc: a leader known from hints alone is tried again after one failed call

What callers saw: an entry whose settings do not name the leader, as every entry while a control host is added (operators.md: first the host, then the settings of the others), lost its leases after one reset of its connection to the leader. The leader led on, and every other control host named it.

Cause: Client drops hints to an address that failed within the last 3 s. An address of the list is then tried last in each round; one outside the list was not tried at all, for 3 s, and a lease lasts 1.2 s. If the hosts of the list were gone, it was never tried again. The same client serves gateways and directories: before the first answer of the leader, or with an empty log, they know only their seeds, so one lost or late answer of a hinted leader cost 3 s there, too.

The path of gateways and directories was read, not run.

Change: the last hint counts as an address until a leader answers elsewhere, so it is tried after the others, like a failed address of the list. Messages and settings stay as they are.

--- a/internal/controlrpc/client.go
+++ b/internal/controlrpc/client.go
@@ -47,6 +47,7 @@
 
 	mu       sync.Mutex
 	leader   string               // address that answered last, or the last hint; guarded by mu
+	hinted   string               // last hint, until a leader answers at another address; guarded by mu
 	failedAt map[string]time.Time // time of the last failure by address; guarded by mu
 }
 
@@ -200,11 +201,15 @@
 
 // addressOrder returns the addresses to try: the cached leader, then the others
 // in random order, which spreads the load of clients that know no leader, and
-// last those that failed recently.
+// last those that failed recently. The hinted address is one of them, so that a
+// leader outside the list is tried again after a call to it failed.
 func (c *Client) addressOrder() []string {
 	c.mu.Lock()
-	leader, addresses, failedAt := c.leader, c.Addresses, maps.Clone(c.failedAt)
+	leader, hinted, addresses, failedAt := c.leader, c.hinted, c.Addresses, maps.Clone(c.failedAt)
 	c.mu.Unlock()
+	if hinted != "" && !slices.Contains(addresses, hinted) {
+		addresses = append(slices.Clone(addresses), hinted)
+	}
 	failed := func(a string) bool { return time.Since(failedAt[a]) < deprioritizeFor }
 	out := make([]string, 0, len(addresses)+1)
 	if leader != "" {
@@ -226,6 +231,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.leader = address
+	if c.hinted != address {
+		c.hinted = ""
+	}
 	delete(c.failedAt, address)
 }
 
@@ -237,6 +245,9 @@
 	if hint == address {
 		hint = ""
 	}
+	if hint != "" {
+		c.hinted = hint
+	}
 	if hint != "" && time.Since(c.failedAt[hint]) < deprioritizeFor {
 		hint = "" // address may not have noticed yet that the hinted host failed
 	}
--- a/internal/controlrpc/client_test.go
+++ b/internal/controlrpc/client_test.go
@@ -125,3 +125,41 @@
 		}
 	})
 }
+
+// TestHintedLeaderIsTriedAgain guards against a client that, after one failed call, does
+// not try a leader that it knows from hints alone for so long that leases expire.
+func TestHintedLeaderIsTriedAgain(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		broken []string // after the failed call
+	}{
+		{"the others name it", nil},
+		{"the others are gone", []string{"a", "b", "c"}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				lost := errkind.New(errkind.ServerLost, "the connection was reset")
+				hosts := &fakeHosts{leader: "x"}
+				c := &controlrpc.Client{Addresses: []string{"a", "b", "c"}, Call: hosts.call}
+				_, err := c.Apply(t.Context(), &controlrpc.ApplyArgs{})
+				is.NoErr(err)
+
+				hosts.broken = map[string]error{"x": lost}
+				ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+				_, err = c.Apply(ctx, &controlrpc.ApplyArgs{})
+				cancel()
+				is.True(err != nil)
+
+				hosts.broken = make(map[string]error)
+				for _, address := range tc.broken {
+					hosts.broken[address] = lost
+				}
+				ctx, cancel = context.WithTimeout(t.Context(), 600*time.Millisecond)
+				defer cancel()
+				_, err = c.Apply(ctx, &controlrpc.ApplyArgs{})
+				is.NoErr(err)
+			})
+		})
+	}
+}
--- a/internal/process/control_loss_test.go
+++ b/internal/process/control_loss_test.go
@@ -45,6 +45,7 @@
 
 	entrySettings settings.Settings
 	entry         *process.Entry
+	entryDial     process.DialFunc // nil for TCP
 	changes       int
 }
 
@@ -115,7 +116,7 @@
 	for _, id := range named {
 		cfg.Control.Addresses = append(cfg.Control.Addresses, in.addresses[id])
 	}
-	p, err := process.StartEntry(process.EntryOptions{Settings: cfg, Logger: zerolog.Nop()})
+	p, err := process.StartEntry(process.EntryOptions{Settings: cfg, Logger: zerolog.Nop(), Dial: in.entryDial})
 	if err != nil {
 		in.t.Fatal(err)
 	}
