controlrpc, process: a control host asks the leader that its log follows first

What callers saw: while a leader led undisturbed, a read of the configuration at a host that follows it could fail after 0.9 s, the time after which callers move on.

Cause: the client that finds the leader knew only who answered last. If the leader had changed since, and that host and another one then lost their power, the attempts at the two of them (0.5 s each while the connections are open) used up the call, although the log of the host named the leader all the while. Hints that came after the first round were not followed either before the round was over.

Change: the leader is chosen for each attempt, not for each round: first the one that the replicated log of the host follows, then the last hint, then the others. Between full rounds, which are at least 0.2 s apart, a round ends once the named leader has answered that it doesn't lead, so that a lease that lapses for a moment does not send the call to hosts that don't answer. Gateways, which have no log, go by hints as before. No time bound changes.

Ruled out, before and after the change: reads after all hosts lost their power and two their disks (dark or empty, with seeds that name them), at a host that was removed and is reachable again, with a document of 2 MB; a first lease of a gateway two of whose three seeds are dark came within 0.8 s of its start.

--- a/internal/controlrpc/client.go
+++ b/internal/controlrpc/client.go
@@ -29,6 +29,12 @@
 	maxRetryDelay = 250 * time.Millisecond
 )
 
+// fullRoundInterval is the time between two rounds that ask every address. The others end
+// as soon as the host that is named as the leader has answered that it doesn't lead: it
+// may be about to, or its lease has lapsed until its next heartbeats are answered, and
+// other hosts may not answer at all.
+const fullRoundInterval = 200 * time.Millisecond
+
 // Client calls the leader of the control service. It follows leader hints,
 // tries the other addresses on transport errors and on errkind.NotLeader, and
 // caches the last leader. It resends until the context ends; that is safe for
@@ -39,11 +45,14 @@
 // error is errkind.OutcomeUnknown if an attempt may have been executed, and
 // errkind.NotLeader if none was.
 //
-// Addresses and Call are set before the first call; later only SetAddresses
-// changes the addresses. Methods are safe for concurrent use if Call is.
+// The exported fields are set before the first call; later only SetAddresses changes
+// the addresses. Methods are safe for concurrent use if Call is.
 type Client struct {
 	Addresses []string // rpc addresses of the control hosts, at least one; guarded by mu after the first call
 	Call      func(ctx context.Context, address, method string, args, reply any) error
+	// Leader returns the address of the leader if the caller knows it from elsewhere,
+	// such as its own replicated log, otherwise "". It may be nil.
+	Leader func() string
 
 	mu       sync.Mutex
 	leader   string               // address that answered last, or the last hint; guarded by mu
@@ -152,27 +161,34 @@
 	}
 	maybeExecuted := false // an attempt may have been executed
 	var last error
+	lastFull := time.Now()
 	for round := 0; ; round++ {
-		for _, address := range c.addressOrder() {
+		full := time.Since(lastFull) >= fullRoundInterval
+		if full {
+			lastFull = time.Now()
+		}
+		order := c.addressOrder()
+		tried := make(map[string]bool)
+		answered := make(map[string]bool) // tried addresses that don't lead
+		for address := c.next(order, tried); address != "" && ctx.Err() == nil; address = c.next(order, tried) {
+			tried[address] = true
 			reply := newReply()
 			err := c.attempt(ctx, address, method, args, reply, timeout)
-			if err == nil && !shouldRetry(reply.answer()) {
-				c.recordLeader(address)
-				return nil
-			}
-			if err == nil {
-				last = errkind.New(reply.answer().Kind, "%s: %s", address, reply.answer().Detail)
-				maybeExecuted = maybeExecuted || reply.answer().Kind != errkind.NotLeader
-				c.followHint(address, reply.answer().Leader)
-				if reply.answer().Leader != "" && reply.answer().Leader != address && round == 0 {
-					break // try the hinted leader first
-				}
-			} else {
+			if err != nil {
 				last = err
 				maybeExecuted = maybeExecuted || errkind.Of(err) != errkind.ConnectFailed
 				c.recordFailure(address)
+				continue
 			}
-			if ctx.Err() != nil {
+			if !shouldRetry(reply.answer()) {
+				c.recordLeader(address)
+				return nil
+			}
+			last = errkind.New(reply.answer().Kind, "%s: %s", address, reply.answer().Detail)
+			maybeExecuted = maybeExecuted || reply.answer().Kind != errkind.NotLeader
+			c.followHint(address, reply.answer().Leader)
+			answered[address] = true
+			if !full && answered[c.named(address, reply.answer().Leader)] {
 				break
 			}
 		}
@@ -186,6 +202,37 @@
 	}
 }
 
+// known returns the address that Leader returns.
+func (c *Client) known() string {
+	if c.Leader == nil {
+		return ""
+	}
+	return c.Leader()
+}
+
+// named returns the leader that is named by the hint of address or, if that gave none,
+// by Leader, provided that address is the one that Leader returns.
+func (c *Client) named(address, hint string) string {
+	if hint == "" && address == c.known() {
+		return address
+	}
+	return hint
+}
+
+// next returns the address to try next in a round, or "" at its end: first the leader
+// as far as it is known by now, then the others in order.
+func (c *Client) next(order []string, tried map[string]bool) string {
+	c.mu.Lock()
+	cached := c.leader
+	c.mu.Unlock()
+	for _, address := range append([]string{c.known(), cached}, order...) {
+		if address != "" && !tried[address] {
+			return address
+		}
+	}
+	return ""
+}
+
 func (c *Client) attempt(ctx context.Context, address, method string, args any, reply Reply, timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -198,22 +245,18 @@
 	return a.Kind == errkind.NotLeader || a.Kind == errkind.OutcomeUnknown
 }
 
-// addressOrder returns the addresses to try: the cached leader, then the others
-// in random order, which spreads the load of clients that know no leader, and
-// last those that failed recently.
+// addressOrder returns the configured addresses in random order, which spreads the
+// load of clients that know no leader, and last those that failed recently.
 func (c *Client) addressOrder() []string {
 	c.mu.Lock()
-	leader, addresses, failedAt := c.leader, c.Addresses, maps.Clone(c.failedAt)
+	addresses, failedAt := c.Addresses, maps.Clone(c.failedAt)
 	c.mu.Unlock()
 	failed := func(a string) bool { return time.Since(failedAt[a]) < deprioritizeFor }
-	out := make([]string, 0, len(addresses)+1)
-	if leader != "" {
-		out = append(out, leader)
-	}
+	out := make([]string, 0, len(addresses))
 	order := rand.Perm(len(addresses))
 	for _, last := range []bool{false, true} {
 		for _, i := range order {
-			if addresses[i] != leader && failed(addresses[i]) == last {
+			if failed(addresses[i]) == last {
 				out = append(out, addresses[i])
 			}
 		}
@@ -258,8 +301,7 @@
 }
 
 // waitBeforeRound waits before the next round and reports whether ctx is still
-// active. The delay after the first round is short, because that round usually
-// ends with a leader hint.
+// active.
 func waitBeforeRound(ctx context.Context, round int) bool {
 	maxDelay := min(minRetryDelay<<min(round, 8), maxRetryDelay)
 	timer := time.NewTimer(rand.N(maxDelay))
--- a/internal/controlrpc/client_test.go
+++ b/internal/controlrpc/client_test.go
@@ -125,3 +125,78 @@
 		}
 	})
 }
+
+// TestLeaderKnownElsewhere guards against calls that wait for hosts that don't answer
+// although the caller learns the leader by itself, before or during the call.
+func TestLeaderKnownElsewhere(t *testing.T) {
+	for _, test := range []struct {
+		learnedAfter time.Duration
+		want         []string // addresses called
+	}{{0, []string{"c"}}, {time.Second, []string{"a", "c"}}} {
+		for range 20 {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				hosts := &fakeHosts{leader: "c", silent: map[string]bool{"a": true, "b": true, "d": true}}
+				begun := time.Now()
+				c := &controlrpc.Client{Addresses: []string{"a", "b", "c", "d"}, Call: hosts.call}
+				c.Leader = func() string {
+					if time.Since(begun) < test.learnedAfter {
+						return "a"
+					}
+					return "c"
+				}
+				_, err := c.Apply(t.Context(), &controlrpc.ApplyArgs{})
+				is.NoErr(err)
+				is.Equal(hosts.calls, test.want)
+			})
+		}
+	}
+}
+
+// TestLeaseLapse guards against a call that leaves a leader whose lease has lapsed for a
+// moment and then waits for hosts that don't answer.
+func TestLeaseLapse(t *testing.T) {
+	for range 20 {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			hosts := &fakeHosts{silent: map[string]bool{"a": true, "b": true}, hints: map[string]string{"c": "", "d": "c"}}
+			begun := time.Now()
+			c := &controlrpc.Client{Addresses: []string{"a", "b", "c", "d"}, Leader: func() string { return "c" }}
+			c.Call = func(ctx context.Context, address, method string, args, reply any) error {
+				if time.Since(begun) > 15*time.Millisecond {
+					hosts.leader = "c"
+				}
+				return hosts.call(ctx, address, method, args, reply)
+			}
+			_, err := c.Apply(t.Context(), &controlrpc.ApplyArgs{})
+			is.NoErr(err)
+			is.True(time.Since(begun) < 200*time.Millisecond)
+		})
+	}
+}
+
+// TestLateHint guards against a hint that is not followed at once because it came in a
+// later round of the search.
+func TestLateHint(t *testing.T) {
+	for range 20 {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			hosts := &fakeHosts{hints: map[string]string{"b": ""}}
+			begun, hint := time.Now(), ""
+			c := &controlrpc.Client{Addresses: []string{"a", "b", "c", "d"}}
+			c.Call = func(ctx context.Context, address, method string, args, reply any) error {
+				if time.Since(begun) > 400*time.Millisecond {
+					hosts.leader, hosts.silent = "c", map[string]bool{"d": true}
+				}
+				if hint != "" {
+					is.Equal(address, hint)
+				}
+				err := hosts.call(ctx, address, method, args, reply)
+				hint = reply.(*controlrpc.ApplyReply).Leader
+				return err
+			}
+			_, err := c.Apply(t.Context(), &controlrpc.ApplyArgs{})
+			is.NoErr(err)
+		})
+	}
+}
--- a/internal/directoryrpc/client.go
+++ b/internal/directoryrpc/client.go
@@ -37,6 +37,10 @@
 	return &Client{leader: &controlrpc.Client{Addresses: addresses, Call: call}}
 }
 
+// UseLeader makes the client ask the host that leader returns first, if any. It must be
+// called before the first call.
+func (c *Client) UseLeader(leader func() string) { c.leader.Leader = leader }
+
 // SetAddresses replaces the addresses of the control hosts.
 func (c *Client) SetAddresses(addresses []string) { c.leader.SetAddresses(addresses) }
 
--- a/internal/process/directory.go
+++ b/internal/process/directory.go
@@ -106,6 +106,7 @@
 		return err
 	}
 	p.client = directoryrpc.NewClient(p.addresses(), p.pool.Call)
+	p.client.UseLeader(p.leaderAddress)
 	p.serve(operator.Handlers{
 		Dump:   func() any { return p.Dump() },
 		Ready:  func() bool { _, known := p.node.Leader(); return known },
@@ -158,6 +159,13 @@
 	return mergeAddresses(addresses, p.seeds)
 }
 
+// leaderAddress returns the address of the leader that the replicated log of this host
+// follows, or "" if there is none.
+func (p *Directory) leaderAddress() string {
+	leader, _ := p.node.Leader()
+	return leader.Address
+}
+
 // leaderClient returns the client that calls the control leader, after updating
 // its addresses to the control hosts that are known now.
 func (p *Directory) leaderClient() *directoryrpc.Client {
@@ -226,8 +234,7 @@
 	if err == nil {
 		return
 	}
-	leader, _ := p.node.Leader()
-	p.opts.Events.Event("control_call_failed").Str("call", call).Str("leader", leader.Address).Strs("asked", p.addresses()).
+	p.opts.Events.Event("control_call_failed").Str("call", call).Str("leader", p.leaderAddress()).Strs("asked", p.addresses()).
 		Dur("took_ms", time.Since(sentAt)).Err(err).Msg("a call to the control leader failed")
 }
 
--- a/internal/process/rejoin_test.go
+++ b/internal/process/rejoin_test.go
@@ -34,10 +34,15 @@
 	ids       []string
 	addresses map[string]string
 	running   map[string]*process.Directory
+	planes    map[string]process.ControlPlane // of the running processes
+	network   *darkNetwork
 }
 
 func startDirectories(t *testing.T, n int) *directories {
-	d := &directories{t: t, dir: t.TempDir(), addresses: make(map[string]string), running: make(map[string]*process.Directory)}
+	d := &directories{
+		t: t, dir: t.TempDir(), addresses: make(map[string]string), running: make(map[string]*process.Directory),
+		planes: make(map[string]process.ControlPlane), network: newDarkNetwork(),
+	}
 	for i := range n {
 		id := fmt.Sprint("c", i)
 		d.ids = append(d.ids, id)
@@ -65,8 +70,8 @@
 		cfg.Control.Members[seed] = d.addresses[seed]
 		cfg.Control.Addresses = append(cfg.Control.Addresses, d.addresses[seed])
 	}
-	p, err := process.StartDirectory(process.DirectoryOptions{Settings: cfg, Adapter: process.Adapter{
-		ControlRoutes: func(process.ControlPlane) map[string]http.HandlerFunc { return nil },
+	p, err := process.StartDirectory(process.DirectoryOptions{Settings: cfg, Dial: d.network.dialFrom(d.addresses[id]), Adapter: process.Adapter{
+		ControlRoutes: func(c process.ControlPlane) map[string]http.HandlerFunc { d.planes[id] = c; return nil },
 		Promote:       func(string) func(context.Context, directory.Promotion) error { return nil },
 	}})
 	if err != nil {
