consensus, process: a control host that stops hands its vote over

A host is replaced by planned work, the new one first: the old one stops once its successor has had its time to catch up. The successor was still a learner, since a single learner votes only after the other host of its data centre has not answered for 2 s. Change: a voter that is about to stop asks the leader, with a new message, to let another one vote. The leader promotes learners that have caught up, and removes the host while the number of voters is even, so the stop leaves an odd number and none is missing. Ruled out: to promote the successor at once (four voters bear no more than three when one stops), and to remove the older of two hosts of a data centre (both may stay, and would replace each other for ever).

--- a/internal/process/membership_test.go
+++ b/internal/process/membership_test.go
@@ -52,3 +52,38 @@
 		})
 	}
 }
+
+// TestHandOver guards against a host that stops while a learner could vote instead, and
+// against the removal of a vote that is still needed.
+func TestHandOver(t *testing.T) {
+	// A member is written with "?" for a learner that has caught up, with "-" for one
+	// that has not, and with "!" for a voter that is about to stop.
+	for _, tc := range []struct{ name, members, change string }{
+		{"its successor is ready", "a b c! d?", "promote d"},
+		{"its successor votes", "a b c! d", "remove c"},
+		{"one host more than votes", "a b c d e! f?", "promote f"},
+		{"two learners", "a b c! d? e?", "promote d"},
+		{"nobody can vote instead", "a b c!", ""},
+		{"its successor has not caught up", "a b c! d-", ""},
+		{"as many voters as there may be", "a b c d e f g!", ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			st := consensus.Status{ID: "a", Commit: 9}
+			for _, word := range strings.Fields(tc.members) {
+				m := consensus.MemberStatus{Match: 9, CaughtUp: !strings.HasSuffix(word, "-")}
+				m.ID = strings.TrimRight(word, "?-!")
+				m.Learner = strings.ContainsAny(word, "?-")
+				if strings.HasSuffix(word, "!") {
+					st.Leaving = append(st.Leaving, m.Member)
+				}
+				st.Members = append(st.Members, m)
+			}
+			got := ""
+			if c, ok := process.NextChange(st, map[string]string{}); ok {
+				got = string(c.Kind) + " " + c.Member.ID
+			}
+			is.Equal(got, tc.change)
+		})
+	}
+}
