consensus: a host without a vote forgets a leader that it doesn't hear

A host that isn't elected, a learner or one that was removed, kept the leader that it followed last, for good. It named it to every host that asked, and asked it first itself, since "a control host asks the leader that its log follows first": while that leader has no power, each call spends 0.5 s on it.

Cause: only the start of an election clears the leader, and such a host starts none.

Evidence: TestRemovedHostForgetsLeader fails before (the removed host names the leader 2 s and four election timeouts after its removal).

Change: the end of the election timeout clears it, as for a voter.

--- a/internal/consensus/discovery_test.go
+++ b/internal/consensus/discovery_test.go
@@ -153,3 +153,19 @@
 		})
 	}
 }
+
+// TestRemovedHostForgetsLeader guards against a host without a vote that names a leader
+// for good from which it hears nothing.
+func TestRemovedHostForgetsLeader(t *testing.T) {
+	is := is.New(t)
+	s := newSim(1, "", 3, 0)
+	s.run(2 * time.Second)
+	removed := s.hosts["a"]
+	if s.leader() == removed {
+		removed = s.hosts["b"]
+	}
+	is.True(removed.machine.Status(removed.localTime(s.now)).Leader.ID != "")
+	s.removeHost(removed.id)
+	s.run(4 * simElectionTimeout)
+	is.Equal(removed.machine.Status(removed.localTime(s.now)).Leader.ID, "")
+}
--- a/internal/consensus/machine.go
+++ b/internal/consensus/machine.go
@@ -218,6 +218,8 @@
 		}
 		if m.electable() {
 			m.preCampaign(now)
+		} else {
+			m.leader = Member{} // it has made no contact within the timeout
 		}
 	}
 }
