--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -34,6 +35,7 @@
 	conns    chan net.Conn
 	done     chan struct{}
 	dials    atomic.Int64
+	failures atomic.Int64 // accepts that still fail for want of a file descriptor
 	lastConn atomic.Pointer[blackholeConn]
 }
 
@@ -42,6 +44,9 @@
 }
 
 func (l *pipeListener) Accept() (net.Conn, error) {
+	if l.failures.Add(-1) >= 0 {
+		return nil, syscall.EMFILE
+	}
 	select {
 	case c := <-l.conns:
 		return c, nil
@@ -117,6 +122,23 @@
 	})
 }
 
+// TestServeAfterFailedAccept guards against a process that no peer reaches any more once
+// it has run out of file descriptors for a moment.
+func TestServeAfterFailedAccept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		srv, ln := peer.NewServer(peer.ServerOptions{}), newPipeListener()
+		ln.failures.Store(3)
+		ended := make(chan error, 1)
+		go func() { ended <- srv.Serve(ln) }()
+		pool := peer.NewPool(peer.PoolOptions{Dial: ln.dial})
+		is.NoErr(pool.Call(t.Context(), "a", "Peer.Ping", &peer.PingArgs{}, new(peer.PingReply)))
+		pool.Close()
+		is.NoErr(srv.Shutdown(t.Context()))
+		is.NoErr(<-ended)
+	})
+}
+
 // TestLongCallOutlivesIdleTimeout guards against treating a connection with a
 // slow call as unresponsive.
 func TestLongCallOutlivesIdleTimeout(t *testing.T) {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/zeebo/errs"
 )
 
@@ -20,8 +21,13 @@
 type ServerOptions struct {
 	IdleTimeout  time.Duration // a connection that receives no data for this time is closed; default 1 s
 	WriteTimeout time.Duration // limit for one write, after which the connection is closed; default 5 s
+	Logger       zerolog.Logger
 }
 
+// acceptRetryDelay is the delay after a failed accept, whose usual cause is a lack of
+// file descriptors.
+const acceptRetryDelay = 50 * time.Millisecond
+
 // shutdownPollInterval is how often Shutdown checks whether calls are running.
 const shutdownPollInterval = 5 * time.Millisecond
 
@@ -59,7 +65,8 @@
 	return Error.Wrap(s.rpc.RegisterName(name, rcvr))
 }
 
-// Serve accepts connections on ln until it is closed, and then returns nil.
+// Serve accepts connections on ln until it is closed, and then returns nil. After any
+// other error of an accept it tries again.
 func (s *Server) Serve(ln net.Listener) error {
 	if !s.addListener(ln) {
 		return Error.Wrap(ln.Close())
@@ -70,7 +77,9 @@
 			if errors.Is(err, net.ErrClosed) {
 				return nil
 			}
-			return Error.Wrap(err)
+			s.opts.Logger.Warn().Err(err).Str("event", "accept_failed").Msg("accepting a peer connection failed; trying again")
+			time.Sleep(acceptRetryDelay)
+			continue
 		}
 		go s.run(conn)
 	}
--- a/internal/process/base.go
+++ b/internal/process/base.go
@@ -37,7 +37,7 @@
 		cfg: cfg, log: log, lns: lns,
 		registry: registry,
 		pool:     peer.NewPool(peer.PoolOptions{Dial: dial}),
-		peers:    peer.NewServer(peer.ServerOptions{}),
+		peers:    peer.NewServer(peer.ServerOptions{Logger: log}),
 	}, nil
 }
 
--- a/internal/process/export_test.go
+++ b/internal/process/export_test.go
@@ -1,6 +1,8 @@
 package process
 
 import (
+	"context"
+
 	"github.com/arbutusring/arbutusring/internal/consensus"
 	"github.com/arbutusring/arbutusring/internal/directoryrpc"
 	"github.com/arbutusring/arbutusring/pkg/database"
@@ -36,3 +38,9 @@
 	m, _ := (&membership{dataCentres: func() map[string]string { return dataCentres }, replaceTimeout: voterReplaceTimeout}).replacedMember(st)
 	return m.ID
 }
+
+// NewSender returns the functions of a sender that passes messages to call.
+func NewSender(call func(ctx context.Context, address, method string, args, reply any) error) (send func(consensus.Member, consensus.Message), stop func()) {
+	s := newSender(call)
+	return s.send, s.close
+}
--- a/internal/process/sender.go
+++ b/internal/process/sender.go
@@ -25,19 +25,25 @@
 type sender struct {
 	call func(ctx context.Context, address, method string, args, reply any) error
 
+	tasks tasks
+
 	mu     sync.Mutex
 	queues map[string]chan consensus.Message // by address
-	tasks  tasks
+	closed bool
 }
 
 func newSender(call func(ctx context.Context, address, method string, args, reply any) error) *sender {
 	return &sender{call: call, queues: make(map[string]chan consensus.Message)}
 }
 
-// send queues a message, or drops it if the queue is full.
+// send queues a message, or drops it if the queue is full or the sender is closed: the
+// log may still run when a planned stop has exceeded its time.
 func (s *sender) send(to consensus.Member, m consensus.Message) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.closed {
+		return
+	}
 	q := s.queues[to.Address]
 	if q == nil {
 		q = make(chan consensus.Message, sendQueueLen)
@@ -71,7 +77,12 @@
 	_ = s.call(ctx, address, "Consensus.Step", m, new(StepReply))
 }
 
-func (s *sender) close() { s.tasks.stop() }
+func (s *sender) close() {
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
+	s.tasks.stop()
+}
 
 // StepReply is empty: a message is answered by a message of its own.
 type StepReply struct{}
