consensus: a host that asks for votes repeats its requests

What callers saw: in the simulation, a leader seconds after a loss of power although all voters were back.

Cause: a request for a vote and its answer were sent once. When two disks of five or six are lost, each of the other voters must vote, so one lost message, or one refusal of a voter that has just started, costs a whole election timeout.

Change: a pre-candidate or candidate asks again at the heartbeat interval, until its timeout: those that have not answered, and in the pre-vote also those that refused. Duplicates were allowed before; a voter answers them from its vote.

--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -36,6 +36,9 @@
 	return false
 }
 
+// campaigning reports whether the host asks for votes.
+func (m *Machine) campaigning() bool { return m.role == PreCandidate || m.role == Candidate }
+
 // preCampaign starts the pre-vote: it asks the voters whether they would vote
 // for this host. It leaves the term unchanged, so that a host that can't win
 // does not disrupt the current leader.
@@ -46,13 +49,13 @@
 		m.campaign(now, false)
 		return
 	}
-	m.requestVotes(MessagePreVote, m.term+1, false)
+	m.requestVotes(now)
 }
 
 // campaign starts an election in the next term. transfer marks an election that
 // the leader asked for.
 func (m *Machine) campaign(now time.Time, transfer bool) {
-	m.role, m.leader = Candidate, Member{}
+	m.role, m.leader, m.transferCampaign = Candidate, Member{}, transfer
 	m.term++
 	m.vote = m.self.key()
 	m.incomingSnapshot = nil
@@ -62,18 +65,29 @@
 		m.becomeLeader(now)
 		return
 	}
-	m.requestVotes(MessageVote, m.term, transfer)
+	m.requestVotes(now)
 }
 
-func (m *Machine) requestVotes(kind MessageKind, term uint64, transfer bool) {
+// requestVotes asks the voters that have not answered, and in the pre-vote also those
+// that have refused: they may do so only because they have just started. It is
+// repeated until the election ends, because with the fewest voters that can elect a
+// leader a single lost message would cost a whole election timeout.
+func (m *Machine) requestVotes(now time.Time) {
+	m.requestVotesAt = now.Add(m.opts.HeartbeatInterval)
+	msg := Message{
+		Kind: MessageVote, Term: m.term, Transfer: m.transferCampaign,
+		Index: m.log.lastIndex(), LogTerm: m.log.lastTerm(),
+	}
+	if m.role == PreCandidate {
+		msg.Kind, msg.Term, msg.Transfer = MessagePreVote, m.term+1, false
+	}
 	for _, to := range m.members() {
-		if to.Learner || to.key() == m.self.key() {
+		granted, answered := m.votes[to.key()]
+		if to.Learner || to.key() == m.self.key() || granted || answered && m.role == Candidate {
 			continue
 		}
-		m.send(Message{
-			Kind: kind, To: to, Term: term, Transfer: transfer,
-			Index: m.log.lastIndex(), LogTerm: m.log.lastTerm(),
-		})
+		msg.To = to
+		m.send(msg)
 	}
 }
 
--- a/internal/consensus/failed_election.go
+++ b/internal/consensus/failed_election.go
@@ -15,7 +15,7 @@
 // recordFailedElection records for the next Output that the election of this host,
 // if it is a candidate, has timed out.
 func (m *Machine) recordFailedElection() {
-	if m.role != PreCandidate && m.role != Candidate {
+	if !m.campaigning() {
 		return
 	}
 	f := &FailedElection{Term: m.term, PreVote: m.role == PreCandidate, Quorum: m.members().quorum()}
--- a/internal/consensus/machine.go
+++ b/internal/consensus/machine.go
@@ -46,6 +46,10 @@
 	votes          map[string]bool // as candidate, by member key; false for a refusal
 	failedElection *FailedElection // for the next Output
 
+	// As pre-candidate or candidate:
+	requestVotesAt   time.Time // when the requests for votes are repeated
+	transferCampaign bool      // the leader asked for the election
+
 	// As leader:
 	progress           map[string]*progress // of the other members, by key
 	termStartIndex     uint64               // index of the no-op entry that starts the term
@@ -214,6 +218,8 @@
 		if m.electable() {
 			m.preCampaign(now)
 		}
+	case m.campaigning() && !now.Before(m.requestVotesAt):
+		m.requestVotes(now)
 	}
 }
 
@@ -224,6 +230,8 @@
 		return m.nextHelloAt
 	case m.role == Leader:
 		return m.heartbeatAt
+	case m.campaigning() && m.requestVotesAt.Before(m.electionAt):
+		return m.requestVotesAt
 	default:
 		return m.electionAt
 	}
