consensus: a host that grants a pre-vote puts its own election off, once

Cause: with a slow disk a candidate asks for votes 100 ms after it has won the pre-vote. Hosts that granted it meanwhile start elections of their own, and when each of the voters left must vote, any second candidate makes both fail.

Change: granting a pre-vote restarts the election timer. This happens once until the host starts an election or a leader makes contact, so a host that can't win delays the others by one timeout at most.

--- a/internal/consensus/consensus.go
+++ b/internal/consensus/consensus.go
@@ -26,6 +26,8 @@
 //     timeout. Clock rates may therefore differ by 10%. The clock must advance
 //     while a process is stopped; a virtual machine that is suspended and
 //     resumed with its old clock violates this.
+//   - A host repeats its requests for votes until its election ends, and a host that
+//     grants a pre-vote puts its own next election off, once.
 //   - A leader that asks another host to take over gives up its lease for the
 //     rest of its term, because the request may arrive late.
 //
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -124,11 +124,22 @@
 	}
 	if msg.Term > m.term && !m.leaderActive(now) && m.upToDate(msg) {
 		m.send(Message{Kind: MessagePreVoteReply, To: msg.From, Term: msg.Term})
+		m.deferElection(now)
 		return
 	}
 	m.send(Message{Kind: MessagePreVoteReply, To: msg.From, Reject: true})
 }
 
+// deferElection puts the next election of this host off for another one, for which it
+// has granted a pre-vote: two at a time take each other's votes. It does so once, so
+// that a host that can't win doesn't keep the others from trying.
+func (m *Machine) deferElection(now time.Time) {
+	if m.role == Follower && !m.electionDeferred {
+		m.electionDeferred = true
+		m.resetElection(now)
+	}
+}
+
 func (m *Machine) handlePreVoteReply(now time.Time, msg Message) {
 	if msg.Reject {
 		m.recordRefusal(msg.From.key())
--- a/internal/consensus/machine.go
+++ b/internal/consensus/machine.go
@@ -42,6 +42,7 @@
 	leader            Member
 	lastLeaderContact time.Time // last message from a leader, or the start of the machine
 	electionAt        time.Time // when an election starts unless a leader makes contact
+	electionDeferred  bool      // electionAt was put off for another host, since the last election or contact
 
 	votes          map[string]bool // as candidate, by member key; false for a refusal
 	failedElection *FailedElection // for the next Output
@@ -212,6 +213,7 @@
 	case !now.Before(m.electionAt):
 		m.recordFailedElection()
 		m.resetElection(now)
+		m.electionDeferred = false
 		if m.outOfContact(now) {
 			m.sendHellos()
 		}
--- a/internal/consensus/power_loss_test.go
+++ b/internal/consensus/power_loss_test.go
@@ -346,3 +346,32 @@
 		}
 	}
 }
+
+// TestCompetingCandidates guards against hosts that take each other's votes again and
+// again, because they all start their elections while the disks are slow.
+func TestCompetingCandidates(t *testing.T) {
+	const runs = 100
+	failed := 0 // elections without a leader
+	for seed := range uint64(runs) {
+		s := newSim(seed, "", 5, 0)
+		s.slowWrite = 100 * time.Millisecond
+		s.run(2 * time.Second)
+		before := s.leader().machine.Term()
+		s.losePower(100 * time.Millisecond)
+		s.loseDisk(s.hosts["a"])
+		s.loseDisk(s.hosts["b"]) // each of the others must vote
+		s.restorePower()
+		for _, h := range s.hosts {
+			h.slowWrites = 1 << 20
+		}
+		s.run(5 * time.Second)
+		if l := s.leader(); l == nil || !l.machine.TermStarted() {
+			t.Errorf("seed %d: no leader", seed)
+		} else {
+			failed += int(l.machine.Term() - before - 1)
+		}
+	}
+	if failed > runs/5 {
+		t.Errorf("%d elections without a leader in %d runs", failed, runs)
+	}
+}
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -82,6 +82,7 @@
 		m.becomeFollower(now, m.term)
 	}
 	m.leader, m.lastLeaderContact, m.peers = msg.From, now, nil
+	m.electionDeferred = false
 	m.resetElection(now)
 	return true
 }
