--- a/internal/consensus/power_loss_test.go
+++ b/internal/consensus/power_loss_test.go
@@ -57,7 +57,8 @@
 		return
 	}
 	st := l.machine.Status(l.localTime(s.now))
-	for _, joining := range st.Joining {
+	if len(st.Joining) > 0 {
+		joining := st.Joining[0]
 		for _, m := range st.Members {
 			if m.ID == joining.ID {
 				s.change(l, consensus.Remove, m.Member)
