--- a/internal/consensus/machine.go
+++ b/internal/consensus/machine.go
@@ -42,10 +42,15 @@
 	leader            Member
 	lastLeaderContact time.Time // last message from a leader, or the start of the machine
 	electionAt        time.Time // when an election starts unless a leader makes contact
+	electionDeferred  bool      // electionAt was put off for another host, since the last election or contact
 
 	votes          map[string]bool // as candidate, by member key; false for a refusal
 	failedElection *FailedElection // for the next Output
 
+	// As pre-candidate or candidate:
+	requestVotesAt   time.Time // when the requests for votes are repeated
+	transferCampaign bool      // the leader asked for the election
+
 	// As leader:
 	progress           map[string]*progress // of the other members, by key
 	termStartIndex     uint64               // index of the no-op entry that starts the term
@@ -213,6 +218,7 @@
 	case !now.Before(m.electionAt):
 		m.recordFailedElection()
 		m.resetElection(now)
+		m.electionDeferred = false
 		if m.outOfContact(now) && !m.stopping {
 			m.sendHellos()
 		}
@@ -221,6 +227,8 @@
 		} else {
 			m.leader = Member{} // it has made no contact within the timeout
 		}
+	case m.campaigning() && !now.Before(m.requestVotesAt):
+		m.requestVotes(now)
 	}
 }
 
@@ -231,6 +239,8 @@
 		return m.nextHelloAt
 	case m.role == Leader:
 		return m.heartbeatAt
+	case m.campaigning() && m.requestVotesAt.Before(m.electionAt):
+		return m.requestVotesAt
 	default:
 		return m.electionAt
 	}
