--- a/internal/process/directory.go
+++ b/internal/process/directory.go
@@ -286,14 +286,14 @@
 	return Error.Wrap(group.Err())
 }
 
-// handOverTimeout bounds how long a planned stop waits until another host votes instead of
+// voteHandoverTimeout bounds how long a planned stop waits until another host votes instead of
 // this one.
-const handOverTimeout = 3 * time.Second
+const voteHandoverTimeout = 3 * time.Second
 
 // leave lets another control host vote instead of this one, because the next loss may
 // follow at once. Without it, the host counts as one that is down.
 func (p *Directory) leave(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	ctx, cancel := context.WithTimeout(ctx, voteHandoverTimeout)
 	defer cancel()
 	if err := p.node.Leave(ctx); err != nil {
 		p.log.Warn().Err(err).Msg("stopping without another control host that votes instead")
