process: heartbeats of the log do not wait behind round trips

What callers saw, in trials: during a burst of changes, with 40 ms between hosts, the leader had no lease for up to 1.5 s or lost its role; reads and announcements failed. No record of the users shows this; the record has no line of the leader.

Cause: four workers sent the messages to one host, each waiting for the answer, so with a round trip of 40 ms at most 100 messages a second left. The log sends a message for each of its cycles; heartbeats queued behind them, up to 256, and their answers came too late for the lease, which counts from when they were created.

Change: messages are sent in order without waiting for answers, with at most 64 unanswered ones (peer.Pool.Start). If the host can't be reached, what is queued is dropped, so that it gets no old messages first when it is back. Timeouts and the length of the queue stay.

--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -75,20 +75,32 @@
 // not sent, errkind.ServerLost otherwise. After an error, reply must not be read:
 // a late answer may still be written to it.
 func (p *Pool) Call(ctx context.Context, address, method string, args, reply any) error {
+	wait, err := p.Start(ctx, address, method, args, reply)
+	if err != nil {
+		return err
+	}
+	return wait(ctx)
+}
+
+// Start is Call without the wait for the answer, which wait does. Requests that are
+// started one after the other are sent in this order.
+func (p *Pool) Start(ctx context.Context, address, method string, args, reply any) (wait func(ctx context.Context) error, err error) {
 	c, err := p.conn(ctx, address)
 	if err != nil {
-		return errkind.Wrap(errkind.ConnectFailed, err, "connecting to host %s", address)
+		return nil, errkind.Wrap(errkind.ConnectFailed, err, "connecting to host %s", address)
 	}
 	call := c.client.Go(method, args, reply, make(chan *rpc.Call, 1))
-	select {
-	case <-call.Done:
-	case <-ctx.Done():
-		return errkind.Wrap(errkind.ServerLost, ctx.Err(), "waiting for the answer to %s from host %s", method, address)
-	}
-	if call.Error != nil {
-		return errkind.Wrap(errkind.ServerLost, call.Error, "calling %s on host %s", method, address)
-	}
-	return nil
+	return func(ctx context.Context) error {
+		select {
+		case <-call.Done:
+		case <-ctx.Done():
+			return errkind.Wrap(errkind.ServerLost, ctx.Err(), "waiting for the answer to %s from host %s", method, address)
+		}
+		if call.Error != nil {
+			return errkind.Wrap(errkind.ServerLost, call.Error, "calling %s on host %s", method, address)
+		}
+		return nil
+	}, nil
 }
 
 // Close closes every connection; calls in progress and later calls fail.
--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -53,7 +53,7 @@
 		Revoke:   owners.Revoke,
 		Logger:   p.partLogger("control"),
 	})
-	p.sender = newSender(p.pool.Call)
+	p.sender = newSender(p.pool.Start)
 	node, err := consensus.Start(consensus.Options{
 		ID:        p.cfg.Host.ID,
 		Address:   p.lns.peers.Addr().String(),
--- a/internal/process/directory.go
+++ b/internal/process/directory.go
@@ -78,7 +78,7 @@
 		Events:       p.opts.Events,
 		Registry:     p.registry,
 	})
-	p.sender = newSender(p.pool.Call)
+	p.sender = newSender(p.pool.Start)
 	node, err := consensus.Start(consensus.Options{
 		ID:                p.cfg.Host.ID,
 		Address:           p.lns.peers.Addr().String(),
--- a/internal/process/export_test.go
+++ b/internal/process/export_test.go
@@ -1,8 +1,6 @@
 package process
 
 import (
-	"context"
-
 	"github.com/arbutusring/arbutusring/internal/consensus"
 	"github.com/arbutusring/arbutusring/internal/directoryrpc"
 	"github.com/arbutusring/arbutusring/pkg/database"
@@ -39,8 +37,8 @@
 	return m.ID
 }
 
-// NewSender returns the functions of a sender that passes messages to call.
-func NewSender(call func(ctx context.Context, address, method string, args, reply any) error) (send func(consensus.Member, consensus.Message), stop func()) {
-	s := newSender(call)
+// NewSender returns the functions of a sender that passes messages to start.
+func NewSender(start startFunc) (send func(consensus.Member, consensus.Message), stop func()) {
+	s := newSender(start)
 	return s.send, s.close
 }
--- a/internal/process/sender.go
+++ b/internal/process/sender.go
@@ -15,16 +15,16 @@
 	// sendQueueLen is the number of queued messages to one host; further ones
 	// are dropped.
 	sendQueueLen = 256
-	// sendWorkers is the number of concurrent sends to one host, so that a round
-	// trip of 40 ms between regions does not limit the message rate.
-	sendWorkers = 4
+	// maxUnanswered is the number of messages to one host whose arrival it has not
+	// confirmed yet. Heartbeats, on which the lease depends, queue behind other
+	// messages, so a round trip of 40 ms between regions must not limit their rate.
+	maxUnanswered = 64
 )
 
 // sender sends the messages of the replicated log to the other control hosts
 // without blocking. Messages may be dropped and reordered.
 type sender struct {
-	call func(ctx context.Context, address, method string, args, reply any) error
-
+	start startFunc
 	tasks tasks
 
 	mu     sync.Mutex
@@ -32,8 +32,11 @@
 	closed bool
 }
 
-func newSender(call func(ctx context.Context, address, method string, args, reply any) error) *sender {
-	return &sender{call: call, queues: make(map[string]chan consensus.Message)}
+// startFunc sends a request, as peer.Pool.Start does.
+type startFunc func(ctx context.Context, address, method string, args, reply any) (wait func(context.Context) error, err error)
+
+func newSender(start startFunc) *sender {
+	return &sender{start: start, queues: make(map[string]chan consensus.Message)}
 }
 
 // send queues a message, or drops it if the queue is full or the sender is closed: the
@@ -48,9 +51,7 @@
 	if q == nil {
 		q = make(chan consensus.Message, sendQueueLen)
 		s.queues[to.Address] = q
-		for range sendWorkers {
-			s.tasks.start(func(ctx context.Context) { s.loop(ctx, to.Address, q) })
-		}
+		s.tasks.start(func(ctx context.Context) { s.loop(ctx, to.Address, q) })
 	}
 	select {
 	case q <- m:
@@ -58,23 +59,47 @@
 	}
 }
 
+// loop sends the queued messages in order until ctx ends. If the host can't be reached,
+// it drops those that are queued, because the log repeats what was not acknowledged.
 func (s *sender) loop(ctx context.Context, address string, q <-chan consensus.Message) {
+	unanswered := make(chan struct{}, maxUnanswered)
 	for {
+		var m consensus.Message
+		select {
+		case m = <-q:
+		case <-ctx.Done():
+			return
+		}
 		select {
-		case m := <-q:
-			s.deliver(ctx, address, &m)
+		case unanswered <- struct{}{}:
 		case <-ctx.Done():
 			return
 		}
+		callCtx, cancel := context.WithTimeout(ctx, sendTimeout)
+		wait, err := s.start(callCtx, address, "Consensus.Step", &m, new(StepReply))
+		if err != nil {
+			cancel()
+			<-unanswered
+			drop(q)
+			continue
+		}
+		s.tasks.start(func(context.Context) {
+			defer cancel()
+			_ = wait(callCtx) // a message that got lost is repeated by the log
+			<-unanswered
+		})
 	}
 }
 
-// deliver sends one message. Errors are ignored, because the log repeats what
-// was not acknowledged.
-func (s *sender) deliver(ctx context.Context, address string, m *consensus.Message) {
-	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
-	defer cancel()
-	_ = s.call(ctx, address, "Consensus.Step", m, new(StepReply))
+// drop empties the queue.
+func drop(q <-chan consensus.Message) {
+	for {
+		select {
+		case <-q:
+		default:
+			return
+		}
+	}
 }
 
 func (s *sender) close() {
