--- a/internal/process/export_test.go
+++ b/internal/process/export_test.go
@@ -9,7 +9,7 @@
 // The times of the maintenance of the membership.
 const (
 	MembershipInterval = membershipInterval
-	HandOverTimeout    = handOverTimeout
+	HandOverTimeout    = voteHandoverTimeout
 )
 
 // CachedConfig returns a function that returns the configuration of a state through a
