process: a host is replaced also while there are as many voters as there may be

With seven voters, of which one was gone for good, its successor stayed a learner for ever: it could not be promoted, because there may be no eighth voter, and the gone one was not removed, because its successor did not vote. With the next host that stopped, five of seven voters ran, and the loss of two disks took the majority. Seven voters arise when a host is replaced, the new one first, while the sixth is a learner; the next one that is gone then stays. Change: at the bound, a learner that has caught up replaces an unresponsive voter of its data centre, or one that is about to stop: the voter is removed first. A voter that doesn't answer, or is about to stop, is no loss. Tests: new cases in TestMembershipChanges and TestHandOver fail before.

--- a/internal/process/membership.go
+++ b/internal/process/membership.go
@@ -76,15 +76,20 @@
 
 // handOver returns the next change that gives the vote of a host that is about to stop to
 // a learner. It is removed while the number of voters is even: that many bear no more
-// losses than one voter less.
+// losses than one voter less. It is also removed if the learner can't be promoted before.
 func handOver(st consensus.Status) (consensus.Change, bool) {
 	n := countVoters(st)
+	remove := consensus.Change{Kind: consensus.Remove, Member: st.Leaving[0]}
 	for _, m := range st.Members {
-		if m.Learner && m.CaughtUp && n < maxVoters {
+		switch {
+		case !m.Learner || !m.CaughtUp:
+		case n < maxVoters:
 			return consensus.Change{Kind: consensus.Promote, Member: m.Member}, true
+		default:
+			return remove, true
 		}
 	}
-	return consensus.Change{Kind: consensus.Remove, Member: st.Leaving[0]}, n%2 == 0
+	return remove, n%2 == 0
 }
 
 // nextVoter returns the learner to promote, if any. The number of voters is kept
@@ -131,18 +136,20 @@
 }
 
 // replacedMember returns an unresponsive member, if any, that another voter in its data
-// centre has replaced.
+// centre has replaced. A learner that has caught up replaces it too if there may be no
+// further voter: it could never be promoted otherwise.
 func (p *membership) replacedMember(st consensus.Status) (consensus.Member, bool) {
 	if p.dataCentres == nil {
 		return consensus.Member{}, false
 	}
-	dataCentres := p.dataCentres()
+	dataCentres, full := p.dataCentres(), countVoters(st) >= maxVoters
 	for _, old := range st.Members {
 		if old.ID == st.ID || old.ContactAge < p.replaceTimeout || dataCentres[old.ID] == "" {
 			continue
 		}
 		for _, successor := range st.Members {
-			if successor.ID != old.ID && !successor.Learner && dataCentres[successor.ID] == dataCentres[old.ID] && successor.ContactAge < p.replaceTimeout {
+			mayReplace := !successor.Learner || full && successor.CaughtUp
+			if successor.ID != old.ID && mayReplace && dataCentres[successor.ID] == dataCentres[old.ID] && successor.ContactAge < p.replaceTimeout {
 				return old.Member, true
 			}
 		}
--- a/internal/process/membership_test.go
+++ b/internal/process/membership_test.go
@@ -27,6 +27,8 @@
 		{"a host is down", "a@1 b@2 c!@3", "", ""},
 		{"a planned replacement", "a@1 b@2 c@3 d?@3", "", ""},
 		{"its predecessor has stopped", "a@1 b@2 c!@3 d?@3", "d", ""},
+		{"as many voters as there may be, one was replaced", "a@1 b@2 c@3 d@4 e@5 f@6 g!@7 h?@7", "", "g"},
+		{"as many voters as there may be, one is down", "a@1 b@2 c@3 d@4 e@5 f@6 g!@7 h?@8", "", ""},
 		{"an unregistered successor", "a@1 b@2 c!@ d?@", "", ""},
 		{"unknown data centres", "a@ b@ c!@ d@", "", ""},
 	} {
@@ -66,6 +68,8 @@
 		{"nobody can vote instead", "a b c!", ""},
 		{"its successor has not caught up", "a b c! d-", ""},
 		{"as many voters as there may be", "a b c d e f g!", ""},
+		{"as many voters as there may be, its successor is ready", "a b c d e f g! h?", "remove g"},
+		{"an even number of voters", "a b c d e f!", "remove f"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
