process: a planned stop waits at most 2 s for another host to take the vote

The wait is in vain if the leader is lost and not replaced in time, or no learner catches up. With 3 s the stop of a host could come close to 4 s, after which stopping hosts must not count as ready.

--- a/internal/process/directory.go
+++ b/internal/process/directory.go
@@ -281,7 +281,7 @@
 
 // handOverTimeout bounds how long a planned stop waits until another host votes instead of
 // this one.
-const handOverTimeout = 3 * time.Second
+const handOverTimeout = 2 * time.Second
 
 // leave lets another control host vote instead of this one, because the next loss may
 // follow at once. Without it, the host counts as one that is down.
