process: a control host votes only once its data centre is known

A host registers its data centre with the leader, and tries again after a second; it could vote before. If it was then gone for good, nobody could replace it: it counted for ever. Change: a learner is promoted only if it has registered. The hosts of the bootstrap vote from the start as before, and a host that lost its disk is registered already. New cases in TestMembershipChanges fail before.

--- a/internal/process/membership.go
+++ b/internal/process/membership.go
@@ -101,7 +101,7 @@
 func (p *membership) nextVoter(st consensus.Status) (consensus.Member, bool) {
 	var caughtUp []consensus.Member
 	for _, m := range st.Members {
-		if m.Learner && m.CaughtUp {
+		if m.Learner && m.CaughtUp && p.registered(m.ID) {
 			caughtUp = append(caughtUp, m.Member)
 		}
 	}
@@ -114,9 +114,6 @@
 	}
 	dataCentres := p.dataCentres()
 	joining := dataCentres[caughtUp[0].ID]
-	if joining == "" {
-		return consensus.Member{}, false // it has not registered its data centre yet
-	}
 	for _, m := range st.Members {
 		if !m.Learner && m.ID != st.ID && m.ContactAge >= p.replaceTimeout && dataCentres[m.ID] == joining {
 			return caughtUp[0], true
@@ -125,6 +122,12 @@
 	return consensus.Member{}, false
 }
 
+// registered reports whether the data centre of a host is known, without which nobody
+// could replace the host.
+func (p *membership) registered(id string) bool {
+	return p.dataCentres == nil || p.dataCentres()[id] != ""
+}
+
 func countVoters(st consensus.Status) int {
 	n := 0
 	for _, m := range st.Members {
--- a/internal/process/membership_test.go
+++ b/internal/process/membership_test.go
@@ -30,6 +30,8 @@
 		{"as many voters as there may be, one was replaced", "a@1 b@2 c@3 d@4 e@5 f@6 g!@7 h?@7", "", "g"},
 		{"as many voters as there may be, one is down", "a@1 b@2 c@3 d@4 e@5 f@6 g!@7 h?@8", "", ""},
 		{"an unregistered successor", "a@1 b@2 c!@ d?@", "", ""},
+		{"two more hosts, one has not registered", "a@1 b@2 c@3 d?@ e?@5", "", ""},
+		{"a disk was lost, the other host has not registered", "a@1 b@2 d?@ c?@3", "c", ""},
 		{"unknown data centres", "a@ b@ c!@ d@", "", ""},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
