--- a/internal/process/directory.go
+++ b/internal/process/directory.go
@@ -288,7 +288,7 @@
 
 // voteHandoverTimeout bounds how long a planned stop waits until another host votes instead of
 // this one.
-const voteHandoverTimeout = 3 * time.Second
+const voteHandoverTimeout = 2 * time.Second
 
 // leave lets another control host vote instead of this one, because the next loss may
 // follow at once. Without it, the host counts as one that is down.
