--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -185,7 +185,7 @@
 	m.role, m.leader = Leader, m.self
 	m.votes = nil
 	m.progress = make(map[string]*progress)
-	m.joining, m.leaving = make(map[string]joiningHost), make(map[string]time.Time)
+	m.joining = make(map[string]joiningHost)
 	m.termStartIndex = m.appendEntry(entryNoop, nil)
 	m.syncProgress(now)
 	m.heartbeatAt = now
--- a/internal/consensus/machine.go
+++ b/internal/consensus/machine.go
@@ -59,12 +59,9 @@
 	removedMembers     []removedMember
 	leaseReleased      bool                   // the lease is given up for the rest of the term
 	joining            map[string]joiningHost // hosts that ask to be added, by member key
-	leaving            map[string]time.Time   // last request of voters that are about to stop, by member key
 
 	incomingSnapshot *incomingSnapshot // snapshot being received
 
-	stopping bool // this host is about to stop; see AskToLeave
-
 	// While no leader makes contact:
 	seeds []Member            // see SetSeeds
 	peers map[Member]struct{} // with id and address only
@@ -201,8 +198,6 @@
 		m.handleSnapshotReply(now, msg)
 	case MessageVoteReply:
 		m.handleVoteReply(now, msg)
-	case MessageLeave:
-		m.handleLeave(now, msg)
 	case MessageTimeoutNow:
 		m.handleTimeoutNow(now, msg)
 	}
@@ -219,7 +214,7 @@
 		m.recordFailedElection()
 		m.resetElection(now)
 		m.electionDeferred = false
-		if m.outOfContact(now) && !m.stopping {
+		if m.outOfContact(now) {
 			m.sendHellos()
 		}
 		if m.electable() {
@@ -321,6 +316,6 @@
 		m.resetElection(now)
 	}
 	m.role, m.leader = Follower, Member{}
-	m.votes, m.progress, m.leadershipTransfer, m.joining, m.leaving, m.removedMembers = nil, nil, nil, nil, nil, nil
+	m.votes, m.progress, m.leadershipTransfer, m.joining, m.removedMembers = nil, nil, nil, nil, nil
 	m.leaseReleased = false
 }
--- a/internal/consensus/machine_status.go
+++ b/internal/consensus/machine_status.go
@@ -7,7 +7,7 @@
 	s := Status{
 		ID: m.self.ID, Incarnation: m.self.Incarnation, Initialised: !m.Empty(),
 		Role: m.role, Term: m.term, Leader: m.leader, LeaseValid: now.Before(m.LeaseUntil(now)),
-		Commit: m.commit, Applied: m.applied, Last: m.log.lastIndex(), Joining: m.Joining(now), Leaving: m.leavingVoters(now),
+		Commit: m.commit, Applied: m.applied, Last: m.log.lastIndex(), Joining: m.Joining(now),
 	}
 	if m.snapshot != nil {
 		s.SnapshotIndex = m.snapshot.Index
--- a/internal/consensus/malformed_test.go
+++ b/internal/consensus/malformed_test.go
@@ -12,7 +12,7 @@
 var allKinds = []consensus.MessageKind{
 	consensus.MessagePreVote, consensus.MessagePreVoteReply, consensus.MessageVote, consensus.MessageVoteReply,
 	consensus.MessageAppend, consensus.MessageAppendReply, consensus.MessageSnapshot, consensus.MessageSnapshotReply,
-	consensus.MessageTimeoutNow, consensus.MessageLeave, consensus.MessageHello, consensus.MessageHelloReply, consensus.MessageBootstrap, "unknown",
+	consensus.MessageTimeoutNow, consensus.MessageHello, consensus.MessageHelloReply, consensus.MessageBootstrap, "unknown",
 }
 
 // number draws small numbers and those at the ends of the range.
--- a/internal/consensus/message.go
+++ b/internal/consensus/message.go
@@ -16,7 +16,6 @@
 	MessageSnapshot      MessageKind = "snapshot" // one chunk
 	MessageSnapshotReply MessageKind = "snapshot_reply"
 	MessageTimeoutNow    MessageKind = "timeout_now" // asks the receiver to take over leadership
-	MessageLeave         MessageKind = "leave"       // from a voter that is about to stop
 	MessageHello         MessageKind = "hello"       // from a host that no leader contacts
 	MessageHelloReply    MessageKind = "hello_reply"
 	MessageBootstrap     MessageKind = "bootstrap" // carries log entry 1, the first membership
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -232,24 +232,6 @@
 	})
 }
 
-// Leave asks the leader to give the vote of this node, which is about to stop, to
-// another one, and returns once that is done, can't be done, or ctx ends.
-func (n *Node) Leave(ctx context.Context) error {
-	ticker := time.NewTicker(n.opts.ElectionTimeout / 2)
-	defer ticker.Stop()
-	for {
-		asked := false
-		if err := n.call(ctx, func(now time.Time) { asked = n.machine.AskToLeave(now) }); err != nil || !asked {
-			return err
-		}
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return errkind.Wrap(errkind.DeadlineExceeded, ctx.Err(), "waiting for another host to take the vote")
-		}
-	}
-}
-
 // wait blocks until check reports an answer. The loop calls check at the end of
 // each cycle.
 func (n *Node) wait(ctx context.Context, check func(v *view) (bool, error)) error {
--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -17,7 +17,6 @@
 	SnapshotIndex uint64         `json:"snapshot_index"`
 	Members       []MemberStatus `json:"members"`
 	Joining       []Member       `json:"joining"`       // at the leader: hosts that have asked to be added
-	Leaving       []Member       `json:"leaving"`       // at the leader: voters that are about to stop
 	LongestWrite  time.Duration  `json:"longest_write"` // longest write of the log since the start, in ns
 	SlowWrites    uint64         `json:"slow_writes"`   // writes longer than the heartbeat interval
 	Failed        string         `json:"failed,omitempty"`
--- a/internal/process/control_sim_test.go
+++ b/internal/process/control_sim_test.go
@@ -19,9 +19,9 @@
 const (
 	simElectionTimeout  = 300 * time.Millisecond
 	simHeartbeat        = 75 * time.Millisecond
+	simMembershipPause  = time.Second
 	simChangeTimeout    = 2 * time.Second
 	simRegisterInterval = time.Second
-	simHandOver         = 500 * time.Millisecond // a host that stops counts as lost for so long
 	simSnapshotEvery    = 60
 )
 
@@ -163,7 +163,7 @@
 		s.restore(h, h.snapshot)
 	}
 	h.run++
-	h.checkAt, h.changeIndex = s.now+s.between(0, process.MembershipInterval), 0
+	h.checkAt, h.changeIndex = s.now+s.between(0, simMembershipPause), 0
 	s.loopRegister(h, h.run)
 }
 
@@ -219,7 +219,7 @@
 
 // checkMembership does what the loop of a process does with its membership.
 func (s *controlSim) checkMembership(h *controlHost) {
-	h.checkAt = s.now + process.MembershipInterval
+	h.checkAt = s.now + simMembershipPause
 	if h.changeIndex != 0 { // timed out
 		h.changeIndex = 0
 		return
@@ -297,12 +297,12 @@
 		if e.Index == h.changeIndex {
 			h.changeIndex, h.checkAt = 0, s.now
 			if e.Term != h.changeTerm {
-				h.checkAt += process.MembershipInterval
+				h.checkAt += simMembershipPause
 			}
 		}
 	}
 	if h.changeIndex != 0 && h.machine.Role() != consensus.Leader {
-		h.changeIndex, h.checkAt = 0, s.now+process.MembershipInterval
+		h.changeIndex, h.checkAt = 0, s.now+simMembershipPause
 	}
 	for _, msg := range out.Messages {
 		s.transmit(msg)
--- a/internal/process/directory.go
+++ b/internal/process/directory.go
@@ -278,7 +278,6 @@
 	p.opts.Events.Event("stopping").Bool("leads", p.node.IsLeader()).Msg("planned stop")
 	var group errs.Group
 	group.Add(p.directory.Stop(ctx))
-	p.leave(ctx)
 	group.Add(p.shutdown(ctx))
 	group.Add(p.node.Stop(ctx))
 	p.abort()
@@ -286,20 +285,6 @@
 	return Error.Wrap(group.Err())
 }
 
-// voteHandoverTimeout bounds how long a planned stop waits until another host votes instead of
-// this one.
-const voteHandoverTimeout = 2 * time.Second
-
-// leave lets another control host vote instead of this one, because the next loss may
-// follow at once. Without it, the host counts as one that is down.
-func (p *Directory) leave(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, voteHandoverTimeout)
-	defer cancel()
-	if err := p.node.Leave(ctx); err != nil {
-		p.log.Warn().Err(err).Msg("stopping without another control host that votes instead")
-	}
-}
-
 func (p *Directory) abort() {
 	p.close()
 	if p.sender != nil {
--- a/internal/process/export_test.go
+++ b/internal/process/export_test.go
@@ -6,12 +6,6 @@
 	"github.com/arbutusring/arbutusring/pkg/database"
 )
 
-// The times of the maintenance of the membership.
-const (
-	MembershipInterval = membershipInterval
-	HandOverTimeout    = voteHandoverTimeout
-)
-
 // CachedConfig returns a function that returns the configuration of a state through a
 // cache that parses documents with parse.
 func CachedConfig(parse func(document []byte) (*database.Config, error)) func(directoryrpc.State) (*database.Config, error) {
--- a/internal/process/membership.go
+++ b/internal/process/membership.go
@@ -9,10 +9,9 @@
 )
 
 // membershipInterval is how often the leader checks whether the membership must
-// change. A host that is about to stop waits for it. After a change the leader checks
-// at once: several hosts may have to be replaced, with three changes each, before the
-// next ones are lost.
-const membershipInterval = 200 * time.Millisecond
+// change. After a change it checks at once: several hosts may have to be replaced,
+// with three changes each, before the next ones are lost.
+const membershipInterval = time.Second
 
 // membership maintains the members of the replicated log. Only the leader acts.
 type membership struct {
@@ -53,11 +52,6 @@
 
 // nextChange returns the next change of the membership, if any.
 func (p *membership) nextChange(st consensus.Status) (consensus.Change, bool) {
-	if len(st.Leaving) > 0 {
-		if c, ok := handOver(st); ok {
-			return c, true
-		}
-	}
 	if len(st.Joining) > 0 {
 		joining := st.Joining[0]
 		if old, ok := otherIncarnation(st, joining); ok {
@@ -74,24 +68,6 @@
 	return consensus.Change{}, false
 }
 
-// handOver returns the next change that gives the vote of a host that is about to stop to
-// a learner. It is removed while the number of voters is even: that many bear no more
-// losses than one voter less. It is also removed if the learner can't be promoted before.
-func handOver(st consensus.Status) (consensus.Change, bool) {
-	n := countVoters(st)
-	remove := consensus.Change{Kind: consensus.Remove, Member: st.Leaving[0]}
-	for _, m := range st.Members {
-		switch {
-		case !m.Learner || !m.CaughtUp:
-		case n < maxVoters:
-			return consensus.Change{Kind: consensus.Promote, Member: m.Member}, true
-		default:
-			return remove, true
-		}
-	}
-	return remove, n%2 == 0
-}
-
 // nextVoter returns the learner to promote, if any. The number of voters is kept
 // odd: an even number has no majority when a partition cuts it in half, and
 // survives no more losses than one voter less. It becomes even only until a
--- a/internal/process/membership_search_test.go
+++ b/internal/process/membership_search_test.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/arbutusring/arbutusring/internal/consensus"
-	"github.com/arbutusring/arbutusring/internal/process"
 )
 
 var (
@@ -251,7 +250,7 @@
 		s.back(st, h, ms(100, 1500))
 	case "restart":
 		s.stopPlanned(h, func() { s.back(st, h, length) })
-		h.lostUntil = s.now + process.HandOverTimeout + 2*simElectionTimeout + length + st.catchUp
+		h.lostUntil = s.now + 2*simElectionTimeout + length + st.catchUp
 	case "freeze", "freeze leader":
 		h.frozen = h.machine != nil
 		h.lostUntil = s.now + 4*time.Second + st.catchUp
@@ -307,34 +306,22 @@
 		return
 	}
 	s.log("%v: %s stops, replaced by %s", s.now, h.id, successor.id)
-	h.lostUntil = max(h.lostUntil, s.now+simHandOver)
 	s.stopPlanned(h, func() { h.gone = true })
 }
 
-// stopPlanned stops a host, which transfers its leadership and its vote first.
+// stopPlanned stops a host, which transfers its leadership first.
 func (s *controlSim) stopPlanned(h *controlHost, then func()) {
-	if !h.runs() {
-		s.stop(h)
-		then()
-		return
-	}
-	deadline := s.now
-	if h.machine.Role() == consensus.Leader && h.machine.StartLeadershipTransfer(s.clock()) == nil {
-		s.output(h)
-		deadline += 2 * simElectionTimeout
-	}
-	s.leave(h, h.run, deadline, s.now+process.HandOverTimeout+2*simElectionTimeout, then)
-}
-
-// leave stops a host once it does not lead and another one votes instead.
-func (s *controlSim) leave(h *controlHost, run int, transferUntil, until time.Duration, then func()) {
-	waits := h.run == run && h.runs() && h.machine.Role() == consensus.Leader && s.now < transferUntil
-	if !waits && h.run == run && h.runs() && s.now < until {
-		waits = h.machine.AskToLeave(s.clock())
-		s.output(h)
-	}
-	if waits {
-		s.after(50*time.Millisecond, func() { s.leave(h, run, transferUntil, until, then) })
+	if h.runs() && h.machine.Role() == consensus.Leader {
+		if err := h.machine.StartLeadershipTransfer(s.clock()); err == nil {
+			s.output(h)
+		}
+		run := h.run
+		s.after(2*simElectionTimeout, func() {
+			if h.run == run {
+				s.stop(h)
+				then()
+			}
+		})
 		return
 	}
 	s.stop(h)
--- a/internal/process/rejoin_test.go
+++ b/internal/process/rejoin_test.go
@@ -164,33 +164,6 @@
 	eventually(t, "the host is a member again", isMember)
 }
 
-// TestStoppedHostHandsOverItsVote guards against a planned stop after which fewer hosts
-// vote, although the host that replaces the stopped one was ready before.
-func TestStoppedHostHandsOverItsVote(t *testing.T) {
-	for _, leads := range []bool{false, true} {
-		t.Run(fmt.Sprint("leads ", leads), func(t *testing.T) {
-			is := is.New(t)
-			d := startDirectories(t, 4)
-			caughtUp := func() bool {
-				st, ok := d.leaderStatus()
-				return ok && slices.ContainsFunc(st.Members, func(m consensus.MemberStatus) bool { return m.ID == "c3" && m.CaughtUp })
-			}
-			eventually(t, "three hosts vote and the fourth has caught up", func() bool { return d.voters() == 3 && caughtUp() })
-			st, ok := d.leaderStatus()
-			is.True(ok)
-			stopped := st.ID
-			if !leads {
-				stopped = d.ids[(slices.Index(d.ids, st.ID)+1)%3]
-			}
-			ctx, cancel := context.WithTimeout(t.Context(), catchUpTime)
-			defer cancel()
-			is.NoErr(d.running[stopped].Stop(ctx))
-			delete(d.running, stopped)
-			is.Equal(d.voters(), 3)
-		})
-	}
-}
-
 // isVoter reports whether a host votes.
 func isVoter(st consensus.Status, id string) bool {
 	return slices.ContainsFunc(st.Members, func(m consensus.MemberStatus) bool { return m.ID == id && !m.Learner })
