--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -28,5 +28,5 @@
 	Match        uint64        `json:"match"`
 	SnapshotSent bool          `json:"snapshot_sent"` // a snapshot is being sent
 	ContactAge   time.Duration `json:"contact_age"`   // age of the newest message that it has answered, in ns
-	CaughtUp     bool          `json:"caught_up"`     // a learner may be promoted
+	CaughtUp     bool          `json:"-"`             // a learner may be promoted
 }
