--- a/internal/directoryrpc/messages.go
+++ b/internal/directoryrpc/messages.go
@@ -41,6 +41,12 @@
 	return s.Sequence > old.Sequence
 }
 
+// Contradicts reports whether an announcement gives a process another group or address
+// than old. A process keeps both, so another writer has sent one of them.
+func (s Server) Contradicts(old Server) bool {
+	return s.Born != 0 && s.Born == old.Born && (s.Group != old.Group || s.Address != old.Address)
+}
+
 // Same reports whether two announcements differ at most in their Sequence.
 func (s Server) Same(old Server) bool {
 	s.Sequence = old.Sequence
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -119,16 +119,17 @@
 }
 
 // updateMembers sets the members of a view. A server that was restarted or has
-// changed its address gets a new member, with new connections. The caller holds
+// changed its address or group gets a new member, with new connections: the old ones
+// were opened for the old group. The caller holds
 // mu.
 func (g *Gateway) updateMembers(v *view) {
 	specs := rankSpecs(v.ranks)
 	for id, m := range g.members {
 		current, known := v.state.Servers[id]
-		if known && current.Address == m.server.Address && current.Born == m.server.Born {
+		if known && current.Address == m.server.Address && current.Born == m.server.Born && current.Group == m.server.Group {
 			continue
 		}
-		g.opts.Events.Event("server_left").Str("server", id).Str("group", m.server.Group).Msg("backend server left, restarted or changed its address; closing its connections")
+		g.opts.Events.Event("server_left").Str("server", id).Str("group", m.server.Group).Msg("backend server left, restarted or changed its address or group; closing its connections")
 		delete(g.members, id)
 		m.pool.close()
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -313,6 +313,30 @@
 	})
 }
 
+// TestServerChangesGroup guards against statements of one group on connections that
+// were opened for another one, when a server appears in another group without a
+// restart.
+func TestServerChangesGroup(t *testing.T) {
+	runWithGateway(t, func(t *testing.T, is *is.I, group *fakeGroup, g *gateway.Gateway) {
+		c := open(t, g, "bounded")
+		defer c.Close()
+		for range 6 {
+			is.Equal(failureKind(c.read("a")), errkind.OK)
+		}
+		s := group.state(2, 1, "s1", false)
+		moved := s.Servers["s2"]
+		moved.Group = "other"
+		s.Servers["s2"] = moved
+		g.SetState(s, config())
+		for _, m := range g.Dump().Members {
+			if m.Server == "s2" {
+				is.Equal(m.Open, 0) // no connection of the former group is left
+				is.Equal(m.Group, "other")
+			}
+		}
+	})
+}
+
 // TestReportsOfManyFailingPrimaries guards against requests that grow with the number
 // of primaries that fail, as after a power loss, and against a change of a primary
 // that waits because the report on its group is left out.
