directory: a working primary is not replaced because its role is announced late

Cause: a primary that is announced as a replica was replaced after one second, without asking it. The announcement of a server that was just promoted may come later (servers announce themselves every 1.2 s) or be lost, so its group was switched again, over and over while it stayed announced as a replica. With many lost primaries such switchovers took the places of the 32 that may be in progress: in TestManyLostPrimaries at least 33 of them had the cause "demoted".

The test showed it once Service.Announce refused announcements that contradict earlier ones: the stand-in announced every promoted server as one of group "g".

Ruled out: awaitRelease, chooseTarget and the status interval; each switchover takes as long as before.

Change: before such a switchover the server is asked for its status. If it answers as a primary it stays; if it answers as a replica, or not at all, it is replaced as before. Service.Announce refuses an announcement that gives a running server another group or address. The stand-in announces promoted servers in their own group.

--- a/internal/directory/cluster_test.go
+++ b/internal/directory/cluster_test.go
@@ -32,6 +32,7 @@
 	refusePromotion map[string]bool // servers whose promotion fails with errkind.Conflict
 	syncReplicas    int             // value of the setting sync_replicas
 	panics          bool            // proposals of configurations panic
+	silentTargets   bool            // a promoted server does not announce its role
 
 	ctx     context.Context // ends with the test
 	cancel  context.CancelFunc
@@ -111,12 +112,17 @@
 }
 
 func (c *testCluster) announce(id string, primary, draining bool, sequence uint64) {
+	c.announceIn("g", id, primary, draining, sequence)
+}
+
+// announceIn announces a server of a group.
+func (c *testCluster) announceIn(group, id string, primary, draining bool, sequence uint64) {
 	role := statement.Replica
 	if primary {
 		role = statement.Primary
 	}
 	_ = c.d.Service().Announce(&directoryrpc.AnnounceArgs{Server: directoryrpc.Server{
-		ID: id, Group: "g", Address: id + ":1", Slots: 3, Role: role, Draining: draining, Born: 1, Sequence: sequence,
+		ID: id, Group: group, Address: id + ":1", Slots: 3, Role: role, Draining: draining, Born: 1, Sequence: sequence,
 	}}, new(directoryrpc.AnnounceReply))
 }
 
@@ -137,13 +143,16 @@
 		return errkind.New(errkind.Conflict, "not running")
 	}
 	c.promoted = append(c.promoted, p)
+	silent := c.silentTargets
 	if st := c.status[p.Server]; st.Role == statement.Replica {
 		c.workers.Go(func() {
 			time.Sleep(300 * time.Millisecond)
 			c.withLock(func() {
 				c.status[p.Server] = statement.ServerStatus{Role: statement.Primary, Term: st.Term + 1, Received: st.Received}
 			})
-			c.announce(p.Server, true, false, 50)
+			if !silent {
+				c.announceIn(p.Group, p.Server, true, false, 50)
+			}
 		})
 	}
 	return nil
--- a/internal/directory/primary_monitor.go
+++ b/internal/directory/primary_monitor.go
@@ -49,9 +49,11 @@
 
 	mu           sync.Mutex
 	probing      bool
-	lastProbe    time.Time // end of the last probe
-	failingSince time.Time // start of the first failed probe; zero if the last one succeeded
-	failures     int       // consecutive failed probes
+	lastProbe    time.Time    // end of the last probe
+	failingSince time.Time    // start of the first failed probe; zero if the last one succeeded
+	failures     int          // consecutive failed probes
+	probed       statusResult // of the last probe
+	probedAt     time.Time    // start of the last probe
 }
 
 // causeOfChange returns why the primary has to be replaced, or causeNone.
@@ -70,7 +72,7 @@
 		if m.demotedSince.IsZero() {
 			m.demotedSince = time.Now()
 		}
-		if time.Since(m.demotedSince) > roleGracePeriod {
+		if time.Since(m.demotedSince) > roleGracePeriod && m.confirmDemotion(l, primary) {
 			return causeDemoted
 		}
 	} else {
@@ -79,6 +81,18 @@
 	return m.causeFromReports(l, g, primary)
 }
 
+// confirmDemotion reports whether a primary that is announced as a replica must be
+// replaced. The announcement of a server that was just promoted may arrive later than
+// the grace period, so the server itself is asked. If it does not answer, the
+// announcement counts.
+func (m *primaryMonitor) confirmDemotion(l *leadership, primary directoryrpc.Server) bool {
+	m.probe(l, primary)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	asked := m.probed.server.ID == primary.ID && m.probedAt.After(m.demotedSince)
+	return asked && (m.probed.err != nil || m.probed.status.Role != statement.Primary)
+}
+
 // causeFromReports evaluates the reports of the hosts and the probes of the
 // leader. A host without a report does not suspect the primary. A primary is lost if neither the leader nor any host reaches it, or if
 // most hosts and the leader fail to reach it. A primary that only some hosts
@@ -144,10 +158,11 @@
 	started := time.Now()
 	ctx, cancel := context.WithTimeout(l.ctx, probeTimeout)
 	defer cancel()
-	_, err := l.opts.Members.Status(ctx, primary)
+	st, err := l.opts.Members.Status(ctx, primary)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.probing, m.lastProbe = false, time.Now()
+	m.probed, m.probedAt = statusResult{primary, st, err}, started
 	switch {
 	case err == nil || errkind.Of(err) == errkind.Overloaded:
 		m.failingSince, m.failures = time.Time{}, 0
@@ -156,7 +171,7 @@
 	default:
 		m.failures++
 	}
-	l.opts.Events.Event("primary_probed").Str("group", primary.Group).Str("server", primary.ID).Int("failures", m.failures).Err(err).Msg("probed a primary that hosts report as failing")
+	l.opts.Events.Event("primary_probed").Str("group", primary.Group).Str("server", primary.ID).Int("failures", m.failures).Err(err).Msg("probed a primary that hosts report as failing or that is announced as a replica")
 }
 
 // hasSuccessor reports whether the group has another server that is not draining.
--- a/internal/directory/service.go
+++ b/internal/directory/service.go
@@ -105,6 +105,8 @@
 		return nil
 	case args.Gone:
 		s.proposeAndReply(l, &reply.Answer, Command{Remove: &RemoveServer{ID: srv.ID, Born: srv.Born}})
+	case known && srv.Contradicts(old):
+		reply.Answer = controlrpc.Answer{Kind: errkind.BadRequest, Detail: "the server announced another group or address since its start"}
 	default:
 		s.proposeAndReply(l, &reply.Answer, Command{Announce: &PutServer{Server: srv}})
 	}
