schedule: customers of one rank share the slot time equally

Cause: within a rank the order was first come, first served, so a customer at nine times its usual load delayed and displaced all others.

Change: Acquire takes a customer. Waiting customers of a rank are served by start-time fair queueing: a request is charged the expected slot time when it is granted, corrected at its end. The expected wait counts what is ahead in this order. The queue limit stays shared; the newest request of the customer with the longest queue is rejected. Both users of the package pass no customer yet. Without customers, or with one, the order is unchanged.

--- a/internal/gateway/operation.go
+++ b/internal/gateway/operation.go
@@ -210,7 +210,7 @@
 	startWithin := left - min(answerReserveFactor*m.expectedAnswerTime(), left/2)
 	startCtx, cancelStart := context.WithTimeout(ctx, startWithin)
 	defer cancelStart()
-	slot, err := m.sched.Acquire(startCtx, o.gateway.view.Load().ranks.Name(o.db.Rank), begun.Add(startWithin))
+	slot, err := m.sched.Acquire(startCtx, o.gateway.view.Load().ranks.Name(o.db.Rank), "", begun.Add(startWithin))
 	o.queued += time.Since(begun)
 	o.gateway.metrics.queueWait.Update(int64(time.Since(begun)))
 	if err != nil {
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -6,10 +6,18 @@
 // A request is one statement, or one cycle of client messages that is answered
 // as a whole.
 //
+// # Customers
+//
+// Within a rank, customers that wait share the slot time equally (start-time fair
+// queueing, Goyal et al. 1996). A customer whose load exceeds its share waits, and
+// is refused, without delaying the others. This answers a load in which one customer
+// sends many times as much as usual. Requests without a customer count as one more
+// customer, so without customers the order is first come, first served.
+//
 // # Usage
 //
 //	s := schedule.New(schedule.Options{Slots: 3, Ranks: ranks})
-//	slot, err := s.Acquire(ctx, "urgent", deadline) // after an error, don't run the request
+//	slot, err := s.Acquire(ctx, "urgent", customer, deadline) // after an error, don't run the request
 //	defer s.Release(slot)
 package schedule
 
@@ -30,8 +38,9 @@
 // Scheduler allocates the slots of one server.
 //
 // A free slot never stays idle while a request waits. Ranks below their floor are
-// served first, the others in strict priority order. Within a rank the order is
-// first come, first served. Methods are safe for concurrent use.
+// served first, the others in strict priority order. Within a rank, customers share
+// the slot time equally, and the order of the requests of one customer is first
+// come, first served. Methods are safe for concurrent use.
 type Scheduler struct {
 	now    func() time.Time
 	window time.Duration
@@ -89,21 +98,23 @@
 	s.dispatch()
 }
 
-// Acquire waits for a slot. After an error the request has no slot and must not
-// run. The error is Overloaded, without waiting, if the queue is full or the
-// request is not expected to start before the deadline; DeadlineExceeded if the
+// Acquire waits for a slot. customer is empty for a request without one. After an
+// error the request has no slot and must not run. The error is Overloaded, without
+// waiting, if the request is not expected to start before the deadline. It is also
+// Overloaded, possibly after a wait, if the queue is full and the request is the
+// newest of the customer with the longest queue. It is DeadlineExceeded if the
 // deadline passed while it waited; and otherwise the cause of the cancellation of
 // ctx, or Cancelled. An unknown rank is treated as the lowest one.
-func (s *Scheduler) Acquire(ctx context.Context, rank string, deadline time.Time) (Slot, error) {
+func (s *Scheduler) Acquire(ctx context.Context, rank, customer string, deadline time.Time) (Slot, error) {
 	s.mu.Lock()
-	r, w, err := s.tryAcquire(rank, deadline)
+	slot, r, w, err := s.tryAcquire(rank, customer, deadline)
 	s.mu.Unlock()
 	if err != nil || w == nil {
-		return Slot{rank: r, start: s.now()}, err
+		return slot, err
 	}
 	select {
 	case err := <-w.ready:
-		return Slot{rank: r, start: s.now()}, err
+		return Slot{rank: r, flow: w.flow, charged: w.charged, start: s.now()}, err
 	case <-ctx.Done():
 	}
 	return Slot{}, s.cancelWait(ctx, r, w)
@@ -111,9 +122,9 @@
 
 // tryAcquire takes a free slot and returns a nil waiter, or queues the request
 // and returns its waiter. The caller holds mu.
-func (s *Scheduler) tryAcquire(rank string, deadline time.Time) (*rankQueue, *waiter, error) {
+func (s *Scheduler) tryAcquire(rank, customer string, deadline time.Time) (Slot, *rankQueue, *waiter, error) {
 	if s.closeErr != nil {
-		return nil, nil, s.closeErr
+		return Slot{}, nil, nil, s.closeErr
 	}
 	s.advance()
 	r := s.byName[rank]
@@ -121,22 +132,34 @@
 		r = s.ranks[len(s.ranks)-1]
 	}
 	remaining := deadline.Sub(s.chargedUntil)
-	switch {
-	case remaining <= 0:
-		return nil, nil, errkind.New(errkind.DeadlineExceeded, "the deadline has passed")
-	case s.busy < s.slots:
+	if remaining <= 0 {
+		return Slot{}, nil, nil, errkind.New(errkind.DeadlineExceeded, "the deadline has passed")
+	}
+	f := r.flow(customer)
+	if s.busy < s.slots {
 		// A waiting request would have been given the slot, so none waits.
-		s.grant(r)
-		return r, nil, nil
-	case r.length >= r.spec.QueueLimit:
-		return nil, nil, errkind.New(errkind.Overloaded, "rank %q: the queue is full", r.spec.Name)
+		return Slot{rank: r, flow: f, charged: s.grant(r, f), start: s.now()}, r, nil, nil
+	}
+	full := r.length >= r.spec.QueueLimit
+	longest := r.longestFlow()
+	if full && (longest == nil || f.length+1 >= longest.length) {
+		return Slot{}, nil, nil, errQueueFull(r)
+	}
+	if wait := s.estimateWait(r, f); wait > remaining {
+		return Slot{}, nil, nil, errkind.New(errkind.Overloaded, "rank %q: expected wait of %v exceeds the deadline", r.spec.Name, wait)
 	}
-	if wait := s.estimateWait(r); wait > remaining {
-		return nil, nil, errkind.New(errkind.Overloaded, "rank %q: expected wait of %v exceeds the deadline", r.spec.Name, wait)
+	if full {
+		newest := longest.tail
+		r.remove(newest)
+		newest.ready <- errQueueFull(r)
 	}
-	w := &waiter{deadline: deadline, ready: make(chan error, 1)}
+	w := &waiter{flow: f, deadline: deadline, ready: make(chan error, 1)}
 	r.push(w)
-	return r, w, nil
+	return Slot{}, r, w, nil
+}
+
+func errQueueFull(r *rankQueue) error {
+	return errkind.New(errkind.Overloaded, "rank %q: the queue is full", r.spec.Name)
 }
 
 // cancelWait removes a request whose ctx has ended, or frees the slot that it was
@@ -149,7 +172,7 @@
 	} else if err := <-w.ready; err == nil {
 		s.advance()
 		s.busy--
-		r.running--
+		r.end(w.flow, w.charged, 0)
 		s.dispatch()
 	}
 	if cause := context.Cause(ctx); errors.Is(cause, context.DeadlineExceeded) {
@@ -169,7 +192,7 @@
 	smooth(&slot.rank.serviceTime, took)
 	smooth(&s.serviceTime, took)
 	s.busy--
-	slot.rank.running--
+	slot.rank.end(slot.flow, slot.charged, took)
 	s.dispatch()
 }
 
@@ -218,13 +241,13 @@
 		if r == nil {
 			return
 		}
-		w := r.head
+		w := r.first()
 		r.remove(w)
 		if !s.chargedUntil.Before(w.deadline) {
 			w.ready <- errkind.New(errkind.DeadlineExceeded, "the deadline passed in the queue")
 			continue
 		}
-		s.grant(r)
+		w.charged = s.grant(r, w.flow)
 		w.ready <- nil
 	}
 }
@@ -251,16 +274,27 @@
 	return first
 }
 
-func (s *Scheduler) grant(r *rankQueue) {
+// unknownServiceTime is the slot time that a customer is charged for a request
+// before any has ended. It is corrected when the request ends.
+const unknownServiceTime = time.Millisecond
+
+// grant gives a slot to a request of f and returns the slot time that it charges.
+func (s *Scheduler) grant(r *rankQueue, f *flow) time.Duration {
 	s.busy++
-	r.running++
+	cost := s.chargedServiceTime(r)
+	r.begin(f, cost)
+	return cost
+}
+
+func (s *Scheduler) chargedServiceTime(r *rankQueue) time.Duration {
+	return cmp.Or(s.expectedServiceTime(r), unknownServiceTime)
 }
 
-// estimateWait returns the expected wait of a request that joins the queue of r.
-// It includes the queues of higher ranks, and assumes that these continue to use
+// estimateWait returns the expected wait of a request that joins the queue of f in
+// r. Of r it includes the requests that are served before. It includes the queues of higher ranks, and assumes that these continue to use
 // their share of slot time in the window, but leave r at least its floor and 5%
 // of the slots, so that the estimate stays finite.
-func (s *Scheduler) estimateWait(r *rankQueue) time.Duration {
+func (s *Scheduler) estimateWait(r *rankQueue, f *flow) time.Duration {
 	slots := float64(s.slots)
 	var workAhead, higherShare float64
 	for _, higher := range s.ranks {
@@ -272,7 +306,7 @@
 	}
 	// The first slot becomes free after about serviceTime/slots, so a request
 	// waits for one such time more than there are requests ahead of it.
-	ownWork := float64(r.length+1) * float64(s.expectedServiceTime(r))
+	ownWork := float64(r.requestsAhead(f, s.chargedServiceTime(r))+1) * float64(s.expectedServiceTime(r))
 	share := max(slots-higherShare, r.spec.Floor*slots, 0.05*slots)
 	wait := workAhead/slots + ownWork/share
 	if floor := r.spec.Floor * slots; floor > 0 {
@@ -320,8 +354,8 @@
 }
 
 func refuseAll(r *rankQueue, err error) {
-	for r.head != nil {
-		w := r.head
+	for r.length > 0 {
+		w := r.first()
 		r.remove(w)
 		w.ready <- err
 	}
