database, gateway: customers, their keys, admissions; the interfaces

Other parts need the types before they are used everywhere.

Change: database.Customer, KeyDigest, Config.Customers, CustomerOf and KeyOwners, Database.Public, with their checks. Error kinds denied and over_allowance. gateway.Open takes the key, a Session knows its customer, Options.Connect gets the customer and Options.Admit admits each operation once; what was not sent is refunded. The pool keeps connections by customer and exchanges the one that has been idle longest. Scheduler.Acquire gets the customer and ignores it.

Result: tests of pkg/..., gateway, schedule, owner, entry, load pass with -race. One run of ./platform failed beside other load (name not captured), the next passed. In internal/process TestControlHostsLoseDisks, TestEntryKeepsLeaseOfUnnamedLeader and the listed TestMembershipBearsLosses/3_hosts failed at a load of 11 on 7 cores; none uses a gateway.

--- a/internal/gateway/doc.go
+++ b/internal/gateway/doc.go
@@ -54,7 +54,7 @@
 //	defer g.Close()
 //	g.SetState(state, cfg)
 //	g.RenewLease(sentAt.Add(ttl), hosts)
-//	s, err := g.Open("orders")
+//	s, err := g.Open(ctx, "orders", key)
 //	answer := s.Execute(ctx, request)
 //	s.Close()
 package gateway
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -123,7 +123,7 @@
 	f()
 }
 
-func (group *fakeGroup) connect(ctx context.Context, s directoryrpc.Server) (gateway.Conn, error) {
+func (group *fakeGroup) connect(ctx context.Context, s directoryrpc.Server, _ string) (gateway.Conn, error) {
 	srv := group.servers[s.ID]
 	group.mu.Lock()
 	down, unresponsive := srv.down, srv.unresponsive
@@ -308,7 +308,7 @@
 
 func open(t *testing.T, g *gateway.Gateway, name string) *caller {
 	t.Helper()
-	s, err := g.Open(t.Context(), name)
+	s, err := g.Open(t.Context(), name, "")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -359,9 +359,10 @@
 	return true
 }
 
-// Open starts a session for a database. If the database is unknown, for instance
-// because the host has just started, Open first waits for a valid lease.
-func (g *Gateway) Open(ctx context.Context, name string) (*Session, error) {
+// Open starts a session for a database, with the key of the caller, which may be
+// empty. If the database is unknown, for instance because the host has just started,
+// Open first waits for a valid lease.
+func (g *Gateway) Open(ctx context.Context, name, key string) (*Session, error) {
 	if !g.view.Load().declares(name) {
 		if !g.awaitLease(ctx) {
 			return nil, errkind.New(errkind.ConfigStale, "the configuration of this host may be out of date")
@@ -370,7 +371,15 @@
 			return nil, errkind.New(errkind.UnknownGroup, "database %q is not declared in version %d", name, v.cfg.Version)
 		}
 	}
-	s := &Session{gateway: g, name: name, settings: make(map[string]string), prepared: make(map[string]*preparedStatement)}
+	v := g.view.Load()
+	customer, known := "", true
+	if len(v.cfg.Customers) > 0 && !v.cfg.Databases[name].Public {
+		customer, known = v.cfg.CustomerOf(key)
+	}
+	if !known {
+		return nil, errkind.New(errkind.Denied, "the key is not valid")
+	}
+	s := &Session{gateway: g, name: name, customer: customer, settings: make(map[string]string), prepared: make(map[string]*preparedStatement)}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.sessions[s] = struct{}{}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -64,11 +64,11 @@
 		is.Equal(failureKind(c.write("a")), errkind.ConfigStale)
 		is.Equal(len(group.executed), before)
 		is.True(!g.Ready())
-		_, err := g.Open(t.Context(), "nothing")
+		_, err := g.Open(t.Context(), "nothing", "")
 		is.Equal(errkind.Of(err), errkind.ConfigStale) // without a lease, the database may exist
 		g.RenewLease(clock.Now().Add(time.Second), 1)
 		is.Equal(failureKind(c.read("a")), errkind.OK)
-		_, err = g.Open(t.Context(), "nothing")
+		_, err = g.Open(t.Context(), "nothing", "")
 		is.Equal(errkind.Of(err), errkind.UnknownGroup)
 	})
 }
--- a/internal/gateway/load_test.go
+++ b/internal/gateway/load_test.go
@@ -25,7 +25,7 @@
 		for i := range int(length.Seconds() * float64(perSecond)) {
 			time.Sleep(time.Second / time.Duration(perSecond))
 			all.Go(func() {
-				session, err := gateways[i%len(gateways)].Open(t.Context(), name)
+				session, err := gateways[i%len(gateways)].Open(t.Context(), name, "")
 				if err != nil {
 					counts.refused.Add(1)
 					return
@@ -100,7 +100,7 @@
 		for i := range 150 {
 			time.Sleep(20 * time.Millisecond) // 50 a second; the primary can run 33
 			all.Go(func() {
-				s, err := g.Open(t.Context(), "urgent")
+				s, err := g.Open(t.Context(), "urgent", "")
 				if err != nil {
 					refused.Add(1)
 					return
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -97,7 +97,7 @@
 	m := &member{server: s}
 	m.setDraining(s.Draining)
 	m.assumedRTT, m.regionPenalty = opts.Place.distance(s.DataCentre)
-	m.pool = newPool(func(ctx context.Context) (Conn, error) { return opts.Connect(ctx, s) })
+	m.pool = newPool(func(ctx context.Context, customer string) (Conn, error) { return opts.Connect(ctx, s, customer) })
 	m.sched = schedule.New(schedule.Options{Slots: max(1, s.Slots), Ranks: rankSpecs(schedule.RankTable{}), Window: floorWindow, AssumedServiceTime: assumedServiceTime})
 	return m
 }
--- a/internal/gateway/operation.go
+++ b/internal/gateway/operation.go
@@ -45,6 +45,10 @@
 	started      time.Time // on clock.Now
 	deadline     time.Time // on clock.Now
 
+	admission Admission // valid if admitted is set
+	admitted  bool
+	sent      bool // a server may have received the statement, or BEGIN
+
 	attempts int              // how often the statement, or BEGIN, was sent
 	tried    map[*member]bool // servers that chooseForRead skips
 	lastErr  error
@@ -54,6 +58,7 @@
 
 // execute runs the statement and returns the answer to the caller.
 func (o *operation) execute() statement.Answer {
+	defer o.refundUnsent()
 	s := o.session
 	switch {
 	case s.tx == nil && o.isRead:
@@ -71,6 +76,45 @@
 	return o.executeInTransaction()
 }
 
+// admit obtains the admission of the operation, if its customer needs one and it has
+// none. It is called before the wait for a slot, so that no slot is held meanwhile.
+func (o *operation) admit() error {
+	if o.gateway.opts.Admit == nil || o.session.customer == "" || o.admitted {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(o.ctx, o.deadline.Sub(clock.Now()))
+	defer cancel()
+	var err error
+	o.admission, err = o.gateway.opts.Admit(ctx, o.session.customer)
+	o.admitted = err == nil
+	return err
+}
+
+// admissionUsable reports whether the operation may be sent. If its admission has
+// become invalid before anything was sent, it is refunded; the next attempt needs
+// another one.
+func (o *operation) admissionUsable() bool {
+	if !o.admitted || o.sent || o.admission.usable() {
+		return true
+	}
+	o.refundUnsent()
+	return false
+}
+
+// refundUnsent gives the admission back if nothing was sent to a server.
+func (o *operation) refundUnsent() {
+	if o.admitted && !o.sent {
+		o.admission.Refund()
+		o.admission, o.admitted = Admission{}, false
+	}
+}
+
+// recordSend records an attempt to send the statement, or BEGIN, which ended with
+// err.
+func (o *operation) recordSend(err error) {
+	o.sent = o.sent || errkind.Of(err) != errkind.ConnectFailed
+}
+
 // route is the destination of an attempt.
 type route struct {
 	member       *member
@@ -170,6 +214,10 @@
 			}
 			continue
 		}
+		if err := o.admit(); err != nil {
+			o.recordError(err)
+			return o.refuse()
+		}
 		a, retry := o.attempt(rt)
 		if !retry {
 			return a
@@ -210,14 +258,14 @@
 	startWithin := left - min(answerReserveFactor*m.expectedAnswerTime(), left/2)
 	startCtx, cancelStart := context.WithTimeout(ctx, startWithin)
 	defer cancelStart()
-	slot, err := m.sched.Acquire(startCtx, o.gateway.view.Load().ranks.Name(o.db.Rank), begun.Add(startWithin))
+	slot, err := m.sched.Acquire(startCtx, o.gateway.view.Load().ranks.Name(o.db.Rank), o.session.customer, begun.Add(startWithin))
 	o.queued += time.Since(begun)
 	o.gateway.metrics.queueWait.Update(int64(time.Since(begun)))
 	if err != nil {
 		return nil, slot, err
 	}
 	required := o.session.requiredState(o.preparedStmt)
-	pc, err := m.pool.get(ctx, o.db.Rank, required)
+	pc, err := m.pool.get(ctx, o.db.Rank, o.session.customer, required)
 	if err == nil {
 		if err = pc.adapt(o.wallDeadline(), required); err != nil {
 			m.pool.drop(pc)
@@ -283,6 +331,13 @@
 		o.recordError(errkind.New(errkind.NoPrimary, "the primary of group %q is being changed", rt.group.name))
 		return a, true
 	}
+	if !o.admissionUsable() {
+		u.abandon()
+		rt.member.pool.put(pc)
+		rt.member.sched.Release(slot)
+		o.recordError(errkind.New(errkind.ConfigStale, "the admission of the operation has run out"))
+		return a, true
+	}
 	r := o.request
 	if o.isRead {
 		r.After = rt.minPosition
@@ -291,6 +346,7 @@
 	sent, begun := clock.Now(), time.Now()
 	rt.member.startStatement()
 	a, err = pc.do(o.answerDeadline(rt), r)
+	o.recordSend(err)
 	rt.member.endStatement(err == nil)
 	took := time.Since(begun)
 	valid := err == nil && o.finishUse(u, sent, a)
--- a/internal/gateway/operationtx.go
+++ b/internal/gateway/operationtx.go
@@ -21,6 +21,12 @@
 		v := o.gateway.view.Load()
 		rt, err := nextRoute()
 		if err == nil {
+			if err = o.admit(); err != nil {
+				o.recordError(err)
+				t.fail()
+				a := o.refuse()
+				return &a
+			}
 			if err = o.beginAt(rt); err == nil {
 				return nil
 			}
@@ -69,12 +75,16 @@
 	if u != nil && !u.attach(pc) || rt.needsPrimary && !o.gateway.hasLease() {
 		return errkind.New(errkind.NoPrimary, "the primary of group %q is being changed", rt.group.name)
 	}
+	if !o.admissionUsable() {
+		return errkind.New(errkind.ConfigStale, "the admission of the operation has run out")
+	}
 	r := o.session.tx.begin
 	r.ID, r.After = "", rt.minPosition
 	o.attempts++
 	sent, begun := clock.Now(), time.Now()
 	rt.member.startStatement()
 	a, err := pc.do(o.wallDeadline(), r)
+	o.recordSend(err)
 	rt.member.endStatement(err == nil)
 	if err != nil {
 		o.recordFailure(rt, err)
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -14,8 +14,14 @@
 type Options struct {
 	// Connect opens a connection to a backend server and verifies the server's
 	// identity. An error of kind errkind.Overloaded means that the server has
-	// reached its connection limit.
-	Connect  func(ctx context.Context, s directoryrpc.Server) (Conn, error)
+	// reached its connection limit. The connection is opened under the name of the
+	// customer; the empty name stands for callers without a customer.
+	Connect func(ctx context.Context, s directoryrpc.Server, customer string) (Conn, error)
+	// Admit admits one operation of a customer, or refuses it, usually with an error
+	// of kind errkind.OverAllowance. It is called once for each operation of a session
+	// with a customer: before a statement outside of a transaction is first sent, and
+	// before BEGIN is sent. It may wait until ctx ends. nil: no operation is refused.
+	Admit    func(ctx context.Context, customer string) (Admission, error)
 	Place    Place
 	Events   *eventlog.Log
 	Registry metrics.Registry // nil: New creates a private registry
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -26,9 +26,11 @@
 )
 
 // pool holds the connections of this host to one server. A connection is idle,
-// in use or being opened; open counts all three.
+// in use or being opened; open counts all three. Each serves the statements of one
+// customer only. If the limit is reached, an idle connection of another customer is
+// closed and one is opened in its place: an exchange.
 type pool struct {
-	connect func(ctx context.Context) (Conn, error)
+	connect func(ctx context.Context, customer string) (Conn, error)
 
 	mu        sync.Mutex
 	limit     int // maximum of open
@@ -45,8 +47,11 @@
 // connWaiter is a statement that waits for a connection. ready has capacity 1;
 // a nil value is permission to open a connection. It is closed with the pool.
 type connWaiter struct {
-	rank  int
-	ready chan *pooledConn
+	rank       int
+	customer   string
+	since      time.Time
+	exchangeAt time.Time // when an idle connection of another customer may be exchanged for it
+	ready      chan *pooledConn
 }
 
 // errPoolClosed is the error of a statement whose server was removed.
@@ -54,44 +59,111 @@
 	return errkind.New(errkind.ConnectFailed, "the connection pool of the server is closed")
 }
 
-func newPool(connect func(ctx context.Context) (Conn, error)) *pool {
+func newPool(connect func(ctx context.Context, customer string) (Conn, error)) *pool {
 	return &pool{connect: connect, limit: 1, fairShare: 1, inUse: make(map[*pooledConn]struct{})}
 }
 
-// get returns the idle connection that is cheapest to adapt to the session, or
-// opens one. If the limit is reached it waits; waiters are served by rank, then
-// in order of arrival.
-func (p *pool) get(ctx context.Context, rank int, sess sessionState) (*pooledConn, error) {
+// get returns the idle connection of the customer that is cheapest to adapt to the
+// session, or opens one. If the limit is reached it waits; waiters are served by
+// rank, then in order of arrival. A returned connection goes to a waiter of its
+// customer first.
+func (p *pool) get(ctx context.Context, rank int, customer string, sess sessionState) (*pooledConn, error) {
 	p.mu.Lock()
 	if p.closed {
 		p.mu.Unlock()
 		return nil, errPoolClosed()
 	}
-	if pc := p.takeIdle(sess); pc != nil {
-		p.inUse[pc] = struct{}{}
+	now := time.Now()
+	if pc := p.takeIdle(customer, sess); pc != nil {
+		p.use(pc, now)
 		p.mu.Unlock()
 		return pc, nil
 	}
-	if p.mayOpen() {
-		p.open++
-		p.dialling++
+	delay := exchangeDelay(p.soonFree(customer, now), p.waitersOf(customer))
+	w := &connWaiter{rank: rank, customer: customer, since: now, exchangeAt: now.Add(delay), ready: make(chan *pooledConn, 1)}
+	if p.permitDial(w, now) {
 		p.mu.Unlock()
-		return p.dial(ctx)
+		return p.dial(ctx, customer)
 	}
-	w := &connWaiter{rank: rank, ready: make(chan *pooledConn, 1)}
 	at, _ := slices.BinarySearchFunc(p.waiting, rank+1, func(r *connWaiter, rank int) int { return r.rank - rank })
 	p.waiting = slices.Insert(p.waiting, at, w)
 	p.mu.Unlock()
-	select {
-	case pc, open := <-w.ready:
-		if !open {
-			return nil, errPoolClosed()
+	exchange := time.NewTimer(delay)
+	defer exchange.Stop()
+	for {
+		select {
+		case pc, open := <-w.ready:
+			if !open {
+				return nil, errPoolClosed()
+			}
+			return p.dialIfNil(ctx, customer, pc)
+		case <-exchange.C:
+			p.mu.Lock()
+			p.wakeWaiters()
+			p.mu.Unlock()
+		case <-ctx.Done():
+			p.cancelWait(w)
+			return nil, errkind.New(errkind.Overloaded, "no connection became free in time")
+		}
+	}
+}
+
+// use marks a connection as in use. The caller holds mu.
+func (p *pool) use(pc *pooledConn, now time.Time) {
+	pc.usedSince = now
+	p.inUse[pc] = struct{}{}
+}
+
+// soonFree returns the number of connections of a customer that are probably returned
+// soon. The caller holds mu.
+func (p *pool) soonFree(customer string, now time.Time) int {
+	n := 0
+	for pc := range p.inUse {
+		if pc.customer == customer && now.Sub(pc.usedSince) < soonFreeWithin {
+			n++
 		}
-		return p.dialIfNil(ctx, pc)
-	case <-ctx.Done():
 	}
-	p.cancelWait(w)
-	return nil, errkind.New(errkind.Overloaded, "no connection became free in time")
+	return n
+}
+
+// waitersOf returns the number of waiters of a customer. The caller holds mu.
+func (p *pool) waitersOf(customer string) int {
+	n := 0
+	for _, w := range p.waiting {
+		if w.customer == customer {
+			n++
+		}
+	}
+	return n
+}
+
+// permitDial reports whether a connection may be opened for the waiter now, and
+// counts it then in open and dialling. If the limit is reached, it closes an idle
+// connection of another customer. The caller holds mu.
+func (p *pool) permitDial(w *connWaiter, now time.Time) bool {
+	if p.mayOpen() {
+		p.open++
+		p.dialling++
+		return true
+	}
+	if p.dialling >= maxDialling || now.Before(w.exchangeAt) {
+		return false
+	}
+	victim := longestIdle(p.idle, w.customer)
+	if victim < 0 {
+		return false
+	}
+	pc := p.idle[victim]
+	p.idle = slices.Delete(p.idle, victim, victim+1)
+	p.exchange(pc)
+	return true
+}
+
+// exchange closes a connection and counts the one that replaces it. The caller holds
+// mu.
+func (p *pool) exchange(pc *pooledConn) {
+	_ = pc.conn.Close()
+	p.dialling++
 }
 
 // mayOpen reports whether another connection may be opened now. The caller holds
@@ -106,11 +178,11 @@
 
 // dialIfNil returns the connection passed to a waiter, or opens one if it got
 // permission to do so.
-func (p *pool) dialIfNil(ctx context.Context, pc *pooledConn) (*pooledConn, error) {
+func (p *pool) dialIfNil(ctx context.Context, customer string, pc *pooledConn) (*pooledConn, error) {
 	if pc != nil {
 		return pc, nil
 	}
-	return p.dial(ctx)
+	return p.dial(ctx, customer)
 }
 
 // cancelWait removes a waiter that timed out. A connection or permission passed
@@ -131,19 +203,22 @@
 	}
 }
 
-// takeIdle removes and returns the usable idle connection that is cheapest to
-// adapt to the session, or nil. It closes unusable ones that it finds. The caller
-// holds mu.
-func (p *pool) takeIdle(sess sessionState) *pooledConn {
-	for len(p.idle) > 0 {
-		best, cost := len(p.idle)-1, 3 // 3 is above every adaptCost
-		for i := len(p.idle) - 1; i >= 0; i-- {
+// takeIdle removes and returns the usable idle connection of the customer that is
+// cheapest to adapt to the session, or nil. It closes unusable ones that it finds.
+// The caller holds mu.
+func (p *pool) takeIdle(customer string, sess sessionState) *pooledConn {
+	for {
+		best, cost := -1, 3 // 3 is above every adaptCost
+		for i := len(p.idle) - 1; i >= 0 && cost > 0; i-- {
+			if p.idle[i].customer != customer {
+				continue
+			}
 			if c := p.idle[i].adaptCost(sess); c < cost {
 				best, cost = i, c
 			}
-			if cost == 0 {
-				break
-			}
+		}
+		if best < 0 {
+			return nil
 		}
 		pc := p.idle[best]
 		p.idle = slices.Delete(p.idle, best, best+1)
@@ -153,14 +228,14 @@
 		p.open--
 		_ = pc.conn.Close()
 	}
-	return nil
 }
 
-// dial opens a connection. The caller has counted it in open and dialling.
-func (p *pool) dial(ctx context.Context) (*pooledConn, error) {
+// dial opens a connection for a customer. The caller has counted it in open and
+// dialling.
+func (p *pool) dial(ctx context.Context, customer string) (*pooledConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
-	conn, err := p.connect(ctx)
+	conn, err := p.connect(ctx, customer)
 	if err != nil {
 		p.releaseDial(err)
 		if errkind.Of(err) == errkind.Overloaded {
@@ -168,9 +243,9 @@
 		}
 		return nil, errkind.Wrap(errkind.ConnectFailed, err, "opening a connection")
 	}
-	pc := newPooledConn(conn)
+	pc := newPooledConn(conn, customer)
 	p.mu.Lock()
-	p.inUse[pc] = struct{}{}
+	p.use(pc, time.Now())
 	p.dialling--
 	p.wakeWaiters()
 	p.mu.Unlock()
@@ -193,16 +268,20 @@
 // wakeWaiters permits waiters to open connections as far as the limits allow.
 // The caller holds mu.
 func (p *pool) wakeWaiters() {
-	for len(p.waiting) > 0 && p.mayOpen() {
-		p.open++
-		p.dialling++
-		p.popWaiter().ready <- nil
+	now := time.Now()
+	for i := 0; i < len(p.waiting) && p.dialling < maxDialling; {
+		if p.permitDial(p.waiting[i], now) {
+			p.takeWaiter(i).ready <- nil
+		} else {
+			i++
+		}
 	}
 }
 
-func (p *pool) popWaiter() *connWaiter {
-	w := p.waiting[0]
-	p.waiting = slices.Delete(p.waiting, 0, 1)
+// takeWaiter removes and returns a waiter. The caller holds mu.
+func (p *pool) takeWaiter(i int) *connWaiter {
+	w := p.waiting[i]
+	p.waiting = slices.Delete(p.waiting, i, i+1)
 	return w
 }
 
@@ -214,16 +293,24 @@
 		p.drop(pc)
 		return
 	}
-	if len(p.waiting) > 0 {
-		w := p.popWaiter()
-		p.mu.Unlock()
-		w.ready <- pc
+	defer p.mu.Unlock()
+	now := time.Now()
+	if next := nextWaiter(p.waiting, pc.customer, p.dialling < maxDialling, now); next >= 0 {
+		w := p.takeWaiter(next)
+		if w.customer == pc.customer {
+			p.use(pc, now)
+			w.ready <- pc
+			return
+		}
+		delete(p.inUse, pc)
+		p.exchange(pc)
+		w.ready <- nil
 		return
 	}
-	pc.idleSince = time.Now()
+	pc.idleSince = now
 	delete(p.inUse, pc)
 	p.idle = append(p.idle, pc)
-	p.mu.Unlock()
+	p.wakeWaiters()
 }
 
 // drop closes a connection that must not be reused.
@@ -311,11 +398,12 @@
 	return p.open, len(p.idle)
 }
 
-// dialIgnoringLimits opens a connection even if the pool's limits are reached.
+// dialIgnoringLimits opens a connection even if the pool's limits are reached. It is
+// opened for no customer.
 func (p *pool) dialIgnoringLimits(ctx context.Context) (*pooledConn, error) {
 	p.mu.Lock()
 	p.open++
 	p.dialling++
 	p.mu.Unlock()
-	return p.dial(ctx)
+	return p.dial(ctx, "")
 }
--- a/internal/gateway/pooledconn.go
+++ b/internal/gateway/pooledconn.go
@@ -18,9 +18,11 @@
 // but abort may be called by another.
 type pooledConn struct {
 	conn      Conn
+	customer  string // under whose name it was opened; never serves another
 	settings  map[string]string
 	prepared  map[string]bool // keyed by the name at the server
 	idleSince time.Time       // when it was returned to the pool
+	usedSince time.Time       // when it was taken from the pool
 	aborted   atomic.Bool     // the connection was closed by abort
 }
 
@@ -38,8 +40,8 @@
 	text     string
 }
 
-func newPooledConn(conn Conn) *pooledConn {
-	return &pooledConn{conn: conn, settings: make(map[string]string), prepared: make(map[string]bool)}
+func newPooledConn(conn Conn, customer string) *pooledConn {
+	return &pooledConn{conn: conn, customer: customer, settings: make(map[string]string), prepared: make(map[string]bool)}
 }
 
 // adaptCost returns 0 if the connection already matches the session, 1 if
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -17,6 +17,10 @@
 type Session struct {
 	gateway *Gateway
 	name    string // of the database
+	// customer is the name of the customer of the session's key. It is empty if
+	// the configuration named no customers, or the database was public, when the
+	// session was opened.
+	customer string
 
 	mu       sync.Mutex // held by Execute; expireTransaction only tries to lock it
 	settings map[string]string
@@ -26,6 +30,9 @@
 	closed   bool
 }
 
+// Customer returns the name of the customer of the session; empty if it has none.
+func (s *Session) Customer() string { return s.customer }
+
 // Execute runs one statement and returns its answer. ctx ends when the caller
 // disconnects; a statement that was already sent to a server continues.
 func (s *Session) Execute(ctx context.Context, r statement.Request) statement.Answer {
--- a/internal/owner/execution.go
+++ b/internal/owner/execution.go
@@ -111,7 +111,7 @@
 	if err != nil {
 		return err
 	}
-	slot, err := s.sched.Acquire(ctx, s.view.Load().rank(x.args.Rank), x.deadline)
+	slot, err := s.sched.Acquire(ctx, s.view.Load().rank(x.args.Rank), "", x.deadline)
 	if err != nil {
 		// Nothing was sent, so the transaction is unchanged.
 		if reason := s.endTransactionUse(tx, true, false); reason != "" {
@@ -224,7 +224,7 @@
 	}
 	start := time.Now()
 	rank := s.view.Load().rank(x.args.Rank)
-	slot, err := s.sched.Acquire(ctx, rank, x.deadline)
+	slot, err := s.sched.Acquire(ctx, rank, "", x.deadline)
 	if err != nil {
 		return nil, schedule.Slot{}, err
 	}
--- a/internal/process/adapter.go
+++ b/internal/process/adapter.go
@@ -15,8 +15,9 @@
 // run on: its protocols and its calls to backend servers. Every field must be
 // set.
 type Adapter struct {
-	// Connect opens a connection to a backend server.
-	Connect func(ctx context.Context, s directoryrpc.Server) (gateway.Conn, error)
+	// Connect opens a connection to a backend server under the name of a customer;
+	// the empty name stands for callers without a customer.
+	Connect func(ctx context.Context, s directoryrpc.Server, customer string) (gateway.Conn, error)
 	// Callers returns the handler of the callers' line protocol. MaxLineBytes is
 	// the size of the longest line with its line ending.
 	Callers      func(g *gateway.Gateway) lineserver.Handler
--- a/internal/schedule/overload_test.go
+++ b/internal/schedule/overload_test.go
@@ -71,7 +71,7 @@
 	var all sync.WaitGroup
 	run := func(rank string) {
 		start := time.Now()
-		slot, err := s.Acquire(ctx, rank, start.Add(time.Minute))
+		slot, err := s.Acquire(ctx, rank, "", start.Add(time.Minute))
 		if err != nil {
 			return
 		}
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -9,7 +9,7 @@
 // # Usage
 //
 //	s := schedule.New(schedule.Options{Slots: 3, Ranks: ranks})
-//	slot, err := s.Acquire(ctx, "urgent", deadline) // after an error, don't run the request
+//	slot, err := s.Acquire(ctx, "urgent", customer, deadline) // after an error, don't run the request
 //	defer s.Release(slot)
 package schedule
 
@@ -93,8 +93,9 @@
 // run. The error is Overloaded, without waiting, if the queue is full or the
 // request is not expected to start before the deadline; DeadlineExceeded if the
 // deadline passed while it waited; and otherwise the cause of the cancellation of
-// ctx, or Cancelled. An unknown rank is treated as the lowest one.
-func (s *Scheduler) Acquire(ctx context.Context, rank string, deadline time.Time) (Slot, error) {
+// ctx, or Cancelled. An unknown rank is treated as the lowest one. The customer, the
+// empty string for none, has no effect yet.
+func (s *Scheduler) Acquire(ctx context.Context, rank, _ string, deadline time.Time) (Slot, error) {
 	s.mu.Lock()
 	r, w, err := s.tryAcquire(rank, deadline)
 	s.mu.Unlock()
--- a/internal/schedule/scheduler_test.go
+++ b/internal/schedule/scheduler_test.go
@@ -65,7 +65,7 @@
 			deadline := time.Now().Add(r.timeout)
 			ctx, cancel := context.WithDeadline(context.Background(), deadline)
 			defer cancel()
-			slot, err := s.Acquire(ctx, r.rank, deadline)
+			slot, err := s.Acquire(ctx, r.rank, "", deadline)
 			if r.kind = errkind.Of(err); err == nil {
 				r.started = time.Since(begin)
 				time.Sleep(r.serviceTime)
@@ -146,15 +146,15 @@
 		is := is.New(t)
 		ctx := context.Background()
 		s := schedule.New(schedule.Options{Slots: 1, Ranks: rankSpecs(0, 0, 0)})
-		slot, err := s.Acquire(ctx, "bulk", time.Now().Add(time.Second))
+		slot, err := s.Acquire(ctx, "bulk", "", time.Now().Add(time.Second))
 		is.NoErr(err)
 		time.Sleep(100 * time.Millisecond)
 		s.Release(slot)
-		slot, err = s.Acquire(ctx, "bulk", time.Now().Add(time.Millisecond))
+		slot, err = s.Acquire(ctx, "bulk", "", time.Now().Add(time.Millisecond))
 		is.NoErr(err) // a free slot needs no estimate
 		for range 3 {
 			go func() {
-				if slot, err := s.Acquire(ctx, "bulk", time.Now().Add(time.Minute)); err == nil {
+				if slot, err := s.Acquire(ctx, "bulk", "", time.Now().Add(time.Minute)); err == nil {
 					time.Sleep(100 * time.Millisecond)
 					s.Release(slot)
 				}
@@ -162,13 +162,13 @@
 		}
 		synctest.Wait()
 		begin := time.Now()
-		_, err = s.Acquire(ctx, "bulk", time.Now().Add(150*time.Millisecond))
+		_, err = s.Acquire(ctx, "bulk", "", time.Now().Add(150*time.Millisecond))
 		is.Equal(errkind.Of(err), errkind.Overloaded)
 		is.Equal(time.Since(begin), time.Duration(0)) // without waiting
 		short, cancel := context.WithTimeout(ctx, 150*time.Millisecond)
 		defer cancel()
 		deadline, _ := short.Deadline()
-		_, err = s.Acquire(short, "urgent", deadline) // goes ahead of the queue, but the slot is not released
+		_, err = s.Acquire(short, "urgent", "", deadline) // goes ahead of the queue, but the slot is not released
 		is.Equal(errkind.Of(err), errkind.DeadlineExceeded)
 		s.Release(slot)
 		time.Sleep(time.Second)
@@ -189,7 +189,7 @@
 		for range 90 {
 			all.Go(func() {
 				begun := time.Now()
-				slot, err := s.Acquire(t.Context(), "bulk", begun.Add(limit))
+				slot, err := s.Acquire(t.Context(), "bulk", "", begun.Add(limit))
 				switch {
 				case err == nil:
 					time.Sleep(service)
--- a/pkg/database/database.go
+++ b/pkg/database/database.go
@@ -50,6 +50,7 @@
 	MaxStaleness     time.Duration // Bounded and Session only
 	Rank             int           // 0 is the most urgent
 	StatementTimeout time.Duration // of one statement
+	Public           bool          // callers need no key
 	LatencyTarget    time.Duration // of a whole operation
 }
 
@@ -65,7 +66,8 @@
 	Version         uint64
 	Databases       map[string]Database
 	Groups          map[string]Group
-	TransactionIdle time.Duration // an open transaction without a statement for this time may be ended; 0 for no limit
+	Customers       map[string]Customer // empty: callers need no key
+	TransactionIdle time.Duration       // an open transaction without a statement for this time may be ended; 0 for no limit
 }
 
 // Check returns an error if the configuration is invalid and must not be put
@@ -89,5 +91,43 @@
 			return Error.New("database %q names group %q, which is not declared", name, db.Group)
 		}
 	}
+	return c.checkCustomers()
+}
+
+// checkCustomers checks each customer, and that no two of them share a key.
+func (c *Config) checkCustomers() error {
+	owners := make(map[KeyDigest]string)
+	for name, customer := range c.Customers {
+		if customer.Name != name {
+			return Error.New("customer %q is stored under another name", customer.Name)
+		}
+		if err := customer.check(); err != nil {
+			return err
+		}
+		for _, key := range customer.Keys {
+			if other, ok := owners[key]; ok && other != name {
+				return Error.New("customers %q and %q share a key", min(name, other), max(name, other))
+			}
+			owners[key] = name
+		}
+	}
 	return nil
 }
+
+// KeyOwners returns the name of the customer of each key.
+func (c *Config) KeyOwners() map[KeyDigest]string {
+	owners := make(map[KeyDigest]string, len(c.Customers))
+	for name, customer := range c.Customers {
+		for _, key := range customer.Keys {
+			owners[key] = name
+		}
+	}
+	return owners
+}
+
+// CustomerOf returns the name of the customer of a key. It looks at every key of the
+// configuration; whoever needs it often keeps the map of KeyOwners.
+func (c *Config) CustomerOf(key string) (name string, ok bool) {
+	name, ok = c.KeyOwners()[DigestOf(key)]
+	return name, ok
+}
--- a/pkg/errkind/info.go
+++ b/pkg/errkind/info.go
@@ -22,6 +22,8 @@
 	BadRequest:         {"08P01", NotRun, false},
 	Unsupported:        {"0A000", NotRun, false},
 	UnknownGroup:       {"3D000", NotRun, false},
+	Denied:             {"28000", NotRun, false},
+	OverAllowance:      {"53400", NotRun, true},
 	Overloaded:         {"53000", NotRun, true},
 	DeadlineExceeded:   {"57014", NotRun, true},
 	NoPrimary:          {"57P03", NotRun, true},
--- a/pkg/errkind/kind.go
+++ b/pkg/errkind/kind.go
@@ -26,6 +26,8 @@
 	BadRequest         Kind = "bad_request"          // malformed message or value
 	Unsupported        Kind = "unsupported"          // valid PostgreSQL that the proxy does not support
 	UnknownGroup       Kind = "unknown_group"        // no such database group
+	Denied             Kind = "denied"               // the key of the caller is unknown or was withdrawn
+	OverAllowance      Kind = "over_allowance"       // the customer has used up its operations for now
 	Overloaded         Kind = "overloaded"           // refused before execution by admission control
 	DeadlineExceeded   Kind = "deadline_exceeded"    // deadline passed before execution started
 	NoPrimary          Kind = "no_primary"           // the group has no primary at present
