gateway, platform: callers have keys, withdrawn keys give no access

Open waits up to 1 s for a newer state before it refuses an unknown key, unless control answered within the last second. Every statement of a session with a key needs the key in the newest view and a valid lease, after it was received and immediately before each send: the values and prepared statements of the session, BEGIN, the statement, its repetitions. An open transaction of a withdrawn key is rolled back within 100 ms; DENIED closes the connection. A statement waits 25 ms for a connection of its own customer that is in use before one of another customer is exchanged; after 50 ms another customer's waiter is served first. Metrics and dump show the 20 busiest customers and the sum of the others.

Result: the new tests pass with -race. With one check removed at a time (receipt, before the values, before the statement, before BEGIN, in a transaction, the rollback, the customer of an idle connection, the turn of an overdue waiter) one of them fails each time. The order of the reads in Gateway.authorize has no test.

--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -16,6 +16,15 @@
 	Open       int           `json:"open_connections"`
 	Idle       int           `json:"idle_connections"`
 	Busy       int           `json:"busy_slots"`
+	// Connections holds the number of open connections by customer; absent without
+	// customers.
+	Connections map[string]int `json:"connections_by_customer,omitempty"`
+}
+
+// CustomerDump is what this host did for one customer.
+type CustomerDump struct {
+	Customer string `json:"customer"`
+	customerCounts
 }
 
 // Dump is the state of a Gateway.
@@ -24,6 +33,10 @@
 	Hosts     int           `json:"hosts"`      // that share the connections of each server, including this one
 	Sessions  int           `json:"sessions"`
 	Members   []MemberDump  `json:"members"`
+	// Customers holds the busiest customers, and OtherCustomers the sum of all others;
+	// both are absent without customers.
+	Customers      []CustomerDump  `json:"customers,omitempty"`
+	OtherCustomers *customerCounts `json:"other_customers,omitempty"`
 }
 
 // Dump returns the state of the gateway.
@@ -31,9 +44,17 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	d := Dump{LeaseLeft: g.leaseLeft(), Hosts: g.hosts, Sessions: len(g.sessions)}
+	named := len(g.view.Load().cfg.Customers) > 0
+	if named {
+		busiest, other := g.metrics.customers.counts(g.metrics.customers.busiestFirst())
+		d.Customers, d.OtherCustomers = busiest, &other
+	}
 	for id, m := range g.members {
 		md := MemberDump{Server: id, Group: m.server.Group, FailingFor: m.failingFor(clock.Now()), Busy: m.sched.Busy()}
 		md.Open, md.Idle = m.pool.size()
+		if named {
+			md.Connections = m.pool.byCustomer()
+		}
 		m.mu.Lock()
 		md.Applied, md.Service = m.applied.String(), m.answerTime
 		m.mu.Unlock()
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -27,6 +27,40 @@
 	executed    []string // "server: text settings" of each executed statement
 	refused     int      // connections refused because of connLimit
 	openedConns int      // number of connections opened
+	byCustomer  []string // "customer: text" of each executed statement
+	conns       []*fakeConn
+	connecting  func() // called once, when a connection is opened
+	adapting    func() // called once, when the state of a session is applied to a connection
+	adapted     int    // number of SET executed
+	begun       int    // number of BEGIN executed
+
+	admitted, refunded int  // admissions
+	invalid            int  // number of next checks of an admission that fail
+	refuse             bool // admits nothing
+}
+
+// call calls *hook once, if it is set.
+func (group *fakeGroup) call(hook *func()) {
+	group.mu.Lock()
+	f := *hook
+	*hook = nil
+	group.mu.Unlock()
+	if f != nil {
+		f()
+	}
+}
+
+// openTransactions returns the number of transactions that are open at the servers.
+func (group *fakeGroup) openTransactions() int {
+	group.mu.Lock()
+	defer group.mu.Unlock()
+	n := 0
+	for _, c := range group.conns {
+		if c.inTransaction && c.Usable() {
+			n++
+		}
+	}
+	return n
 }
 
 // fakeServer is a backend server of a fakeGroup.
@@ -123,7 +157,7 @@
 	f()
 }
 
-func (group *fakeGroup) connect(ctx context.Context, s directoryrpc.Server, _ string) (gateway.Conn, error) {
+func (group *fakeGroup) connect(ctx context.Context, s directoryrpc.Server, customer string) (gateway.Conn, error) {
 	srv := group.servers[s.ID]
 	group.mu.Lock()
 	down, unresponsive := srv.down, srv.unresponsive
@@ -147,13 +181,17 @@
 	srv.slots <- struct{}{} // the handshake occupies a slot
 	time.Sleep(srv.handshakeTime)
 	<-srv.slots
-	return &fakeConn{group: group, server: srv, settings: make(map[string]string), prepared: make(map[string]statement.Request), closed: make(chan struct{})}, nil
+	group.call(&group.connecting)
+	c := &fakeConn{group: group, server: srv, customer: customer, settings: make(map[string]string), prepared: make(map[string]statement.Request), closed: make(chan struct{})}
+	group.update(func() { group.conns = append(group.conns, c) })
+	return c, nil
 }
 
 // fakeConn is a connection to a fakeServer.
 type fakeConn struct {
 	group         *fakeGroup
 	server        *fakeServer
+	customer      string
 	settings      map[string]string
 	prepared      map[string]statement.Request
 	inTransaction bool
@@ -199,6 +237,9 @@
 // executeOne executes a statement. It returns false if no answer arrived.
 func (c *fakeConn) executeOne(deadline time.Time, r statement.Request) (statement.Answer, bool) {
 	s := c.server
+	if r.Kind == statement.Set {
+		c.group.call(&c.group.adapting)
+	}
 	if s.sent != nil && r.Text != "" {
 		s.sent <- r.Text
 	}
@@ -270,11 +311,13 @@
 		return fail(errkind.ReadOnlyMember, "READONLY")
 	}
 	if r.ID != "" {
+		c.group.byCustomer = append(c.group.byCustomer, c.customer+": "+text)
 		c.group.executed = append(c.group.executed, s.id+": "+text+" "+fmt.Sprint(c.settings))
 	}
 	switch {
 	case r.Kind == statement.Set:
 		c.settings[r.Name] = r.Value
+		c.group.adapted++
 	case r.Kind == statement.Prepare:
 		c.prepared[r.Name] = r
 	case r.Kind == statement.Reset:
@@ -282,6 +325,7 @@
 		clear(c.prepared)
 	case r.Kind == statement.Begin:
 		c.inTransaction, c.staged = true, nil
+		c.group.begun++
 	case r.Kind == statement.Rollback:
 		c.inTransaction, c.staged = false, nil
 	case r.Kind == statement.Commit:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,10 @@
 // trimRounds is the number of maintenance rounds between two trims of the pools.
 const trimRounds = 5
 
+// exportRounds is the number of maintenance rounds between two updates of the metrics
+// of customers.
+const exportRounds = 10
+
 // maintenanceInterval is the interval between two maintenance rounds.
 const maintenanceInterval = 100 * time.Millisecond
 
@@ -29,6 +33,8 @@
 	metrics            *gatewayMetrics
 	view               atomic.Pointer[view]
 	leaseEnd           atomic.Int64 // end of the lease on clock.Now, in ns since created
+	heard              atomic.Int64 // last answer of control on clock.Now, in ns since created
+	keysChanged        atomic.Bool  // sessions may have transactions whose key was withdrawn
 	created            time.Time
 	preparedStatements preparedStatements
 
@@ -89,9 +95,9 @@
 	if s.Version < old.state.Version {
 		return
 	}
-	v := &view{state: s, cfg: cfg, ranks: old.ranks, groups: make(map[string]*groupView), changed: make(chan struct{})}
+	v := &view{state: s, cfg: cfg, ranks: old.ranks, keyOwners: old.keyOwners, groups: make(map[string]*groupView), changed: make(chan struct{})}
 	if cfg != old.cfg {
-		v.ranks = ranksInUse(cfg)
+		v.ranks, v.keyOwners = ranksInUse(cfg), cfg.KeyOwners()
 	}
 	leased := g.hasLease()
 	for name := range s.Groups { // also those whose servers have all left
@@ -113,8 +119,13 @@
 	if cfg.Version != old.cfg.Version {
 		g.opts.Events.Event("config_in_force").Uint64("config_version", cfg.Version).Uint64("state_version", s.Version).
 			Int("databases", len(cfg.Databases)).Msg("applied a new configuration")
+		g.logWithdrawnKeys(old, v)
 	}
 	g.view.Store(v)
+	if cfg != old.cfg {
+		g.keysChanged.Store(true)
+		g.metrics.customers.retain(func(customer string) bool { _, ok := cfg.Customers[customer]; return ok })
+	}
 	close(old.changed)
 }
 
@@ -136,7 +147,7 @@
 	for id, s := range v.state.Servers {
 		m := g.members[id]
 		if m == nil {
-			m = newMember(g.opts, s)
+			m = newMember(g.opts, s, g.metrics.recordOpened)
 			g.members[id] = m
 			g.opts.Events.Event("server_joined").Str("server", id).Str("group", s.Group).Str("address", s.Address).Int64("born", s.Born).Msg("backend server added")
 		}
@@ -171,6 +182,7 @@
 			break
 		}
 	}
+	g.heard.Store(int64(clock.Now().Sub(g.created)))
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if hosts < 1 || hosts == g.hosts {
@@ -188,8 +200,11 @@
 func (g *Gateway) hasLease() bool { return g.leaseLeft() > 0 }
 
 // leaseLeft returns the remaining time of the lease; negative if it has expired.
-func (g *Gateway) leaseLeft() time.Duration {
-	return time.Duration(g.leaseEnd.Load()) - clock.Now().Sub(g.created)
+func (g *Gateway) leaseLeft() time.Duration { return g.leftUntil(g.leaseEnd.Load()) }
+
+// leftUntil returns the remaining time of a lease with the given end.
+func (g *Gateway) leftUntil(end int64) time.Duration {
+	return time.Duration(end) - clock.Now().Sub(g.created)
 }
 
 // Ready reports whether the load balancer should send callers here.
@@ -303,8 +318,12 @@
 		}
 		g.mu.Lock()
 		members := slices.Collect(maps.Values(g.members))
-		sessions := slices.Collect(maps.Keys(g.sessions))
 		g.mu.Unlock()
+		sessions := g.allSessions()
+		g.endDeniedTransactions(sessions)
+		if round%exportRounds == 0 {
+			g.metrics.customers.export()
+		}
 		for _, m := range members {
 			if round%trimRounds == 0 {
 				m.pool.trim()
@@ -361,7 +380,8 @@
 
 // Open starts a session for a database, with the key of the caller, which may be
 // empty. If the database is unknown, for instance because the host has just started,
-// Open first waits for a valid lease.
+// Open first waits for a valid lease, and for a known key as well. The error has kind
+// errkind.Denied if the key is not known.
 func (g *Gateway) Open(ctx context.Context, name, key string) (*Session, error) {
 	if !g.view.Load().declares(name) {
 		if !g.awaitLease(ctx) {
@@ -371,15 +391,11 @@
 			return nil, errkind.New(errkind.UnknownGroup, "database %q is not declared in version %d", name, v.cfg.Version)
 		}
 	}
-	v := g.view.Load()
-	customer, known := "", true
-	if len(v.cfg.Customers) > 0 && !v.cfg.Databases[name].Public {
-		customer, known = v.cfg.CustomerOf(key)
-	}
-	if !known {
-		return nil, errkind.New(errkind.Denied, "the key is not valid")
+	id, err := g.identify(ctx, name, key)
+	if err != nil {
+		return nil, err
 	}
-	s := &Session{gateway: g, name: name, customer: customer, settings: make(map[string]string), prepared: make(map[string]*preparedStatement)}
+	s := &Session{gateway: g, name: name, identity: id, settings: make(map[string]string), prepared: make(map[string]*preparedStatement)}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.sessions[s] = struct{}{}
@@ -389,10 +405,7 @@
 // AbortTransactions rolls back every open transaction that has no statement in
 // progress, for a planned stop.
 func (g *Gateway) AbortTransactions() {
-	g.mu.Lock()
-	sessions := slices.Collect(maps.Keys(g.sessions))
-	g.mu.Unlock()
-	for _, s := range sessions {
+	for _, s := range g.allSessions() {
 		s.expireTransaction(0)
 	}
 }
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -93,11 +93,13 @@
 	drainingSince       time.Time // when the host learned that the server is draining; zero if it is not
 }
 
-func newMember(opts Options, s directoryrpc.Server) *member {
+// newMember returns a member without connections. opened is called for each connection
+// that is opened.
+func newMember(opts Options, s directoryrpc.Server, opened func(customer string, exchanged bool)) *member {
 	m := &member{server: s}
 	m.setDraining(s.Draining)
 	m.assumedRTT, m.regionPenalty = opts.Place.distance(s.DataCentre)
-	m.pool = newPool(func(ctx context.Context, customer string) (Conn, error) { return opts.Connect(ctx, s, customer) })
+	m.pool = newPool(func(ctx context.Context, customer string) (Conn, error) { return opts.Connect(ctx, s, customer) }, opened)
 	m.sched = schedule.New(schedule.Options{Slots: max(1, s.Slots), Ranks: rankSpecs(schedule.RankTable{}), Window: floorWindow, AssumedServiceTime: assumedServiceTime})
 	return m
 }
--- a/internal/gateway/operation.go
+++ b/internal/gateway/operation.go
@@ -79,13 +79,13 @@
 // admit obtains the admission of the operation, if its customer needs one and it has
 // none. It is called before the wait for a slot, so that no slot is held meanwhile.
 func (o *operation) admit() error {
-	if o.gateway.opts.Admit == nil || o.session.customer == "" || o.admitted {
+	if o.gateway.opts.Admit == nil || o.session.identity.customer == "" || o.admitted {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(o.ctx, o.deadline.Sub(clock.Now()))
 	defer cancel()
 	var err error
-	o.admission, err = o.gateway.opts.Admit(ctx, o.session.customer)
+	o.admission, err = o.gateway.opts.Admit(ctx, o.session.identity.customer)
 	o.admitted = err == nil
 	return err
 }
@@ -199,11 +199,23 @@
 	return clock.Now().Before(o.deadline)
 }
 
+// authorizedRoute returns the next route if the key of the session permits it.
+func (o *operation) authorizedRoute(nextRoute func() (route, error)) (route, error) {
+	if err := o.gateway.authorize(o.session.identity, o.session.name); err != nil {
+		return route{}, err
+	}
+	return nextRoute()
+}
+
 // executeSingle runs a statement outside of a transaction.
 func (o *operation) executeSingle(nextRoute func() (route, error)) statement.Answer {
 	for {
 		v := o.gateway.view.Load()
-		rt, err := nextRoute()
+		rt, err := o.authorizedRoute(nextRoute)
+		if errkind.Of(err) == errkind.Denied {
+			o.recordError(err)
+			return o.refuse()
+		}
 		if err != nil {
 			if errkind.Of(err) == errkind.NoMember && errkind.Of(o.lastErr) == errkind.Overloaded {
 				return o.refuse() // all servers refuse statements because of their queues; waiting does not help
@@ -222,7 +234,7 @@
 		if !retry {
 			return a
 		}
-		if o.attempts >= maxAttempts || o.preferOtherHost(o.lastErr) || rt.needsPrimary && errkind.Of(o.lastErr) == errkind.Overloaded {
+		if o.attempts >= maxAttempts || errkind.Of(o.lastErr) == errkind.Denied || o.preferOtherHost(o.lastErr) || rt.needsPrimary && errkind.Of(o.lastErr) == errkind.Overloaded {
 			return o.refuse()
 		}
 		if rt.needsPrimary && !o.awaitView(v, retryPause) || !clock.Now().Before(o.deadline) || o.ctx.Err() != nil {
@@ -258,16 +270,18 @@
 	startWithin := left - min(answerReserveFactor*m.expectedAnswerTime(), left/2)
 	startCtx, cancelStart := context.WithTimeout(ctx, startWithin)
 	defer cancelStart()
-	slot, err := m.sched.Acquire(startCtx, o.gateway.view.Load().ranks.Name(o.db.Rank), o.session.customer, begun.Add(startWithin))
+	slot, err := m.sched.Acquire(startCtx, o.gateway.view.Load().ranks.Name(o.db.Rank), o.session.identity.customer, begun.Add(startWithin))
 	o.queued += time.Since(begun)
 	o.gateway.metrics.queueWait.Update(int64(time.Since(begun)))
 	if err != nil {
 		return nil, slot, err
 	}
 	required := o.session.requiredState(o.preparedStmt)
-	pc, err := m.pool.get(ctx, o.db.Rank, o.session.customer, required)
+	pc, err := m.pool.get(ctx, o.db.Rank, o.session.identity.customer, required)
 	if err == nil {
-		if err = pc.adapt(o.wallDeadline(), required); err != nil {
+		if err = o.mayRun(); err != nil {
+			m.pool.put(pc)
+		} else if err = pc.adapt(o.wallDeadline(), required); err != nil {
 			m.pool.drop(pc)
 		}
 	}
@@ -331,11 +345,11 @@
 		o.recordError(errkind.New(errkind.NoPrimary, "the primary of group %q is being changed", rt.group.name))
 		return a, true
 	}
-	if !o.admissionUsable() {
+	if err := o.mayRun(); err != nil {
 		u.abandon()
 		rt.member.pool.put(pc)
 		rt.member.sched.Release(slot)
-		o.recordError(errkind.New(errkind.ConfigStale, "the admission of the operation has run out"))
+		o.recordError(err)
 		return a, true
 	}
 	r := o.request
@@ -493,6 +507,7 @@
 	kind := resultKind(a)
 	v := o.gateway.view.Load()
 	o.gateway.metrics.count(v.ranks.Lowest(o.db.Rank), kind, took)
+	o.gateway.metrics.customers.countResult(o.session.identity.customer, kind, a.Failure != nil && a.Failure.Code != "")
 	e := o.gateway.opts.Events.Sample("statement_done")
 	if kind != errkind.OK {
 		e = o.gateway.opts.Events.Event("statement_failed")
@@ -508,6 +523,9 @@
 		open, idle := o.member.pool.size()
 		e = e.Str("server", o.member.server.ID).Int("connections", open).Int("idle", idle).Dur("server_answered_ago_ms", o.member.sinceLastAnswer(clock.Now()))
 	}
+	if customer := o.session.identity.customer; customer != "" {
+		e = e.Str("customer", customer)
+	}
 	if gv := v.groups[o.db.Group]; gv != nil {
 		e = e.Uint64("generation", gv.generation).Bool("switching", gv.switching)
 	}
--- a/internal/gateway/operationtx.go
+++ b/internal/gateway/operationtx.go
@@ -19,7 +19,7 @@
 	}
 	for {
 		v := o.gateway.view.Load()
-		rt, err := nextRoute()
+		rt, err := o.authorizedRoute(nextRoute)
 		if err == nil {
 			if err = o.admit(); err != nil {
 				o.recordError(err)
@@ -32,7 +32,7 @@
 			}
 		}
 		o.recordError(err)
-		if o.attempts >= maxAttempts || o.preferOtherHost(err) || errkind.Of(err) == errkind.Overloaded || !o.awaitView(v, retryPause) {
+		if o.attempts >= maxAttempts || errkind.Of(err) == errkind.Denied || o.preferOtherHost(err) || errkind.Of(err) == errkind.Overloaded || !o.awaitView(v, retryPause) {
 			t.fail()
 			a := o.refuse()
 			return &a
@@ -75,8 +75,8 @@
 	if u != nil && !u.attach(pc) || rt.needsPrimary && !o.gateway.hasLease() {
 		return errkind.New(errkind.NoPrimary, "the primary of group %q is being changed", rt.group.name)
 	}
-	if !o.admissionUsable() {
-		return errkind.New(errkind.ConfigStale, "the admission of the operation has run out")
+	if err := o.mayRun(); err != nil {
+		return err
 	}
 	r := o.session.tx.begin
 	r.ID, r.After = "", rt.minPosition
@@ -115,20 +115,31 @@
 		t.fail()
 		return s.failureAnswer(errkind.New(errkind.TransactionLost, "the primary of group %q is being changed", o.db.Group))
 	}
+	if err := o.mayRun(); err != nil {
+		return o.endUnauthorized(err)
+	}
 	if o.request.Kind != statement.Commit {
 		if err := t.conn.adapt(o.wallDeadline(), s.requiredState(o.preparedStmt)); err != nil {
 			o.dropTransaction()
 			return s.failureAnswer(errkind.Wrap(errkind.TransactionLost, err, "the connection of the transaction was lost"))
 		}
+		if err := o.mayRun(); err != nil {
+			return o.endUnauthorized(err)
+		}
 		t.wrote = t.wrote || !o.isRead
 	}
 	o.attempts++
 	sent, begun := clock.Now(), time.Now()
 	t.member.startStatement()
 	a, err := t.conn.do(o.wallDeadline(), o.request)
-	for ; err == nil && o.canResendBusy(a); a, err = t.conn.do(o.wallDeadline(), o.request) {
+	for err == nil && o.canResendBusy(a) {
 		o.sleep(retryPause)
+		if denied := o.mayRun(); denied != nil {
+			t.member.endStatement(true)
+			return o.endUnauthorized(denied)
+		}
 		o.attempts++
+		a, err = t.conn.do(o.wallDeadline(), o.request)
 	}
 	t.member.endStatement(err == nil)
 	if err != nil {
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -31,6 +31,7 @@
 // closed and one is opened in its place: an exchange.
 type pool struct {
 	connect func(ctx context.Context, customer string) (Conn, error)
+	opened  func(customer string, exchanged bool) // called for each connection that was opened
 
 	mu        sync.Mutex
 	limit     int // maximum of open
@@ -51,6 +52,7 @@
 	customer   string
 	since      time.Time
 	exchangeAt time.Time // when an idle connection of another customer may be exchanged for it
+	exchanged  bool      // a connection was closed for it; written before ready is sent to
 	ready      chan *pooledConn
 }
 
@@ -59,8 +61,8 @@
 	return errkind.New(errkind.ConnectFailed, "the connection pool of the server is closed")
 }
 
-func newPool(connect func(ctx context.Context, customer string) (Conn, error)) *pool {
-	return &pool{connect: connect, limit: 1, fairShare: 1, inUse: make(map[*pooledConn]struct{})}
+func newPool(connect func(ctx context.Context, customer string) (Conn, error), opened func(customer string, exchanged bool)) *pool {
+	return &pool{connect: connect, opened: opened, limit: 1, fairShare: 1, inUse: make(map[*pooledConn]struct{})}
 }
 
 // get returns the idle connection of the customer that is cheapest to adapt to the
@@ -83,7 +85,7 @@
 	w := &connWaiter{rank: rank, customer: customer, since: now, exchangeAt: now.Add(delay), ready: make(chan *pooledConn, 1)}
 	if p.permitDial(w, now) {
 		p.mu.Unlock()
-		return p.dial(ctx, customer)
+		return p.dial(ctx, customer, w.exchanged)
 	}
 	at, _ := slices.BinarySearchFunc(p.waiting, rank+1, func(r *connWaiter, rank int) int { return r.rank - rank })
 	p.waiting = slices.Insert(p.waiting, at, w)
@@ -96,7 +98,10 @@
 			if !open {
 				return nil, errPoolClosed()
 			}
-			return p.dialIfNil(ctx, customer, pc)
+			if pc != nil {
+				return pc, nil
+			}
+			return p.dial(ctx, customer, w.exchanged)
 		case <-exchange.C:
 			p.mu.Lock()
 			p.wakeWaiters()
@@ -155,15 +160,16 @@
 	}
 	pc := p.idle[victim]
 	p.idle = slices.Delete(p.idle, victim, victim+1)
-	p.exchange(pc)
+	p.exchange(pc, w)
 	return true
 }
 
-// exchange closes a connection and counts the one that replaces it. The caller holds
-// mu.
-func (p *pool) exchange(pc *pooledConn) {
+// exchange closes a connection and counts the one that is opened for the waiter in its
+// place. The caller holds mu.
+func (p *pool) exchange(pc *pooledConn, w *connWaiter) {
 	_ = pc.conn.Close()
 	p.dialling++
+	w.exchanged = true
 }
 
 // mayOpen reports whether another connection may be opened now. The caller holds
@@ -176,15 +182,6 @@
 	return p.open < limit && p.dialling < maxDialling
 }
 
-// dialIfNil returns the connection passed to a waiter, or opens one if it got
-// permission to do so.
-func (p *pool) dialIfNil(ctx context.Context, customer string, pc *pooledConn) (*pooledConn, error) {
-	if pc != nil {
-		return pc, nil
-	}
-	return p.dial(ctx, customer)
-}
-
 // cancelWait removes a waiter that timed out. A connection or permission passed
 // to it in the meantime is returned to the pool.
 func (p *pool) cancelWait(w *connWaiter) {
@@ -231,8 +228,8 @@
 }
 
 // dial opens a connection for a customer. The caller has counted it in open and
-// dialling.
-func (p *pool) dial(ctx context.Context, customer string) (*pooledConn, error) {
+// dialling; exchanged reports whether it replaces one of another customer.
+func (p *pool) dial(ctx context.Context, customer string, exchanged bool) (*pooledConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
 	conn, err := p.connect(ctx, customer)
@@ -243,6 +240,7 @@
 		}
 		return nil, errkind.Wrap(errkind.ConnectFailed, err, "opening a connection")
 	}
+	p.opened(customer, exchanged)
 	pc := newPooledConn(conn, customer)
 	p.mu.Lock()
 	p.use(pc, time.Now())
@@ -303,7 +301,7 @@
 			return
 		}
 		delete(p.inUse, pc)
-		p.exchange(pc)
+		p.exchange(pc, w)
 		w.ready <- nil
 		return
 	}
@@ -391,6 +389,20 @@
 	}
 }
 
+// byCustomer returns the numbers of connections in use and idle by customer.
+func (p *pool) byCustomer() map[string]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	counts := make(map[string]int)
+	for pc := range p.inUse {
+		counts[pc.customer]++
+	}
+	for _, pc := range p.idle {
+		counts[pc.customer]++
+	}
+	return counts
+}
+
 // size returns the numbers of open and of idle connections.
 func (p *pool) size() (open, idle int) {
 	p.mu.Lock()
@@ -405,5 +417,5 @@
 	p.open++
 	p.dialling++
 	p.mu.Unlock()
-	return p.dial(ctx, "")
+	return p.dial(ctx, "", false)
 }
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -17,10 +17,9 @@
 type Session struct {
 	gateway *Gateway
 	name    string // of the database
-	// customer is the name of the customer of the session's key. It is empty if
-	// the configuration named no customers, or the database was public, when the
-	// session was opened.
-	customer string
+	// identity is empty if the configuration named no customers, or the database was
+	// public, when the session was opened.
+	identity identity
 
 	mu       sync.Mutex // held by Execute; expireTransaction only tries to lock it
 	settings map[string]string
@@ -31,7 +30,7 @@
 }
 
 // Customer returns the name of the customer of the session; empty if it has none.
-func (s *Session) Customer() string { return s.customer }
+func (s *Session) Customer() string { return s.identity.customer }
 
 // Execute runs one statement and returns its answer. ctx ends when the caller
 // disconnects; a statement that was already sent to a server continues.
@@ -45,6 +44,7 @@
 		}
 	}()
 	a := s.execute(ctx, r)
+	s.endIfDenied(&a)
 	returned = true
 	return a
 }
@@ -55,6 +55,10 @@
 		s.tx.lastUsed = time.Now()
 		defer s.touchTransaction()
 	}
+	begun := clock.Now()
+	if err := s.awaitAuthorization(ctx, begun); err != nil {
+		return s.refuseUnauthorized(ctx, r, begun, err)
+	}
 	if s.tx != nil && s.tx.failed && r.Kind != statement.Commit && r.Kind != statement.Rollback {
 		return s.failureAnswer(errkind.New(errkind.BadRequest, "the transaction has failed and can only be ended"))
 	}
@@ -73,7 +77,7 @@
 	case statement.Rollback:
 		return s.rollback()
 	case statement.Read, statement.Write, statement.Execute, statement.Commit:
-		return s.run(ctx, r)
+		return s.run(ctx, r, begun)
 	}
 	return s.failureAnswer(errkind.New(errkind.BadRequest, "the statement is not known"))
 }
@@ -122,9 +126,10 @@
 	return s.localAnswer()
 }
 
-// run executes a statement at a server, and logs and counts its result.
-func (s *Session) run(ctx context.Context, r statement.Request) statement.Answer {
-	o, a := s.newOperation(ctx, r)
+// run executes a statement that was received at begun at a server, and logs and counts
+// its result.
+func (s *Session) run(ctx context.Context, r statement.Request, begun time.Time) statement.Answer {
+	o, a := s.newOperation(ctx, r, begun)
 	if a == nil {
 		answer := o.execute()
 		a = &answer
@@ -133,11 +138,17 @@
 	return *a
 }
 
+// operation returns the operation of a statement that was received at begun, without
+// its database.
+func (s *Session) operation(ctx context.Context, r statement.Request, begun time.Time) *operation {
+	return &operation{session: s, gateway: s.gateway, request: r, ctx: ctx, started: begun, tried: make(map[*member]bool)}
+}
+
 // newOperation prepares the execution of a statement, or returns the answer that
 // refuses it. The database configuration of a transaction stays as it was when
 // the transaction was begun at a server.
-func (s *Session) newOperation(ctx context.Context, r statement.Request) (*operation, *statement.Answer) {
-	o := &operation{session: s, gateway: s.gateway, request: r, ctx: ctx, started: clock.Now(), tried: make(map[*member]bool)}
+func (s *Session) newOperation(ctx context.Context, r statement.Request, begun time.Time) (*operation, *statement.Answer) {
+	o := s.operation(ctx, r, begun)
 	fail := func(err error) (*operation, *statement.Answer) {
 		if s.tx != nil {
 			s.tx.fail()
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -11,11 +11,13 @@
 // view is an immutable snapshot of the directory state and the configuration,
 // by which statements are routed.
 type view struct {
-	state   directoryrpc.State
-	cfg     *database.Config
-	ranks   schedule.RankTable // of cfg
-	groups  map[string]*groupView
-	changed chan struct{} // closed when a newer view replaces this one
+	state directoryrpc.State
+	cfg   *database.Config
+	ranks schedule.RankTable // of cfg
+	// keyOwners holds the name of the customer of each key of cfg.
+	keyOwners map[database.KeyDigest]string
+	groups    map[string]*groupView
+	changed   chan struct{} // closed when a newer view replaces this one
 }
 
 // declares reports whether the configuration declares the named database.
