gateway: no host keeps an idle connection if there are fewer than hosts

Cause: a host keeps one connection to each server as its fair share.

Change: if a server has fewer connections than there are hosts, one that was idle for 1 s is closed.

Result: TestScarceConnections passes; without the rule it fails (1 kept instead of 0). Other installations are not affected.

--- a/internal/gateway/exchange_test.go
+++ b/internal/gateway/exchange_test.go
@@ -43,6 +43,26 @@
 	}
 }
 
+// TestScarceConnections guards against a host that keeps an idle connection to a server
+// with fewer connections than hosts, so that other hosts never get one, and against one
+// that closes a connection which it may keep.
+func TestScarceConnections(t *testing.T) {
+	for hosts, kept := range map[int]int{98: 1, 99: 0} { // 100 connections, 2 of them for the directory
+		runWithGateway(t, func(t *testing.T, is *is.I, _ *fakeGroup, g *gateway.Gateway) {
+			g.RenewLease(time.Now().Add(time.Hour), hosts)
+			c := open(t, g, "urgent")
+			defer c.Close()
+			is.Equal(failureKind(c.write("a")), errkind.OK)
+			time.Sleep(3 * time.Second)
+			open := 0
+			for _, m := range g.Dump().Members {
+				open += m.Open
+			}
+			is.Equal(open, kept)
+		})
+	}
+}
+
 // TestConnectionServesOneCustomer guards against a pooled connection that serves another
 // customer, with fewer connections than customers, and against a customer that is never
 // served because another one always has statements.
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -132,7 +132,7 @@
 	m.sched.Configure(maxInFlight(m.server.Slots, hosts), specs)
 	usable := max(1, group.MaxConnections-reservedConnections)
 	share := max(1, usable/max(1, hosts))
-	m.pool.setLimits(min(usable, connectionOvercommit*share), share)
+	m.pool.setLimits(min(usable, connectionOvercommit*share), share, usable < hosts)
 }
 
 // setDraining records whether the server is draining.
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -20,6 +20,9 @@
 	// surplusIdleTime is how long an idle connection beyond the fair share of this
 	// host is kept.
 	surplusIdleTime = 2 * time.Second
+	// scarceIdleTime is the same if there are fewer connections than hosts. Then no
+	// host may keep one, or the others never get any.
+	scarceIdleTime = time.Second
 	// fullBackoff is how long this host opens no connections beyond its fair share
 	// after the server refused one because of its connection limit.
 	fullBackoff = 2 * time.Second
@@ -34,8 +37,9 @@
 	opened  func(customer string, exchanged bool) // called for each connection that was opened
 
 	mu        sync.Mutex
-	limit     int // maximum of open
-	fairShare int // this host's equal part of the server's connections; trim keeps that many open
+	limit     int  // maximum of open
+	fairShare int  // this host's equal part of the server's connections, at least 1
+	scarce    bool // there are fewer connections than hosts; otherwise trim keeps fairShare open
 	open      int
 	dialling  int
 	idle      []*pooledConn // most recently used last
@@ -321,12 +325,12 @@
 	p.wakeWaiters()
 }
 
-// setLimits sets the maximum of open connections and the fair share of this
-// host.
-func (p *pool) setLimits(limit, share int) {
+// setLimits sets the maximum of open connections and the fair share of this host.
+// scarce reports whether there are fewer connections than hosts.
+func (p *pool) setLimits(limit, share int, scarce bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.limit, p.fairShare = limit, share
+	p.limit, p.fairShare, p.scarce = limit, share, scarce
 	p.wakeWaiters()
 }
 
@@ -334,10 +338,14 @@
 // fair share so that other hosts can connect.
 func (p *pool) trim() {
 	p.mu.Lock()
+	keep, maxIdle := p.fairShare, surplusIdleTime
+	if p.scarce {
+		keep, maxIdle = 0, scarceIdleTime
+	}
 	var closing []*pooledConn
 	kept := p.idle[:0]
 	for i, pc := range p.idle {
-		surplus := p.open-len(closing) > p.fairShare && time.Since(pc.idleSince) > surplusIdleTime
+		surplus := p.open-len(closing) > keep && time.Since(pc.idleSince) > maxIdle
 		if surplus || !pc.conn.Usable() {
 			closing = append(closing, p.idle[i])
 			continue
