gateway: only a host with a lease denies a key

Cause: a host that was cut off denied an open session by its old configuration, although the key may have been added again since. DENIED says that trying again does not help.

Change: without a lease the answer is config_stale, for known and unknown keys alike.

Result: TestWithdrawnKey, "withdrawn, then cut off", passes; it failed before with denied.

--- a/internal/gateway/customers_test.go
+++ b/internal/gateway/customers_test.go
@@ -87,13 +87,15 @@
 func TestWithdrawnKey(t *testing.T) {
 	for _, tc := range []struct {
 		name   string
-		change func(c *gatewayConfig) // nil: control is unavailable
+		change func(c *gatewayConfig)
+		silent time.Duration // of control, afterwards
 		want   errkind.Kind
 	}{
-		{"withdrawn", withoutKeys, errkind.Denied},
-		{"no customers are left", func(c *gatewayConfig) { c.Customers = nil }, errkind.Denied},
-		{"given to another customer", func(c *gatewayConfig) { c.Customers = customerKeys("bolt", "k1") }, errkind.Denied},
-		{"cut off", nil, errkind.ConfigStale},
+		{"withdrawn", withoutKeys, 500 * time.Millisecond, errkind.Denied},
+		{"no customers are left", func(c *gatewayConfig) { c.Customers = nil }, 500 * time.Millisecond, errkind.Denied},
+		{"given to another customer", func(c *gatewayConfig) { c.Customers = customerKeys("bolt", "k1") }, 500 * time.Millisecond, errkind.Denied},
+		{"cut off", func(*gatewayConfig) {}, 2300 * time.Millisecond, errkind.ConfigStale},
+		{"withdrawn, then cut off", withoutKeys, 2300 * time.Millisecond, errkind.ConfigStale}, // it may have been added again
 	} {
 		for _, inTransaction := range []bool{false, true} {
 			for _, name := range []string{"urgent", "bounded"} {
@@ -107,13 +109,9 @@
 								is.Equal(failureKind(c.Execute(context.Background(), statement.Request{Kind: statement.Begin, Text: "BEGIN READ", ReadOnly: name == "bounded"})), errkind.OK)
 							}
 							is.Equal(failureKind(c.read("early")), errkind.OK)
-							if tc.change != nil {
-								cfg(tc.change)
-								time.Sleep(500 * time.Millisecond)
-								is.Equal(group.openTransactions(), 0)
-							} else {
-								time.Sleep(2300 * time.Millisecond)
-							}
+							cfg(tc.change)
+							time.Sleep(tc.silent)
+							is.True(tc.name == "cut off" || group.openTransactions() == 0)
 							r.ID = "q"
 							is.Equal(failureKind(c.Execute(context.Background(), r)), tc.want) // r
 							is.Equal(group.countExecuted("late")+group.countExecuted("COMMIT"), 0)
--- a/internal/gateway/identity.go
+++ b/internal/gateway/identity.go
@@ -44,11 +44,15 @@
 	// clock is read last, because the host may be suspended between two lines.
 	end := g.leaseEnd.Load()
 	v := g.view.Load()
+	authorized := v.authorize(id, name)
 	switch {
-	case !v.authorize(id, name):
+	case authorized && id.customer == "":
+		return nil
+	case g.leftUntil(end) <= 0:
+		// The key may have been withdrawn since, or added again.
+		return errkind.New(errkind.ConfigStale, "the lease of this host has run out, so it does not know whether the key is valid")
+	case !authorized:
 		return errkind.New(errkind.Denied, "the key was withdrawn, or the database needs one")
-	case id.customer != "" && g.leftUntil(end) <= 0:
-		return errkind.New(errkind.ConfigStale, "the lease of this host has run out, so the key may have been withdrawn")
 	}
 	return nil
 }
