directory: a read is not confirmed by the lease of a later leadership

Cause: Get reads the state and then confirms that the host still leads with a valid read lease. It asked whether the context of its leadership had ended and whether the lease was valid, in this order. A call that was suspended between its steps while the host lost the leadership, another leader acknowledged a configuration and the host led again was confirmed by the lease of the later leadership, and answered with the earlier configuration. The context ends in another goroutine than the one that records the change, so it could also be late.

The hole that is mended needs a suspension of two elections inside one call, so it is not shown to be what was seen.

Change: the answer is confirmed only if the leadership that read the state is still current, checked after the lease.

--- a/internal/directory/cluster_test.go
+++ b/internal/directory/cluster_test.go
@@ -24,7 +24,8 @@
 
 	mu              sync.Mutex
 	index           uint64
-	leaseIsValid    bool // read lease of the leader
+	leaseIsValid    bool   // read lease of the leader
+	onLeaseCheck    func() // called at each check of the read lease; nil for none
 	status          map[string]statement.ServerStatus
 	down            map[string]bool
 	promoted        []directory.Promotion
@@ -95,8 +96,12 @@
 
 func (c *testCluster) leaseValid() bool {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.leaseIsValid
+	valid, onCheck := c.leaseIsValid, c.onLeaseCheck
+	c.mu.Unlock()
+	if onCheck != nil {
+		onCheck()
+	}
+	return valid
 }
 
 func (c *testCluster) propose(_ context.Context, entry []byte) ([]byte, error) {
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -112,3 +112,10 @@
 	address, _ := log.Leader()
 	return nil, errkind.NotLeader, address
 }
+
+// leads reports whether l is still the leadership of this host and its read lease is
+// valid. The lease is checked first: it may belong to a later leadership of this host,
+// in which case l is not current any more.
+func (d *Directory) leads(l *leadership) bool {
+	return l.ctx.Err() == nil && l.log.LeaseValid() && d.loop.Current() == l
+}
--- a/internal/directory/service.go
+++ b/internal/directory/service.go
@@ -45,8 +45,8 @@
 // confirmLease reports whether this host is still the leader with a valid read
 // lease, and sets answer to an error if not. It is called after the state was
 // read, so that the reply is not stale.
-func (l *leadership) confirmLease(answer *controlrpc.Answer) bool {
-	if l.ctx.Err() != nil || !l.log.LeaseValid() {
+func (s *Service) confirmLease(l *leadership, answer *controlrpc.Answer) bool {
+	if !s.d.leads(l) {
 		*answer = controlrpc.Answer{Kind: errkind.NotLeader, Detail: "the read lease has run out"}
 		return false
 	}
@@ -77,7 +77,7 @@
 	// The grant is recorded before the read lease of the leader is checked: a
 	// grant that is recorded but not sent only delays a switchover.
 	l.sessions.recordGrant(args.Host)
-	if !l.confirmLease(&reply.Answer) {
+	if !s.confirmLease(l, &reply.Answer) {
 		return nil
 	}
 	reply.TTL, reply.HostCount = l.opts.TTL, l.hostCount()
@@ -101,7 +101,7 @@
 	departed := s.d.machine.Departed(srv.ID, srv.Born)
 	switch {
 	case departed, args.Gone && !known && srv.Born == 0, !args.Gone && known && (srv.Same(old) || !srv.Newer(old)):
-		l.confirmLease(&reply.Answer)
+		s.confirmLease(l, &reply.Answer)
 		return nil
 	case args.Gone:
 		s.proposeAndReply(l, &reply.Answer, Command{Remove: &RemoveServer{ID: srv.ID, Born: srv.Born}})
@@ -133,7 +133,7 @@
 		return nil
 	}
 	if inForce := s.d.machine.ConfigVersion(); args.Version <= inForce {
-		if l.confirmLease(&reply.Answer) {
+		if s.confirmLease(l, &reply.Answer) {
 			reply.Version = inForce
 		}
 		return nil
@@ -153,7 +153,7 @@
 		return nil
 	}
 	state := s.d.machine.State()
-	if l.confirmLease(&reply.Answer) {
+	if s.confirmLease(l, &reply.Answer) {
 		reply.Version, reply.Document = state.ConfigVersion, state.Document
 	}
 	return nil
