testlog: the logs of processes are kept when a test fails

The tests of directory processes use it and log the state of every process.

Their kill did not wait until the process had released its data folder (Stop with an ended context returns at once), so that a start in the same folder sometimes failed with "the data folder is in use", seen in a trial that kills nine of ten. It waits now.

--- a/internal/process/rejoin_test.go
+++ b/internal/process/rejoin_test.go
@@ -18,9 +18,11 @@
 	"github.com/arbutusring/arbutusring/internal/eventlog"
 	"github.com/arbutusring/arbutusring/internal/loopback"
 	"github.com/arbutusring/arbutusring/internal/process"
+	"github.com/arbutusring/arbutusring/internal/testlog"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
 	"github.com/arbutusring/arbutusring/pkg/settings"
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 )
 
 // catchUpTime is how long a control host that has lost its disk may take until it
@@ -36,12 +38,13 @@
 	running   map[string]*process.Directory
 	planes    map[string]process.ControlPlane // of the running processes
 	network   *darkNetwork
+	logs      *testlog.Folder
 }
 
 func startDirectories(t *testing.T, n int) *directories {
 	d := &directories{
 		t: t, dir: t.TempDir(), addresses: make(map[string]string), running: make(map[string]*process.Directory),
-		planes: make(map[string]process.ControlPlane), network: newDarkNetwork(),
+		planes: make(map[string]process.ControlPlane), network: newDarkNetwork(), logs: testlog.New(t),
 	}
 	for i := range n {
 		id := fmt.Sprint("c", i)
@@ -52,7 +55,10 @@
 		d.start(id, true, d.ids[:3])
 	}
 	t.Cleanup(func() {
-		for id := range d.running {
+		for id, p := range d.running {
+			if t.Failed() {
+				t.Logf("%s: %+v", id, p.Dump().Log)
+			}
 			d.kill(id)
 		}
 	})
@@ -70,7 +76,9 @@
 		cfg.Control.Members[seed] = d.addresses[seed]
 		cfg.Control.Addresses = append(cfg.Control.Addresses, d.addresses[seed])
 	}
-	p, err := process.StartDirectory(process.DirectoryOptions{Settings: cfg, Dial: d.network.dialFrom(d.addresses[id]), Adapter: process.Adapter{
+	events := eventlog.New(eventlog.Options{Output: d.logs.Writer(id), Host: id, Level: zerolog.InfoLevel})
+	d.t.Cleanup(func() { _ = events.Close() })
+	p, err := process.StartDirectory(process.DirectoryOptions{Settings: cfg, Events: events, Dial: d.network.dialFrom(d.addresses[id]), Adapter: process.Adapter{
 		ControlRoutes: func(c process.ControlPlane) map[string]http.HandlerFunc { d.planes[id] = c; return nil },
 		Promote:       func(string) func(context.Context, directory.Promotion) error { return nil },
 	}})
@@ -82,10 +90,17 @@
 
 // kill stops a process without a hand-over.
 func (d *directories) kill(id string) {
+	abort(d.running[id])
+	delete(d.running, id)
+}
+
+// abort ends a process without a hand-over, and waits until it has released its data
+// folder.
+func abort(p *process.Directory) {
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	_ = d.running[id].Stop(ctx) // the error says what was not finished
-	delete(d.running, id)
+	_ = p.Stop(ctx) // the error says what was not finished
+	<-p.Done()
 }
 
 // leaderStatus returns the status of the leader, which knows the members; false if there
