gateway: the connection of a probe is closed if there are customers

Cause: a probe connects for no customer. Its connection went to the pool, served nobody and counted against the limit until it was trimmed.

Change: it is closed if customers use the pool; otherwise it is kept as before.

Result: TestProbeWithCustomers fails without the change (1 such connection) and passes.

--- a/internal/gateway/customers_test.go
+++ b/internal/gateway/customers_test.go
@@ -266,6 +266,23 @@
 	})
 }
 
+// TestProbeWithCustomers guards against the connection of a probe that stays open although
+// it serves no customer.
+func TestProbeWithCustomers(t *testing.T) {
+	runWithCustomers(t, func(is *is.I, group *fakeGroup, g *gateway.Gateway, _ configure) {
+		c := openWithKey(t, g, "urgent", "k1")
+		defer c.Close()
+		is.Equal(failureKind(c.write("a")), errkind.OK)
+		group.update(func() { group.server("s1").unresponsive = true })
+		time.AfterFunc(700*time.Millisecond, func() { group.update(func() { group.server("s1").unresponsive = false }) })
+		is.True(failureKind(c.write("b")) != errkind.OK)
+		time.Sleep(time.Second)
+		for _, m := range g.Dump().Members {
+			is.Equal(m.Connections[""], 0)
+		}
+	})
+}
+
 // TestAdmission guards against an operation that is counted twice because it was sent
 // again, counted although nothing was sent, or sent under an admission that has ended.
 func TestAdmission(t *testing.T) {
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -317,7 +317,7 @@
 	switch {
 	case err == nil:
 		m.recordReachable()
-		m.pool.put(conn)
+		m.pool.putProbe(conn)
 	case errkind.Of(err) == errkind.NoMember:
 		m.recordReachable() // the server answered, although it refused the connection
 	default:
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -47,6 +47,7 @@
 	waiting   []*connWaiter
 	fullUntil time.Time
 	closed    bool
+	named     bool // a statement of a customer has asked for a connection
 }
 
 // connWaiter is a statement that waits for a connection. ready has capacity 1;
@@ -79,6 +80,7 @@
 		p.mu.Unlock()
 		return nil, errPoolClosed()
 	}
+	p.named = p.named || customer != ""
 	now := time.Now()
 	if pc := p.takeIdle(customer, sess); pc != nil {
 		p.use(pc, now)
@@ -315,6 +317,19 @@
 	p.wakeWaiters()
 }
 
+// putProbe returns a connection that was opened by dialIgnoringLimits. If there are
+// customers it is closed: it serves none of them and would count against the limit.
+func (p *pool) putProbe(pc *pooledConn) {
+	p.mu.Lock()
+	named := p.named
+	p.mu.Unlock()
+	if named {
+		p.drop(pc)
+		return
+	}
+	p.put(pc)
+}
+
 // drop closes a connection that must not be reused.
 func (p *pool) drop(pc *pooledConn) {
 	_ = pc.conn.Close()
