limit, lineserver, gateway: callers are kept within the memory and the descriptors

Cause: the line protocol had no limit on connections, on incomplete or queued lines of all callers together, on answers that a caller does not take, nor on values and prepared statements; texts of prepared statements were kept for ever. A small crowd took a gateway to 2321 MB with host.memory_mb = 128, and to its last descriptor.

Change: the new package limit has one memory budget for a process (a quarter of host.memory_mb) and a guard for the connections of a listener. Input, queued and running lines, unread answers, answers while they are read from a server, values and prepared statements take their bytes from the budget. If it is used up, connections with an incomplete line or an unread answer are closed, the largest and newest first; then the line that asked is refused with BUSY. Small messages have a reserve, and a single large one is served in calm. A caller that does not read gets no further line run and is not read. Start-up, a begun line and an unread answer have time limits; an idle session has none. Connections are limited to entry.max_connections and 3/4 of the descriptors; a connection without a session, or else the newest session without a statement, makes room. An answer that is refused for its size is no failure of the server.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,6 +60,7 @@
 		hosts:          1,
 		primaryFailing: make(chan struct{}, 1),
 	}
+	g.preparedStatements.budget = opts.Memory
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.view.Store(&view{cfg: new(database.Config), changed: make(chan struct{})})
 	g.tasks.Go(g.runMaintenance)
@@ -371,6 +372,7 @@
 		}
 	}
 	s := &Session{gateway: g, name: name, settings: make(map[string]string), prepared: make(map[string]*preparedStatement)}
+	s.meter.Budget, s.meter.Max = g.opts.Memory, g.opts.MaxAnswerBytes
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.sessions[s] = struct{}{}
--- a/internal/gateway/operation.go
+++ b/internal/gateway/operation.go
@@ -291,13 +291,16 @@
 	sent, begun := clock.Now(), time.Now()
 	rt.member.startStatement()
 	a, err = pc.do(o.answerDeadline(rt), r)
-	rt.member.endStatement(err == nil)
+	rt.member.endStatement(err == nil || refusedAnswer(err))
 	took := time.Since(begun)
 	valid := err == nil && o.finishUse(u, sent, a)
 	rt.member.sched.Release(slot)
 	if err != nil {
 		u.abandon()
 		rt.member.pool.drop(pc)
+		if refusedAnswer(err) {
+			return o.refuseAnswer(err), false
+		}
 		o.recordFailure(rt, err)
 		return o.handleNoAnswer(rt, err)
 	}
@@ -336,6 +339,22 @@
 	return o.session.failureAnswer(errkind.Wrap(errkind.OutcomeUnknown, err, "server %s did not answer a write", rt.member.server.ID)), false
 }
 
+// refusedAnswer reports whether an answer was refused by this host because of its size.
+// That is no failure of the server.
+func refusedAnswer(err error) bool {
+	kind := errkind.Of(err)
+	return kind == errkind.AnswerTooLarge || kind == errkind.Overloaded
+}
+
+// refuseAnswer returns the answer for the caller if the answer of the server was
+// refused. Only a read may be reported as not run: it has no effect.
+func (o *operation) refuseAnswer(err error) statement.Answer {
+	if o.isRead {
+		return o.session.failureAnswer(err)
+	}
+	return o.session.failureAnswer(errkind.Wrap(errkind.AnswerTooLarge, err, "the answer was not read"))
+}
+
 // handleAnswer converts the answer of a server to the answer for the caller. The
 // second result reports whether to retry the statement instead. valid reports
 // whether the primary use and the lease were still valid when the answer arrived.
--- a/internal/gateway/operationtx.go
+++ b/internal/gateway/operationtx.go
@@ -120,7 +120,7 @@
 		o.sleep(retryPause)
 		o.attempts++
 	}
-	t.member.endStatement(err == nil)
+	t.member.endStatement(err == nil || refusedAnswer(err))
 	if err != nil {
 		return o.handleLostTransaction(err)
 	}
@@ -169,7 +169,7 @@
 	s := o.session
 	t := s.tx
 	gv := o.gateway.view.Load().groups[o.db.Group]
-	if gv != nil && !t.conn.aborted.Load() {
+	if gv != nil && !t.conn.aborted.Load() && !refusedAnswer(err) {
 		o.recordFailure(route{member: t.member, group: gv.group}, err)
 	}
 	wrote, commit := t.wrote, o.request.Kind == statement.Commit
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -6,6 +6,7 @@
 
 	"github.com/arbutusring/arbutusring/internal/directoryrpc"
 	"github.com/arbutusring/arbutusring/internal/eventlog"
+	"github.com/arbutusring/arbutusring/internal/limit"
 	"github.com/arbutusring/arbutusring/internal/statement"
 	"github.com/rcrowley/go-metrics"
 )
@@ -19,6 +20,10 @@
 	Place    Place
 	Events   *eventlog.Log
 	Registry metrics.Registry // nil: New creates a private registry
+
+	Memory         *limit.Budget     // nil for no limit
+	SessionLimits  limit.StateLimits // of the values and prepared statements of a session
+	MaxAnswerBytes int               // bytes of one answer; 0 for no limit
 }
 
 // Conn is a connection to a backend server. Its methods are not called
--- a/internal/gateway/pooledconn.go
+++ b/internal/gateway/pooledconn.go
@@ -98,6 +98,7 @@
 
 // do sends one statement and returns its answer.
 func (pc *pooledConn) do(deadline time.Time, r statement.Request) (statement.Answer, error) {
+	r.Meter.Release() // of an earlier attempt
 	answers, err := pc.conn.Do(deadline, r)
 	if err != nil {
 		return statement.Answer{}, err
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/arbutusring/arbutusring/internal/clock"
+	"github.com/arbutusring/arbutusring/internal/limit"
 	"github.com/arbutusring/arbutusring/internal/statement"
 	"github.com/arbutusring/arbutusring/pkg/database"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
@@ -24,6 +25,8 @@
 	token    logpos.Position // newest position of the session's own commits
 	tx       *transaction    // nil outside of a transaction
 	closed   bool
+	kept     limit.State // what settings and prepared take
+	meter    limit.Meter // counts the answer in progress
 }
 
 // Execute runs one statement and returns its answer. ctx ends when the caller
@@ -53,14 +56,11 @@
 	}
 	switch r.Kind {
 	case statement.Set:
-		s.settings[r.Name] = r.Value
-		return s.localAnswer()
+		return s.set(r.Name, r.Value)
 	case statement.Prepare:
-		s.prepared[r.Name] = s.gateway.preparedStatements.get(r.Value, r.ReadOnly)
-		return s.localAnswer()
+		return s.prepare(r)
 	case statement.Deallocate:
-		delete(s.prepared, r.Name)
-		return s.localAnswer()
+		return s.deallocate(r.Name)
 	case statement.Begin:
 		return s.begin(r)
 	case statement.Rollback:
@@ -130,6 +130,7 @@
 // refuses it. The database configuration of a transaction stays as it was when
 // the transaction was begun at a server.
 func (s *Session) newOperation(ctx context.Context, r statement.Request) (*operation, *statement.Answer) {
+	r.Meter = &s.meter
 	o := &operation{session: s, gateway: s.gateway, request: r, ctx: ctx, started: clock.Now(), tried: make(map[*member]bool)}
 	fail := func(err error) (*operation, *statement.Answer) {
 		if s.tx != nil {
@@ -198,6 +199,7 @@
 		return
 	}
 	s.closed = true
+	s.releaseState()
 	if s.tx != nil {
 		s.tx.rollBackInBackground()
 		s.tx = nil
--- a/internal/lineserver/conn.go
+++ b/internal/lineserver/conn.go
@@ -4,10 +4,13 @@
 	"bytes"
 	"context"
 	"errors"
+	"net/netip"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
+	"github.com/arbutusring/arbutusring/internal/limit"
 	"github.com/arbutusring/arbutusring/internal/nbconn"
 	"github.com/arbutusring/arbutusring/internal/workpool"
 	"github.com/lesismal/nbio"
@@ -17,22 +20,40 @@
 // the server ends, until the caller closes it.
 const lingerTimeout = time.Second
 
+// lineCopies is how often a line is held while it runs: as received, as parsed, and as
+// sent to a server. lineOverhead is what an empty line takes in the queue.
+const (
+	lineCopies   = 3
+	lineOverhead = 64
+)
+
 // conn is one caller connection.
 type conn struct {
 	srv    *Server
 	nc     *nbio.Conn
 	ctx    context.Context // cancelled when the connection is closed
 	cancel context.CancelFunc
+	member limit.Member
+
+	// answerHeld is what the unsent answer has taken from the budget, and writeBlocked
+	// is set while the next line waits until the answer is sent.
+	answerHeld   atomic.Int64
+	writeBlocked atomic.Bool
 
-	mu          sync.Mutex // guards the fields below
-	partialLine []byte     // incomplete line at the end of the input
-	queued      [][]byte   // complete lines that wait to be run
-	tooLong     bool       // the line after the queued ones exceeds MaxLineBytes
-	running     bool       // a worker serves the connection
-	paused      bool       // not read, because the queue is full
-	closed      bool       // the socket is closed
-	ending      bool       // no further line is run; input is discarded
-	session     any        // set to nil before Handler.Close is called
+	mu          sync.Mutex   // guards the fields below
+	partialLine []byte       // incomplete line at the end of the input
+	queued      [][]byte     // complete lines that wait to be run
+	queuedBytes int          // bytes of queued
+	runningCost int64        // cost of the running line
+	inputHeld   int64        // what the input has taken from the budget, with the running line
+	refused     limit.Reason // why the input after the queued lines is refused; empty if it is not
+	running     bool         // a worker serves the connection
+	paused      bool         // not read, because the queue is full
+	closed      bool         // the socket is closed
+	ending      bool         // no further line is run; input is discarded
+	halfClosed  bool         // the last answer was sent and the sending direction closed
+	used        bool         // a line after the first one has run
+	session     any          // set to nil before Handler.Close is called
 }
 
 // onRead runs in an event loop of nbio.
@@ -69,25 +90,69 @@
 
 // splitLines splits received bytes into queued lines. The caller holds mu.
 func (c *conn) splitLines(b []byte) {
-	for len(b) > 0 && !c.tooLong {
+	known := len(c.queued)
+	for len(b) > 0 && c.refused == "" {
 		i := bytes.IndexByte(b, '\n')
 		if i < 0 {
 			c.partialLine = append(c.partialLine, b...)
-			c.tooLong = len(c.partialLine) >= c.srv.opts.MaxLineBytes
+			if len(c.partialLine) >= c.srv.opts.MaxLineBytes {
+				c.refuseInput(limit.TooLarge)
+			}
 			break
 		}
 		line := append(c.partialLine, b[:i+1]...)
 		c.partialLine, b = nil, b[i+1:]
-		if c.tooLong = len(line) > c.srv.opts.MaxLineBytes; !c.tooLong {
-			c.queued = append(c.queued, bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r")))
+		if len(line) > c.srv.opts.MaxLineBytes {
+			c.refuseInput(limit.TooLarge)
+			break
 		}
+		line = bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
+		c.queued = append(c.queued, line)
+		c.queuedBytes += len(line)
+	}
+	if !c.holdInput() {
+		c.dropFrom(known)
+		c.refuseInput(limit.Memory)
+		_ = c.holdInput() // never fails: less is held than before
 	}
-	c.paused = len(c.queued) >= maxQueuedLines
-	if !c.running && (len(c.queued) > 0 || c.tooLong) {
+	c.member.Incomplete(len(c.partialLine) > 0)
+	c.paused = len(c.queued) >= maxQueuedLines || c.srv.opts.MaxQueuedBytes > 0 && c.queuedBytes >= c.srv.opts.MaxQueuedBytes
+	if !c.running && (len(c.queued) > 0 || c.refused != "") {
 		c.srv.workers.Submit(c)
 	}
 }
 
+// refuseInput refuses all input after the queued lines. The caller holds mu.
+func (c *conn) refuseInput(r limit.Reason) {
+	c.refused, c.partialLine = r, nil
+	c.srv.guard.Count(r)
+}
+
+// dropFrom removes the queued lines from index i on. The caller holds mu.
+func (c *conn) dropFrom(i int) {
+	for _, line := range c.queued[i:] {
+		c.queuedBytes -= len(line)
+	}
+	clear(c.queued[i:])
+	c.queued = c.queued[:i]
+}
+
+// holdInput takes from the budget what the input of the connection occupies, or returns
+// what it no longer does. It reports whether there was room. The caller holds mu.
+func (c *conn) holdInput() bool {
+	want := int64(cap(c.partialLine)) + lineCopies*int64(c.queuedBytes) + lineOverhead*int64(len(c.queued)) + c.runningCost
+	switch more := want - c.inputHeld; {
+	case more > 0:
+		if !c.srv.guard.Take(c, more) {
+			return false
+		}
+	case more < 0:
+		c.srv.guard.Give(c, -more)
+	}
+	c.inputHeld = want
+	return true
+}
+
 // Work runs on a worker. It runs the queued lines until none is left or until
 // other connections wait for a worker.
 func (c *conn) Work() {
@@ -113,13 +178,16 @@
 	case c.closed:
 		c.closeSession()
 		return false
+	case c.blockedOnWrite():
+		return false
 	case c.ending:
+		c.halfClose()
 		return false
 	case len(c.queued) > 0:
 		c.runNext()
 		return true
-	case c.tooLong:
-		c.write(c.srv.opts.Handler.TooLong(c.session))
+	case c.refused != "":
+		c.write(c.srv.opts.Handler.Refuse(c.refused))
 		c.end()
 	}
 	return false
@@ -132,39 +200,125 @@
 	if c.queued = c.queued[1:]; len(c.queued) == 0 {
 		c.queued = nil
 	}
+	c.queuedBytes -= len(line)
+	c.runningCost = lineCopies*int64(len(line)) + lineOverhead
 	if c.paused {
 		c.paused = false
 		c.read()
 	}
+	if c.member.Started() && !c.used {
+		c.used = true
+		c.srv.guard.Use(c)
+	}
 	session := c.session
 	c.mu.Unlock()
 	var answer []byte
 	var keep bool
 	workpool.Guard(c.srv.opts.Logger, func() { answer, keep = c.srv.opts.Handler.Line(c.ctx, session, line) })
 	c.mu.Lock()
+	c.runningCost = 0
 	if c.closed {
 		return
 	}
+	_ = c.holdInput() // never fails: less is held than before
 	c.write(answer)
-	if !keep {
+	switch {
+	case !keep:
 		c.end()
+	case !c.member.Started():
+		c.srv.guard.Start(c)
+		c.member.Incomplete(len(c.partialLine) > 0)
 	}
 }
 
-// write sends b; nbio buffers what does not fit into the socket's send buffer.
+// write sends b; nbio buffers what does not fit into the socket's send buffer. No line
+// runs until that has been sent, which limits the memory to one answer. The caller holds
+// mu.
 func (c *conn) write(b []byte) {
-	if len(b) > 0 {
-		_, _ = c.nc.Write(b) // a failed write closes the connection
+	if len(b) == 0 {
+		return
+	}
+	c.member.AddUnsent(len(b))
+	_, _ = c.nc.Write(b) // a failed write closes the connection
+	left := c.member.Unsent()
+	if left <= 0 {
+		return
+	}
+	if !c.srv.guard.Take(c, left) {
+		c.srv.guard.Count(limit.Memory)
+		_ = c.nc.Close()
+		return
+	}
+	c.answerHeld.Store(left)
+	if c.member.Unsent() == 0 {
+		c.giveAnswer() // it was sent before answerHeld was set
 	}
 }
 
+// giveAnswer returns what the answer has taken from the budget.
+func (c *conn) giveAnswer() { c.srv.guard.Give(c, c.answerHeld.Swap(0)) }
+
+// onWritten accounts for n bytes written to the socket. It runs with the lock of
+// nbio.Conn held, so it must not lock mu.
+func (c *conn) onWritten(n int) {
+	if c.member.AddUnsent(-n) > 0 {
+		return
+	}
+	c.giveAnswer()
+	if c.writeBlocked.CompareAndSwap(true, false) {
+		c.srv.workers.Submit(c)
+	}
+}
+
+// blockedOnWrite reports whether an earlier answer has to be sent first. If so,
+// onWritten submits the connection to the workers again. The caller holds mu.
+func (c *conn) blockedOnWrite() bool {
+	if c.member.Unsent() <= 0 {
+		return false
+	}
+	c.writeBlocked.Store(true)
+	if c.member.Unsent() > 0 {
+		return true
+	}
+	// The last byte was sent between the two checks. If onWritten has already cleared
+	// the flag, its additional submission is harmless.
+	c.writeBlocked.Store(false)
+	return false
+}
+
 // end closes the connection after the answers written so far. The caller holds mu.
 func (c *conn) end() {
 	c.ending = true
-	c.queued, c.partialLine = nil, nil
-	nbconn.HalfClose(c.nc, lingerTimeout)
+	c.dropInput()
+	if !c.blockedOnWrite() {
+		c.halfClose()
+	}
+	c.read()
+}
+
+// halfClose closes the connection after all answers were sent. The caller holds mu.
+func (c *conn) halfClose() {
+	if !c.halfClosed {
+		c.halfClosed = true
+		nbconn.HalfClose(c.nc, lingerTimeout)
+	}
+}
+
+// dropInput discards the input. The caller holds mu.
+func (c *conn) dropInput() {
+	c.queued, c.queuedBytes, c.partialLine, c.paused = nil, 0, nil, false
+	if !c.closed {
+		_ = c.holdInput() // never fails: less is held than before
+	}
 }
 
+// abort closes the connection on behalf of the guard, which may hold up callers that
+// have a lock: it must not lock mu.
+func (c *conn) abort(limit.Reason) { _ = c.nc.Close() }
+
+// address returns the address of the caller.
+func (c *conn) address() netip.Addr { return addressOf(c.nc.RemoteAddr()) }
+
 // closeIfIdle closes the connection if no line is queued, running or incomplete,
 // and the session is idle or the connection is ending. It first reads what has
 // arrived: the event loop may not have read it yet, and closing the socket would
@@ -183,7 +337,7 @@
 // hasWork reports whether a line is queued, running or incomplete. The caller
 // holds mu.
 func (c *conn) hasWork() bool {
-	return c.running || len(c.queued) > 0 || len(c.partialLine) > 0 || c.tooLong
+	return c.running || len(c.queued) > 0 || len(c.partialLine) > 0 || c.refused != "" && !c.ending || c.member.Unsent() > 0
 }
 
 // closeSession calls Handler.Close if it was not called yet. The caller holds mu.
@@ -203,8 +357,8 @@
 	c.cancel()
 	c.mu.Lock()
 	c.closed = true
-	c.queued, c.partialLine = nil, nil
+	c.dropInput()
 	c.mu.Unlock()
-	c.srv.remove(c)
+	c.srv.guard.Remove(c, c.address())
 	c.srv.workers.Submit(c)
 }
--- a/internal/lineserver/server.go
+++ b/internal/lineserver/server.go
@@ -4,13 +4,16 @@
 	"context"
 	"errors"
 	"net"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/arbutusring/arbutusring/internal/limit"
 	"github.com/arbutusring/arbutusring/internal/workpool"
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
+	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 	"github.com/zeebo/errs"
 )
@@ -43,9 +46,9 @@
 	// connection is closed after the answer unless keep is true. A panic of Line
 	// ends the connection without an answer.
 	Line func(ctx context.Context, session any, line []byte) (answer []byte, keep bool)
-	// TooLong returns the answer to a line that exceeds Options.MaxLineBytes; the
-	// connection is closed after it.
-	TooLong func(session any) []byte
+	// Refuse returns the answer to a line that is not run, or to a new connection
+	// that is not served; the connection is closed after it.
+	Refuse func(reason limit.Reason) []byte
 	// Idle reports whether the session may be closed between two lines.
 	Idle func(session any) bool
 	// Close ends a session. It is called once for every Open, after the connection
@@ -60,6 +63,11 @@
 	Logger       zerolog.Logger
 	MaxLineBytes int // maximum bytes of one line with its line ending
 	Pollers      int // number of nbio event loops; default 1
+
+	Limits         limit.Limits
+	MaxQueuedBytes int              // bytes of queued lines from which on the connection is not read; 0 for no limit
+	Memory         *limit.Budget    // nil for no limit
+	Registry       metrics.Registry // nil: New creates a private registry
 }
 
 // Server accepts callers and runs their lines on a Handler. Its methods are safe
@@ -74,15 +82,18 @@
 	cancel     context.CancelFunc
 	closing    atomic.Bool    // set by Close
 	acceptLoop sync.WaitGroup // goroutine that accepts connections
-
-	mu    sync.Mutex // guards conns
-	conns map[*conn]struct{}
+	guard      *limit.Guard[*conn]
 }
 
 // New returns a server that is not started.
 func New(opts Options) *Server {
 	opts.Pollers = max(1, opts.Pollers)
-	s := &Server{opts: opts, workers: workpool.New[*conn](maxWorkers), conns: make(map[*conn]struct{})}
+	s := &Server{opts: opts, workers: workpool.New[*conn](maxWorkers)}
+	s.guard = limit.NewGuard(limit.GuardOptions[*conn]{
+		Limits: opts.Limits, Budget: opts.Memory, Logger: opts.Logger, Registry: opts.Registry,
+		Member: func(c *conn) *limit.Member { return &c.member },
+		Abort:  (*conn).abort,
+	})
 	s.buffers.New = func() any {
 		b := make([]byte, readBufferBytes)
 		return &b
@@ -116,9 +127,15 @@
 			c.onRead()
 		}
 	})
+	s.engine.OnWrittenSize(func(nc *nbio.Conn, _ []byte, n int) {
+		if c, ok := nc.Session().(*conn); ok {
+			c.onWritten(n)
+		}
+	})
 	if err := s.engine.Start(); err != nil {
 		return Error.Wrap(errors.Join(err, ln.Close()))
 	}
+	s.guard.StartChecks()
 	s.acceptLoop.Add(1)
 	go s.loop()
 	return nil
@@ -128,11 +145,7 @@
 func (s *Server) Addr() net.Addr { return s.listener.Addr() }
 
 // Connections returns the number of open connections.
-func (s *Server) Connections() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.conns)
-}
+func (s *Server) Connections() int { return s.guard.Len() }
 
 // loop accepts connections until the listener is closed.
 func (s *Server) loop() {
@@ -152,24 +165,30 @@
 }
 
 func (s *Server) accept(sock net.Conn) {
+	// The lock orders these writes before the first event: nbio passes the
+	// connection to its event loop without synchronization that the race detector
+	// recognizes.
+	c := new(conn)
+	c.mu.Lock()
+	c.srv = s
+	if reason, ok := s.guard.Add(c, addressOf(sock.RemoteAddr())); !ok {
+		c.mu.Unlock()
+		s.refuse(sock, reason)
+		return
+	}
 	nc, err := nbio.NBConn(sock)
 	if err != nil {
+		c.mu.Unlock()
 		s.opts.Logger.Warn().Err(err).Str("event", "accept_failed").Msg("converting a caller connection to an nbio connection failed")
+		s.guard.Remove(c, addressOf(sock.RemoteAddr()))
 		_ = sock.Close()
 		return
 	}
-	// The lock orders these writes before the first event: nbio passes the
-	// connection to its event loop without synchronization that the race detector
-	// recognizes.
-	c := new(conn)
-	c.mu.Lock()
-	c.srv, c.nc = s, nc
+	c.nc = nc
 	c.ctx, c.cancel = context.WithCancel(s.ctx)
 	c.session = s.opts.Handler.Open(sock.RemoteAddr().String())
+	c.member.Open()
 	c.mu.Unlock()
-	s.mu.Lock()
-	s.conns[c] = struct{}{}
-	s.mu.Unlock()
 	nc.SetSession(c)
 	if _, err := s.engine.AddConn(nc); err != nil {
 		s.opts.Logger.Warn().Err(err).Str("event", "accept_failed").Msg("adding a caller connection to the event loop failed")
@@ -177,10 +196,29 @@
 	}
 }
 
+// refuseTimeout bounds the write of a refusal. The send buffer of a new socket has room
+// for it, so the accept loop does not wait.
+const refuseTimeout = 10 * time.Millisecond
+
+// refuse answers a connection that is not served, and closes it.
+func (s *Server) refuse(sock net.Conn, reason limit.Reason) {
+	_ = sock.SetWriteDeadline(time.Now().Add(refuseTimeout))
+	_, _ = sock.Write(s.opts.Handler.Refuse(reason)) // the caller may be gone
+	_ = sock.Close()
+}
+
+// addressOf returns the IP address of a, or the zero address.
+func addressOf(a net.Addr) netip.Addr {
+	if tcp, ok := a.(*net.TCPAddr); ok {
+		return tcp.AddrPort().Addr().Unmap()
+	}
+	return netip.Addr{}
+}
+
 // Quiesce closes the idle connections and returns the number of remaining ones.
 // New connections are still accepted.
 func (s *Server) Quiesce() int {
-	for _, c := range s.connections() {
+	for _, c := range s.guard.All() {
 		c.closeIfIdle()
 	}
 	return s.Connections()
@@ -205,25 +243,10 @@
 	}
 	s.StopAccepting()
 	s.cancel()
-	for _, c := range s.connections() {
+	for _, c := range s.guard.All() {
 		_ = c.nc.Close()
 	}
 	s.engine.Stop()
 	s.workers.Close()
-}
-
-func (s *Server) connections() []*conn {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	out := make([]*conn, 0, len(s.conns))
-	for c := range s.conns {
-		out = append(out, c)
-	}
-	return out
-}
-
-func (s *Server) remove(c *conn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.conns, c)
+	s.guard.Close()
 }
--- a/internal/process/base.go
+++ b/internal/process/base.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/arbutusring/arbutusring/internal/limit"
 	"github.com/arbutusring/arbutusring/internal/operator"
 	"github.com/arbutusring/arbutusring/internal/peer"
 	"github.com/arbutusring/arbutusring/pkg/settings"
@@ -17,6 +18,7 @@
 	cfg      settings.Settings
 	log      zerolog.Logger
 	registry metrics.Registry
+	memory   *limit.Budget // shared by all that callers make the process hold
 	pool     *peer.Pool
 	peers    *peer.Server
 	http     *operator.Server // nil until the process has started
@@ -36,6 +38,7 @@
 	return &base{
 		cfg: cfg, log: log, lns: lns,
 		registry: registry,
+		memory:   limit.NewBudget(limit.BudgetOptions{MemoryMB: cfg.Host.MemoryMB, Registry: registry}),
 		pool:     peer.NewPool(peer.PoolOptions{Dial: dial}),
 		peers:    peer.NewServer(peer.ServerOptions{Logger: log}),
 	}, nil
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -84,9 +84,12 @@
 		Place:    gateway.Place{DataCentre: cfg.Host.DataCentre, Regions: cfg.Host.Regions},
 		Events:   opts.Events,
 		Registry: p.registry,
+
+		Memory: p.memory, SessionLimits: sessionLimits(cfg.Entry), MaxAnswerBytes: cfg.Entry.MaxAnswerBytes,
 	})
 	p.callers = lineserver.New(lineserver.Options{
 		Address: cfg.Listen.Callers, Handler: opts.Adapter.Callers(p.gateway), Logger: p.partLogger("callers"), MaxLineBytes: opts.Adapter.MaxLineBytes,
+		Limits: callerLimits(cfg.Entry), MaxQueuedBytes: cfg.Entry.MaxQueuedBytes, Memory: p.memory, Registry: p.registry,
 	})
 	if err := p.callers.Start(); err != nil {
 		p.close()
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -10,6 +10,7 @@
 package statement
 
 import (
+	"github.com/arbutusring/arbutusring/internal/limit"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
 	"github.com/arbutusring/arbutusring/pkg/logpos"
 )
@@ -59,6 +60,9 @@
 	// the statement; zero for none. It applies to Read, to Begin and to Execute
 	// of a read.
 	After logpos.Position
+
+	// Meter counts the answer while it is read; nil for no limit.
+	Meter *limit.Meter
 }
 
 // State is the transaction state of a session after a statement.
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -130,6 +130,19 @@
 	c.checkPositive("entry.max_connections", s.Entry.MaxConnections)
 	c.checkPositive("entry.max_cycle_bytes", s.Entry.MaxCycleBytes)
 	c.checkPositive("entry.max_answer_bytes", s.Entry.MaxAnswerBytes)
+	c.checkPositive("entry.max_queued_bytes", s.Entry.MaxQueuedBytes)
+	c.checkPositive("entry.max_session_names", s.Entry.MaxSessionNames)
+	c.checkPositive("entry.max_session_bytes", s.Entry.MaxSessionBytes)
+	if s.Entry.MaxConnectionsPerAddress < 0 {
+		c.report("entry.max_connections_per_address", "is %d, must not be negative", s.Entry.MaxConnectionsPerAddress)
+	}
+	for key, d := range map[string]tomlstrict.Duration{
+		"entry.startup_timeout": s.Entry.StartupTimeout, "entry.message_timeout": s.Entry.MessageTimeout, "entry.write_timeout": s.Entry.WriteTimeout,
+	} {
+		if d.Std() == 0 {
+			c.report(key, "is 0, must be positive")
+		}
+	}
 }
 
 func (s *Settings) checkControl(c *checker) {
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -87,6 +87,15 @@
 	MaxCycleBytes  int                 `toml:"max_cycle_bytes"`
 	MaxAnswerBytes int                 `toml:"max_answer_bytes"`
 	StopTimeout    tomlstrict.Duration `toml:"stop_timeout"` // longest duration of a planned stop
+
+	// Limits on callers; docs/design/limits.md tells how they were chosen.
+	MaxConnectionsPerAddress int                 `toml:"max_connections_per_address"` // 0 for no limit
+	MaxQueuedBytes           int                 `toml:"max_queued_bytes"`
+	MaxSessionNames          int                 `toml:"max_session_names"`
+	MaxSessionBytes          int                 `toml:"max_session_bytes"`
+	StartupTimeout           tomlstrict.Duration `toml:"startup_timeout"`
+	MessageTimeout           tomlstrict.Duration `toml:"message_timeout"`
+	WriteTimeout             tomlstrict.Duration `toml:"write_timeout"`
 }
 
 // Log configures the log, which is written as JSON lines to standard error.
