caller, owner, peer, operator: the other listeners keep to the memory and the descriptors

Cause: crowds took an entry process to 2108 MB (whole cycles), 1342 MB (prepared statements) and 972 MB (unread answers), held its descriptors, and took a directory to 526 MB with half-sent request bodies. Besides, the decoder of a peer connection kept the bytes of every string for ever: 262 MB after 400,000 messages of 200 bytes, found with a heap profile of the unread answers.

Change: the PostgreSQL listener uses the guard and the budget of package limit for input, queued and running cycles, unread answers and prepared statements; a stored statement no longer keeps the cycle that it came in. At the limit of connections, those without a session and then sessions without a statement for a second make room; otherwise 53300 as before.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -35,8 +35,8 @@
 //
 // # Lock order
 //
-// conn.mu, then the lock of nbio.Conn, then workers.mu or registry.mu, which
-// are never held together. No lock is held while a Handler function runs.
+// conn.mu, then the locks of the guard, then the lock of nbio.Conn, then workers.mu or
+// registry.mu, which are never held together. No lock is held while a Handler function runs.
 //
 // # Usage
 //
@@ -49,6 +49,8 @@
 import (
 	"time"
 
+	"github.com/arbutusring/arbutusring/internal/limit"
+	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 )
 
@@ -67,6 +69,11 @@
 	StartupTimeout  time.Duration // limit from accepting a connection to the return of Handler.Open
 	WriteTimeout    time.Duration // time without progress of a pending answer after which the caller is disconnected
 	Pollers         int           // number of nbio event loops
+
+	MaxPerAddress  int              // open connections from one address; 0 for no limit
+	MessageTimeout time.Duration    // from the first byte of a cycle to its end; 0 for no limit
+	Memory         *limit.Budget    // nil for no limit
+	Registry       metrics.Registry // nil: New creates a private registry
 }
 
 // Defaults of Options. MaxWorkers is close to MaxConnections, because a cycle
--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/arbutusring/arbutusring/internal/limit"
 	"github.com/arbutusring/arbutusring/internal/nbconn"
 	"github.com/arbutusring/arbutusring/internal/workpool"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
@@ -39,10 +40,12 @@
 	pid    uint32 // set by registry.add, then constant
 	secret uint32 // set by registry.add, then constant
 
-	// unsentBytes is the number of answer bytes that nbio has not yet written
-	// to the socket.
-	unsentBytes atomic.Int64
-	// writeBlocked is set while the connection waits for unsentBytes to become 0.
+	// member counts, among others, the answer bytes that nbio has not yet written to
+	// the socket.
+	member limit.Member
+	// answerHeld is what the unsent answer has taken from the budget.
+	answerHeld atomic.Int64
+	// writeBlocked is set while the connection waits until everything is sent.
 	writeBlocked atomic.Bool
 
 	mu                 sync.Mutex // guards the fields below
@@ -56,6 +59,9 @@
 	framer             Framer
 	queued             []Cycle
 	queuedBytes        int
+	runningCost        int64                    // cost of the running cycle
+	inputHeld          int64                    // what the input has taken from the budget, with the running cycle
+	used               bool                     // a cycle has run
 	startupMessage     *pgproto3.StartupMessage // set until Handler.Open is called with it
 	negotiateVersion   bool                     // the caller requested a protocol version above 3.0
 	fatalErr           error                    // ends the connection after the queued cycles
@@ -78,6 +84,11 @@
 // drained or a read was short, so a paused connection is read by the worker
 // that makes room in the queue. The caller holds c.mu.
 func (c *conn) read() {
+	c.readSocket()
+	c.member.Incomplete(c.phase == phaseReady && c.framer.Buffered() > 0 && !c.paused)
+}
+
+func (c *conn) readSocket() {
 	buf := c.srv.buffers.Get().(*[]byte)
 	defer c.srv.buffers.Put(buf)
 	for !c.paused && c.phase != phaseClosed {
@@ -93,7 +104,7 @@
 		}
 		if c.phase != phaseLinger && c.fatalErr == nil {
 			c.framer.Push((*buf)[:n])
-			c.processInput()
+			c.processPushed()
 		}
 		if n < len(*buf) {
 			return
@@ -101,6 +112,27 @@
 	}
 }
 
+// processPushed processes received bytes, unless there is no memory for them. The caller
+// holds c.mu.
+func (c *conn) processPushed() {
+	known := len(c.queued)
+	c.processInput()
+	if c.phase >= phaseLinger || c.holdInput() {
+		return
+	}
+	c.srv.guard.Count(limit.Memory)
+	c.dropInput(known)
+	err := &SQLState{Code: "53200", Detail: "the memory for callers is used up"}
+	if c.phase != phaseReady {
+		c.endWithError(err)
+		return
+	}
+	c.fatalErr = err
+	if !c.running {
+		c.srv.workers.Submit(c)
+	}
+}
+
 // processInput splits buffered bytes into queued cycles. The caller holds c.mu.
 func (c *conn) processInput() {
 	if c.phase == phaseStartup {
@@ -270,11 +302,11 @@
 // blockedOnWrite reports whether an earlier answer has to be sent first. If so,
 // onWritten submits the connection to the workers again. The caller holds c.mu.
 func (c *conn) blockedOnWrite() bool {
-	if c.unsentBytes.Load() == 0 {
+	if c.member.Unsent() == 0 {
 		return false
 	}
 	c.writeBlocked.Store(true)
-	if c.unsentBytes.Load() > 0 {
+	if c.member.Unsent() > 0 {
 		c.startWriteTimer()
 		return true
 	}
@@ -292,12 +324,12 @@
 		return
 	}
 	c.writeTimerActive = true
-	before := c.unsentBytes.Load()
+	before := c.member.Unsent()
 	time.AfterFunc(c.srv.opts.WriteTimeout, func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.writeTimerActive = false
-		switch remaining := c.unsentBytes.Load(); {
+		switch remaining := c.member.Unsent(); {
 		case remaining == 0 || c.phase == phaseClosed:
 		case remaining == before:
 			_ = c.nc.Close()
@@ -310,11 +342,18 @@
 // onWritten accounts for n bytes written to the socket. It runs with the lock
 // of nbio.Conn held, so it must not lock c.mu.
 func (c *conn) onWritten(n int) {
-	if c.unsentBytes.Add(-int64(n)) == 0 && c.writeBlocked.CompareAndSwap(true, false) {
+	if c.member.AddUnsent(-n) > 0 {
+		return
+	}
+	c.giveAnswer()
+	if c.writeBlocked.CompareAndSwap(true, false) {
 		c.srv.workers.Submit(c)
 	}
 }
 
+// giveAnswer returns what the answer has taken from the budget.
+func (c *conn) giveAnswer() { c.srv.guard.Give(c, c.answerHeld.Swap(0)) }
+
 // open runs Handler.Open and completes the startup. The caller holds c.mu.
 func (c *conn) open() {
 	startup := Startup{Parameters: c.startupMessage.Parameters, ProcessID: c.pid, Remote: c.nc.RemoteAddr().String()}
@@ -334,6 +373,7 @@
 	}
 	_ = c.nc.SetReadDeadline(time.Time{})
 	c.phase, c.txStatus = phaseReady, 'I'
+	c.srv.guard.Start(c)
 	c.write(c.startupResponse(opened.Parameters))
 	c.processInput()
 	c.read()
@@ -362,10 +402,16 @@
 	if len(c.queued) == 0 {
 		c.queued = nil
 	}
+	c.runningCost = cycleCopies*int64(len(cycle.Messages)) + cycleOverhead
+	defer func() { c.runningCost = 0 }()
 	if c.paused {
 		c.processInput()
 		c.read()
 	}
+	if !c.used {
+		c.used = true
+		c.srv.guard.Use(c)
+	}
 	switch {
 	case cycle.Kind == kindTerminate:
 		_ = c.nc.Close()
@@ -386,6 +432,9 @@
 		c.endWithError(errPanic())
 		return
 	}
+	if c.runningCost = 0; c.phase < phaseLinger {
+		_ = c.holdInput() // never fails: less is held than before
+	}
 	c.txStatus = answer.TxStatus
 	c.skippingToSync = cycle.Kind == KindFlush && answer.Failed
 	if c.phase != phaseReady {
@@ -415,10 +464,66 @@
 	if len(b) == 0 {
 		return
 	}
-	c.unsentBytes.Add(int64(len(b)))
+	c.member.AddUnsent(len(b))
 	_, _ = c.nc.Write(b) // a failed write closes the connection
+	left := c.member.Unsent()
+	if left <= 0 {
+		return
+	}
+	if !c.srv.guard.Take(c, left) {
+		c.srv.guard.Count(limit.Memory)
+		_ = c.nc.Close()
+		return
+	}
+	c.answerHeld.Add(left)
+	if c.member.Unsent() == 0 {
+		c.giveAnswer() // it was sent before answerHeld was set
+	}
 }
 
+// cycleCopies is how often a cycle is held while it runs: as received, as planned, as
+// sent to the owner, as received there, and as sent to the server. cycleOverhead is what
+// an empty cycle takes in the queue.
+const (
+	cycleCopies   = 5
+	cycleOverhead = 64
+)
+
+// holdInput takes from the budget what the input of the connection occupies, or returns
+// what it no longer does. It reports whether there was room. The caller holds c.mu.
+func (c *conn) holdInput() bool {
+	want := int64(cap(c.framer.buf)) + cycleCopies*int64(c.queuedBytes) + cycleOverhead*int64(len(c.queued)) + c.runningCost
+	switch more := want - c.inputHeld; {
+	case more > 0:
+		if !c.srv.guard.Take(c, more) {
+			return false
+		}
+	case more < 0:
+		c.srv.guard.Give(c, -more)
+	}
+	c.inputHeld = want
+	return true
+}
+
+// dropInput discards the input from the queued cycle i on. The caller holds c.mu.
+func (c *conn) dropInput(i int) {
+	for _, cycle := range c.queued[i:] {
+		c.queuedBytes -= len(cycle.Messages)
+	}
+	clear(c.queued[i:])
+	if c.queued = c.queued[:i]; i == 0 {
+		c.queued = nil
+	}
+	c.framer.drop(len(c.framer.buf))
+	if c.phase != phaseClosed {
+		_ = c.holdInput() // never fails: less is held than before
+	}
+}
+
+// abort closes the connection on behalf of the guard, which may hold up callers that
+// have a lock: it must not lock c.mu.
+func (c *conn) abort(limit.Reason) { _ = c.nc.Close() }
+
 // endWithError sends a FATAL ErrorResponse and disconnects. The caller holds
 // c.mu.
 func (c *conn) endWithError(err error) {
@@ -433,8 +538,7 @@
 // discards all further input. The caller holds c.mu.
 func (c *conn) linger() {
 	c.phase, c.paused = phaseLinger, false
-	c.queued, c.queuedBytes = nil, 0
-	c.framer.buf = nil
+	c.dropInput(0)
 	if !c.blockedOnWrite() {
 		nbconn.HalfClose(c.nc, lingerTimeout)
 	}
@@ -446,7 +550,7 @@
 func (c *conn) endIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	idle := c.phase == phaseReady && !c.running && len(c.queued) == 0 && c.txStatus == 'I' && c.unsentBytes.Load() == 0
+	idle := c.phase == phaseReady && !c.running && len(c.queued) == 0 && c.txStatus == 'I' && c.member.Unsent() == 0
 	if idle || c.phase == phaseStartup {
 		c.endWithError(errShutdown())
 	}
@@ -471,11 +575,11 @@
 func (c *conn) onClose() {
 	c.mu.Lock()
 	c.phase = phaseClosed
-	c.queued, c.queuedBytes = nil, 0
-	c.framer.buf = nil
+	c.dropInput(0)
 	submit := c.session != nil
 	c.mu.Unlock()
 	c.srv.registry.remove(c)
+	c.srv.guard.Remove(c, addressOf(c.nc.RemoteAddr()))
 	if submit {
 		c.srv.workers.Submit(c)
 	}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"net"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/arbutusring/arbutusring/internal/limit"
 	"github.com/arbutusring/arbutusring/internal/workpool"
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
@@ -31,6 +33,7 @@
 	listener    net.Listener
 	workers     *workpool.Pool[*conn]
 	registry    registry
+	guard       *limit.Guard[*conn]
 	buffers     sync.Pool // *[]byte of readBufferBytes bytes
 	ctx         context.Context
 	cancel      context.CancelFunc
@@ -44,6 +47,12 @@
 func New(opts Options) *Server {
 	opts.setDefaults()
 	s := &Server{opts: opts, workers: workpool.New[*conn](opts.MaxWorkers)}
+	s.guard = limit.NewGuard(limit.GuardOptions[*conn]{
+		Limits: limit.Limits{MaxConnections: opts.MaxConnections, MaxPerAddress: opts.MaxPerAddress, MessageTimeout: opts.MessageTimeout},
+		Budget: opts.Memory, Logger: opts.Logger, Registry: opts.Registry,
+		Member: func(c *conn) *limit.Member { return &c.member },
+		Abort:  (*conn).abort,
+	})
 	s.registry.conns = make(map[uint32]*conn)
 	s.buffers.New = func() any {
 		b := make([]byte, readBufferBytes)
@@ -92,6 +101,7 @@
 		return Error.Wrap(errors.Join(err, ln.Close()))
 	}
 	s.opts.Logger.Info().Stringer("address", ln.Addr()).Msg("accepting caller connections")
+	s.guard.StartChecks()
 	s.acceptLoop.Add(1)
 	go s.loop()
 	return nil
@@ -121,21 +131,49 @@
 }
 
 func (s *Server) accept(sock net.Conn) {
+	c := &conn{srv: s}
+	address := addressOf(sock.RemoteAddr())
+	if reason, ok := s.guard.Add(c, address); !ok {
+		s.refuse(sock, reason)
+		return
+	}
 	nc, err := nbio.NBConn(sock)
 	if err != nil {
+		s.guard.Remove(c, address)
 		_ = sock.Close()
 		return
 	}
-	c := &conn{srv: s, nc: nc}
+	c.nc = nc
 	c.framer.MaxMessageBytes, c.framer.MaxCycleBytes = s.opts.MaxMessageBytes, s.opts.MaxCycleBytes
 	s.registry.add(c)
 	nc.SetSession(c)
+	c.member.Open()
 	if _, err := s.engine.AddConn(nc); err != nil {
 		s.registry.remove(c)
+		s.guard.Remove(c, address)
 		s.opts.Logger.Warn().Err(err).Msg("adding a caller connection to the event loop failed")
 	}
 }
 
+// refuseTimeout bounds the write of a refusal. The send buffer of a new socket has room
+// for it, so the accept loop does not wait.
+const refuseTimeout = 10 * time.Millisecond
+
+// refuse answers a connection that is not served, and closes it.
+func (s *Server) refuse(sock net.Conn, reason limit.Reason) {
+	_ = sock.SetWriteDeadline(time.Now().Add(refuseTimeout))
+	_, _ = sock.Write(AppendError(nil, SeverityFatal, &SQLState{Code: "53300", Detail: "the host is at its limit of " + string(reason)})) // the caller may be gone
+	_ = sock.Close()
+}
+
+// addressOf returns the IP address of a, or the zero address.
+func addressOf(a net.Addr) netip.Addr {
+	if tcp, ok := a.(*net.TCPAddr); ok {
+		return tcp.AddrPort().Addr().Unmap()
+	}
+	return netip.Addr{}
+}
+
 // Shutdown stops accepting connections, ends idle connections with SQLSTATE
 // 57P01 and waits for the cycles and transactions in progress. If ctx ends
 // first, connections with a running cycle are ended with an error of kind
@@ -188,4 +226,5 @@
 	s.engine.Stop()
 	s.workers.Close()
 	s.cancelCalls.Wait()
+	s.guard.Close()
 }
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -105,7 +105,7 @@
 			s.storeStatement(done.name, done.stmt)
 		case m[0] == '3' && len(closes) > 0:
 			if closes[0].objectType == 'S' {
-				delete(s.stmts, closes[0].name)
+				s.closeStatement(closes[0].name)
 			}
 			closes = closes[1:]
 		}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -61,6 +61,7 @@
 	"time"
 
 	"github.com/arbutusring/arbutusring/internal/controlrpc"
+	"github.com/arbutusring/arbutusring/internal/limit"
 	"github.com/arbutusring/arbutusring/internal/ownerrpc"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
 	"github.com/arbutusring/arbutusring/pkg/policy"
@@ -75,6 +76,9 @@
 	Logger   zerolog.Logger
 	Registry metrics.Registry // nil: New creates a private registry
 
+	Memory        *limit.Budget     // nil for no limit
+	SessionLimits limit.StateLimits // of the prepared statements of a session; default 2000 and 4 MiB
+
 	StaleAfter     time.Duration // age of the last confirmation beyond which new work is refused; default 3 s
 	StatusInterval time.Duration // between status polls; default 200 ms
 	SampleInterval time.Duration // between staleness samples; default 50 ms
@@ -87,6 +91,8 @@
 	defaultSampleInterval = 50 * time.Millisecond
 )
 
+var defaultSessionLimits = limit.StateLimits{MaxNames: 2000, MaxBytes: 4 << 20}
+
 // Entry routes the cycles of its sessions. All methods are safe for
 // concurrent use.
 type Entry struct {
@@ -122,6 +128,9 @@
 	if opts.StatusInterval <= 0 {
 		opts.StatusInterval = defaultStatusInterval
 	}
+	if opts.SessionLimits == (limit.StateLimits{}) {
+		opts.SessionLimits = defaultSessionLimits
+	}
 	if opts.SampleInterval <= 0 {
 		opts.SampleInterval = defaultSampleInterval
 	}
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -179,6 +179,7 @@
 // closeSession ends a session and rolls back its open transaction.
 func (e *Entry) closeSession(s *session) {
 	s.abandonTx()
+	s.kept.Release(e.opts.Memory)
 	s.group.removeSession()
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/entry/local.go
+++ b/internal/entry/local.go
@@ -35,7 +35,7 @@
 		return encode(out, &pgproto3.BindComplete{}), nil
 	case 'C':
 		if st.objectType == 'S' {
-			delete(s.stmts, st.name)
+			s.closeStatement(st.name)
 		}
 		return encode(out, &pgproto3.CloseComplete{}), nil
 	case 'D':
--- a/internal/entry/planner.go
+++ b/internal/entry/planner.go
@@ -85,7 +85,7 @@
 	if name != "" && p.find(name) != nil {
 		return &caller.SQLState{Code: "42P05", Detail: "prepared statement \"" + name + "\" already exists"}
 	}
-	if err := p.session.checkStatementLimits(stmt); err != nil {
+	if err := p.session.checkStatementLimits(name, stmt); err != nil {
 		return err
 	}
 	if err := p.session.checkPrepareAllowed(stmt.stmt); err != nil {
--- a/internal/entry/preparedstatement.go
+++ b/internal/entry/preparedstatement.go
@@ -5,16 +5,10 @@
 	"encoding/binary"
 
 	"github.com/arbutusring/arbutusring/internal/caller"
+	"github.com/arbutusring/arbutusring/internal/limit"
 	"github.com/jackc/pgx/v5/pgproto3"
 )
 
-const (
-	// maxStatements and maxStatementBytes limit the number of prepared
-	// statements of one session and the total size of their Parse messages.
-	maxStatements     = 2000
-	maxStatementBytes = 4 << 20
-)
-
 // preparedStatement is a prepared statement of a session. The unnamed statement
 // is stored like a named one, because the next cycle may run at another server.
 type preparedStatement struct {
@@ -59,22 +53,36 @@
 	if s.stmts == nil {
 		s.stmts = make(map[string]*preparedStatement)
 	}
+	// The message is a part of its cycle, which may be much longer.
+	p.parse = bytes.Clone(p.parse)
+	s.kept.Force(s.entry.opts.Memory, statementSize(name, s.stmts[name]), statementSize(name, p))
 	s.stmts[name] = p
 }
 
-// checkStatementLimits returns an error if the session can't store p within
-// maxStatements and maxStatementBytes.
-func (s *session) checkStatementLimits(p *preparedStatement) error {
-	size := len(p.parse)
-	for _, other := range s.stmts {
-		size += len(other.parse)
-	}
-	if len(s.stmts) >= maxStatements || size > maxStatementBytes {
-		return &caller.SQLState{Code: "54000", Detail: "the session has too many prepared statements"}
+// closeStatement removes a statement.
+func (s *session) closeStatement(name string) {
+	s.kept.Force(s.entry.opts.Memory, statementSize(name, s.stmts[name]), nil)
+	delete(s.stmts, name)
+}
+
+// checkStatementLimits returns an error if the session can't store p, within its own
+// limits and the memory of the process. The statement is stored only after the server
+// has answered, without another check.
+func (s *session) checkStatementLimits(name string, p *preparedStatement) error {
+	if err := s.kept.Check(s.entry.opts.Memory, s.entry.opts.SessionLimits, statementSize(name, s.stmts[name]), statementSize(name, p)); err != nil {
+		return &caller.SQLState{Code: "54000", Detail: err.Error()}
 	}
 	return nil
 }
 
+// statementSize returns the size of a prepared statement, or nil if there is none.
+func statementSize(name string, p *preparedStatement) *limit.Size {
+	if p == nil {
+		return nil
+	}
+	return &limit.Size{Own: len(name) + len(p.parse)}
+}
+
 // bindNames returns the portal and the statement name of a Bind message, and the
 // rest of its body, which is not examined.
 func bindNames(message []byte) (portal, statement string, rest []byte, err error) {
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/arbutusring/arbutusring/internal/limit"
 	"github.com/arbutusring/arbutusring/internal/ownerrpc"
 	"github.com/arbutusring/arbutusring/pkg/logpos"
 	"github.com/arbutusring/arbutusring/pkg/policy"
@@ -26,6 +27,7 @@
 	minPositionResolved bool                          // minPosition is set, or a token makes it unnecessary
 	tx                  *transaction                  // open transaction; nil if there is none
 	stmts               map[string]*preparedStatement // by name; "" is the unnamed statement
+	kept                limit.State                   // what stmts takes
 
 	releases []pendingRelease // may include completed ones
 
--- a/internal/limit/doc.go
+++ b/internal/limit/doc.go
@@ -22,7 +22,7 @@
 //
 // A Guard knows the connections of one listener. If there are too many, the oldest
 // connection without a session makes room for the new one, or else the newest session that
-// has not run a statement; if all have, the new one is refused. The Guard also closes connections whose start-up, whose begun
+// has not run a statement for a second; if there is none, the new one is refused. The Guard also closes connections whose start-up, whose begun
 // message or whose unread answer takes too long. A session may be idle without limit.
 //
 // # Load
--- a/internal/limit/guard.go
+++ b/internal/limit/guard.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"cmp"
 	"container/list"
 	"math/bits"
 	"net/netip"
@@ -21,6 +22,10 @@
 	// reclaimPause is the shortest time between two searches for connections to close:
 	// a search looks at all of them.
 	reclaimPause = 20 * time.Millisecond
+	// unusedAge is the age from which on a session that has not run a statement makes
+	// room for a new connection. A caller that opens a session for a statement sends it
+	// within a round trip.
+	unusedAge = time.Second
 	// reclaimFraction is the fraction of the budget that a search frees at least, so
 	// that searches are rare.
 	reclaimFraction = 0.125
@@ -28,6 +33,7 @@
 
 // GuardOptions configures a Guard. Member and Abort are required.
 type GuardOptions[C comparable] struct {
+	Name     string // of the clients, for metrics and the log; default "callers"
 	Limits   Limits
 	Budget   *Budget
 	Member   func(C) *Member
@@ -49,7 +55,7 @@
 	conns      map[C]struct{}
 	perAddress map[netip.Addr]int
 	starting   list.List // of C: connections without a session, oldest first
-	unused     list.List // of C: sessions that have not run a statement, oldest first
+	unused     list.List // of C: sessions that have not run a statement for unusedAge, oldest first
 
 	reclaimMu   sync.Mutex
 	nextReclaim time.Time // guarded by reclaimMu
@@ -60,14 +66,17 @@
 	if opts.Registry == nil {
 		opts.Registry = metrics.NewRegistry()
 	}
+	if opts.Name == "" {
+		opts.Name = "callers"
+	}
 	g := &Guard[C]{
 		opts: opts, conns: make(map[C]struct{}), perAddress: make(map[netip.Addr]int),
 		counters: make(map[Reason]metrics.Counter), stop: make(chan struct{}),
 	}
 	for _, r := range reasons {
-		g.counters[r] = metrics.GetOrRegisterCounter("callers.refused."+string(r), opts.Registry)
+		g.counters[r] = metrics.GetOrRegisterCounter(opts.Name+".refused."+string(r), opts.Registry)
 	}
-	registerGauge(opts.Registry, "callers.connections", func() int64 { return int64(g.Len()) })
+	registerGauge(opts.Registry, opts.Name+".connections", func() int64 { return int64(g.Len()) })
 	return g
 }
 
@@ -150,7 +159,7 @@
 
 // leastUseful returns the connection that makes room for a new one: the oldest without a
 // session, which had the most time for its start-up, or else the newest session that has
-// not run a statement, because older ones may belong to callers that open them ahead. The
+// not run a statement for unusedAge, because older ones may belong to callers that open them ahead. The
 // caller holds mu.
 func (g *Guard[C]) leastUseful() (c C, ok bool) {
 	e := g.starting.Front()
@@ -166,15 +175,12 @@
 // Start tells that the session of a connection has started.
 func (g *Guard[C]) Start(c C) {
 	m := g.opts.Member(c)
+	m.progress.Store(now())
 	m.started.Store(true)
 	m.begun.Store(0)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if m.unused != nil {
-		g.starting.Remove(m.unused)
-		m.unused = g.unused.PushBack(c)
-		m.listed = true
-	}
+	g.removeUnused(c)
 }
 
 // Use tells that a connection runs a statement. It makes room for no other one after
@@ -183,6 +189,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.removeUnused(c)
+	g.opts.Member(c).used = true
 }
 
 // removeUnused removes a connection from the starting or unused ones. The caller holds
@@ -197,7 +204,26 @@
 		list = &g.unused
 	}
 	list.Remove(m.unused)
-	m.unused = nil
+	m.unused, m.listed = nil, false
+}
+
+// listUnused adds the sessions to the unused ones that have become old enough. The caller
+// holds mu.
+func (g *Guard[C]) listUnused(at int64) {
+	var found []C
+	for c := range g.conns {
+		m := g.opts.Member(c)
+		if m.started.Load() && !m.used && !m.listed && at-m.progress.Load() >= int64(unusedAge) {
+			found = append(found, c)
+		}
+	}
+	slices.SortFunc(found, func(a, b C) int {
+		return cmp.Compare(g.opts.Member(a).progress.Load(), g.opts.Member(b).progress.Load())
+	})
+	for _, c := range found {
+		m := g.opts.Member(c)
+		m.unused, m.listed = g.unused.PushBack(c), true
+	}
 }
 
 // Count counts a refusal and returns its reason.
@@ -306,6 +332,7 @@
 func (g *Guard[C]) sweep() {
 	at := now()
 	g.mu.Lock()
+	g.listUnused(at)
 	var overdue []C
 	var why []Reason
 	for c := range g.conns {
@@ -333,7 +360,7 @@
 	if total == 0 {
 		return false
 	}
-	e := g.opts.Logger.Warn().Str("event", "callers_refused").Int("connections", g.Len()).Int64("memory_bytes", g.opts.Budget.Used())
+	e := g.opts.Logger.Warn().Str("event", g.opts.Name+"_refused").Int("connections", g.Len()).Int64("memory_bytes", g.opts.Budget.Used())
 	for _, r := range reasons {
 		if delta[r] > 0 {
 			e = e.Int64(string(r), delta[r])
--- a/internal/limit/member.go
+++ b/internal/limit/member.go
@@ -12,13 +12,14 @@
 	held     atomic.Int64 // bytes taken from the budget
 	unsent   atomic.Int64 // bytes of answers that the caller has not taken
 	begun    atomic.Int64 // start of the incomplete message or of the start-up; 0 if there is none
-	progress atomic.Int64 // last progress of an unread answer
+	progress atomic.Int64 // start of the session, or last progress of an unread answer
 	started  atomic.Bool  // the session has started
 	closing  atomic.Bool  // the guard is closing the connection
 
 	// Guarded by the lock of the Guard.
 	unused *list.Element // in the list of starting connections or of unused sessions
 	listed bool          // unused is in the list of unused sessions
+	used   bool          // a statement has run
 }
 
 var processStart = time.Now()
--- a/internal/lineserver/conn.go
+++ b/internal/lineserver/conn.go
@@ -66,6 +66,11 @@
 // read reads from the socket until it is empty or the queue of lines is full.
 // The caller holds mu.
 func (c *conn) read() {
+	c.readSocket()
+	c.member.Incomplete(len(c.partialLine) > 0 && !c.paused)
+}
+
+func (c *conn) readSocket() {
 	buf := c.srv.buffers.Get().(*[]byte)
 	defer c.srv.buffers.Put(buf)
 	for !c.paused && !c.closed {
@@ -115,7 +120,6 @@
 		c.refuseInput(limit.Memory)
 		_ = c.holdInput() // never fails: less is held than before
 	}
-	c.member.Incomplete(len(c.partialLine) > 0)
 	c.paused = len(c.queued) >= maxQueuedLines || c.srv.opts.MaxQueuedBytes > 0 && c.queuedBytes >= c.srv.opts.MaxQueuedBytes
 	if !c.running && (len(c.queued) > 0 || c.refused != "") {
 		c.srv.workers.Submit(c)
@@ -227,7 +231,7 @@
 		c.end()
 	case !c.member.Started():
 		c.srv.guard.Start(c)
-		c.member.Incomplete(len(c.partialLine) > 0)
+		c.member.Incomplete(len(c.partialLine) > 0 && !c.paused)
 	}
 }
 
--- a/internal/operator/handlers.go
+++ b/internal/operator/handlers.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"github.com/arbutusring/arbutusring/internal/controlrpc"
+	"github.com/arbutusring/arbutusring/internal/limit"
 	"github.com/rcrowley/go-metrics"
 )
 
@@ -20,6 +21,10 @@
 	Dump     func() any
 	Ready    func() bool
 	Registry metrics.Registry
+
+	MaxConnections int           // 0 for no limit
+	Memory         *limit.Budget // for the bodies of requests; nil for no limit
+
 	// Routes holds additional handlers by pattern of http.ServeMux.
 	Routes map[string]http.HandlerFunc
 }
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -26,6 +26,11 @@
 	requestReadTimeout = 30 * time.Second
 	// idleTimeout bounds how long a connection stays open without requests.
 	idleTimeout = 2 * time.Minute
+	// requestWriteTimeout bounds the time from the headers of a request to the end of
+	// its answer, so that clients that don't read hold no memory.
+	requestWriteTimeout = time.Minute
+	// maxHeaderBytes bounds the headers of a request.
+	maxHeaderBytes = 64 << 10
 )
 
 // Server serves Handlers over HTTP.
@@ -33,6 +38,8 @@
 	http http.Server
 	h    Handlers
 	log  zerolog.Logger
+
+	conns connLimiter
 }
 
 // NewServer returns a server for h. Serve starts it.
@@ -52,13 +59,15 @@
 	for pattern, handler := range h.Routes {
 		mux.HandleFunc(pattern, handler)
 	}
-	s.http = http.Server{Handler: mux, ReadHeaderTimeout: headerReadTimeout, ReadTimeout: requestReadTimeout, IdleTimeout: idleTimeout}
+	s.conns.limit, s.conns.count = h.MaxConnections, counterOf(h.Registry)
+	memory := memoryLimiter{next: mux, budget: h.Memory, count: s.conns.count}
+	s.http = http.Server{Handler: memory, ConnState: s.conns.changed, WriteTimeout: requestWriteTimeout, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerReadTimeout, ReadTimeout: requestReadTimeout, IdleTimeout: idleTimeout}
 	return s
 }
 
 // Serve answers requests on ln until Shutdown is called.
 func (s *Server) Serve(ln net.Listener) error {
-	err := s.http.Serve(ln)
+	err := s.http.Serve(&limitedListener{Listener: ln, conns: &s.conns})
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
--- a/internal/owner/exec.go
+++ b/internal/owner/exec.go
@@ -42,12 +42,39 @@
 	reply.Load.Server = args.Server
 	reply.Load.Draining = reply.Load.Draining || reply.Kind == errkind.Draining
 	reply.ID = args.ID
+	held := o.holdAnswer(reply)
 	if first {
 		o.outcomes.finish(rec, reply)
 	}
+	if held > 0 {
+		reply.OnSent(func() { o.opts.Memory.Give(held) })
+	}
 	o.countResult(srv, reply.Kind)
 }
 
+const (
+	// smallAnswerBytes is the size up to which answers are not counted.
+	smallAnswerBytes = 64 << 10
+	// answerCopies is how often an answer is held while it waits to be sent to the entry
+	// host: as received, encoded, and in the buffer of the connection.
+	answerCopies = 3
+)
+
+// holdAnswer takes the bytes of an answer from the budget until it is sent, and returns
+// their number. An answer without room is dropped like one that is too large.
+func (o *Owner) holdAnswer(reply *ownerrpc.ExecReply) int64 {
+	n := len(reply.Messages)
+	if n <= smallAnswerBytes {
+		return 0
+	}
+	if !o.opts.Memory.Take(answerCopies*int64(n), 0) {
+		reply.Messages = nil
+		reply.Kind, reply.Detail = errkind.AnswerTooLarge, "the memory for answers is used up"
+		return 0
+	}
+	return answerCopies * int64(n)
+}
+
 // execute runs the cycle, unless the host does not own the server or is
 // draining.
 func (o *Owner) execute(ctx context.Context, x *execution) {
--- a/internal/owner/options.go
+++ b/internal/owner/options.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/arbutusring/arbutusring/internal/limit"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 )
@@ -22,6 +23,7 @@
 	Logger         zerolog.Logger
 	Registry       metrics.Registry // nil: New creates a private registry
 	MaxAnswerBytes int              // 16 MiB if zero
+	Memory         *limit.Budget    // nil for no limit
 	Limits         Limits
 	Disabled       Disabled // for tests only
 }
--- a/internal/ownerrpc/messages.go
+++ b/internal/ownerrpc/messages.go
@@ -56,6 +56,18 @@
 	TxStatus byte            `codec:"t"` // 'I', 'T' or 'E'
 	Position logpos.Position `codec:"p"` // position of the committed write; zero if the cycle committed none
 	Load     Load            `codec:"l"`
+
+	sent func() // called once the reply has been written; nil for none
+}
+
+// OnSent sets a function that is called once the reply has been written.
+func (r *ExecReply) OnSent(f func()) { r.sent = f }
+
+// Sent is called by the peer server after it has written the reply.
+func (r *ExecReply) Sent() {
+	if r.sent != nil {
+		r.sent()
+	}
 }
 
 // Load is the load of one server as the owner reports it with every answer.
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -3,8 +3,10 @@
 import (
 	"io"
 	"net/rpc"
+	"sync"
 	"sync/atomic"
 
+	"github.com/arbutusring/arbutusring/internal/limit"
 	"github.com/ugorji/go/codec"
 )
 
@@ -18,34 +20,90 @@
 	return h
 }
 
+// clientCodec is the codec of the library with another reader.
+type clientCodec struct {
+	rpc.ClientCodec
+	in *messageReader
+}
+
 func newClientCodec(conn io.ReadWriteCloser) rpc.ClientCodec {
-	return codec.GoRpc.ClientCodec(conn, newHandle())
+	return &clientCodec{ClientCodec: codec.GoRpc.ClientCodec(conn, newHandle()), in: newMessageReader(conn, nil)}
+}
+
+func (c *clientCodec) ReadResponseHeader(r *rpc.Response) error {
+	c.in.begin()
+	return c.in.decode(r)
 }
 
+func (c *clientCodec) ReadResponseBody(body any) error { return c.in.decode(body) }
+
 // countingCodec counts the calls that a server has read but not answered yet,
-// so that a graceful shutdown can wait for them.
+// so that a graceful shutdown can wait for them, and the memory of their arguments.
 type countingCodec struct {
 	rpc.ServerCodec
 	runningCalls *atomic.Int64
+	in           *messageReader
+	seq          uint64 // of the request that is being read
+	onRequest    func() // called for each request that was read; nil for none
+
+	mu   sync.Mutex
+	held map[uint64]int64 // memory of the arguments of running calls, by sequence number
 }
 
 var _ rpc.ServerCodec = (*countingCodec)(nil)
 
-func newServerCodec(conn io.ReadWriteCloser, runningCalls *atomic.Int64) rpc.ServerCodec {
-	return &countingCodec{ServerCodec: codec.GoRpc.ServerCodec(conn, newHandle()), runningCalls: runningCalls}
+func newServerCodec(conn io.ReadWriteCloser, runningCalls *atomic.Int64, memory *limit.Budget) *countingCodec {
+	return &countingCodec{
+		ServerCodec: codec.GoRpc.ServerCodec(conn, newHandle()), runningCalls: runningCalls,
+		in: newMessageReader(conn, memory), held: make(map[uint64]int64),
+	}
 }
 
 // ReadRequestHeader counts a call as running once its header has been read.
 func (c *countingCodec) ReadRequestHeader(r *rpc.Request) error {
-	err := c.ServerCodec.ReadRequestHeader(r)
-	if err == nil {
-		c.runningCalls.Add(1)
+	c.in.begin()
+	err := c.in.decode(r)
+	if err != nil {
+		c.in.release()
+		return err
+	}
+	c.seq = r.Seq
+	if c.onRequest != nil {
+		c.onRequest()
+	}
+	c.runningCalls.Add(1)
+	return nil
+}
+
+// ReadRequestBody keeps what the arguments take from the budget until the call is
+// answered.
+func (c *countingCodec) ReadRequestBody(body any) error {
+	err := c.in.decode(body)
+	if held := c.in.takeHeld(); held > 0 {
+		c.mu.Lock()
+		c.held[c.seq] += held
+		c.mu.Unlock()
 	}
 	return err
 }
 
+// sentNotifier is a reply that is told when it has been written.
+type sentNotifier interface{ Sent() }
+
 // WriteResponse stops counting the call once its answer has been written.
 func (c *countingCodec) WriteResponse(r *rpc.Response, body any) error {
-	defer c.runningCalls.Add(-1)
+	defer c.finish(r.Seq)
+	if n, ok := body.(sentNotifier); ok {
+		defer n.Sent()
+	}
 	return c.ServerCodec.WriteResponse(r, body)
 }
+
+func (c *countingCodec) finish(seq uint64) {
+	c.runningCalls.Add(-1)
+	c.mu.Lock()
+	held := c.held[seq]
+	delete(c.held, seq)
+	c.mu.Unlock()
+	c.in.memory.Give(held)
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -4,11 +4,14 @@
 	"context"
 	"errors"
 	"net"
+	"net/netip"
 	"net/rpc"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/arbutusring/arbutusring/internal/limit"
+	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 	"github.com/zeebo/errs"
 )
@@ -22,6 +25,10 @@
 	IdleTimeout  time.Duration // a connection that receives no data for this time is closed; default 1 s
 	WriteTimeout time.Duration // limit for one write, after which the connection is closed; default 5 s
 	Logger       zerolog.Logger
+
+	MaxConnections int              // 0 for no limit
+	Memory         *limit.Budget    // for messages that are read; nil for no limit
+	Registry       metrics.Registry // nil: New creates a private registry
 }
 
 // acceptRetryDelay is the delay after a failed accept, whose usual cause is a lack of
@@ -39,8 +46,22 @@
 
 	mu        sync.Mutex // guards the fields below
 	listeners []net.Listener
-	conns     map[*batchConn]struct{}
 	closed    bool // set by Shutdown
+
+	guard *limit.Guard[*serverConn]
+}
+
+// serverConn is a connection from another host.
+type serverConn struct {
+	*batchConn
+	net    net.Conn
+	member limit.Member
+}
+
+// abort closes the connection at once.
+func (c *serverConn) abort(limit.Reason) {
+	_ = c.Close()
+	_ = c.net.Close()
 }
 
 // NewServer returns a server that answers only heartbeats until services are
@@ -52,7 +73,12 @@
 	if opts.WriteTimeout == 0 {
 		opts.WriteTimeout = defaultWriteTimeout
 	}
-	s := &Server{opts: opts, rpc: rpc.NewServer(), conns: make(map[*batchConn]struct{})}
+	s := &Server{opts: opts, rpc: rpc.NewServer()}
+	s.guard = limit.NewGuard(limit.GuardOptions[*serverConn]{
+		Name: "peers", Limits: limit.Limits{MaxConnections: opts.MaxConnections}, Logger: opts.Logger, Registry: opts.Registry,
+		Member: func(c *serverConn) *limit.Member { return &c.member },
+		Abort:  (*serverConn).abort,
+	})
 	if err := s.rpc.RegisterName("Peer", heartbeatService{}); err != nil {
 		panic("peer: registering the heartbeat service failed: " + err.Error())
 	}
@@ -87,13 +113,18 @@
 
 // run serves one connection until it is closed or its idle timeout expires.
 func (s *Server) run(conn net.Conn) {
-	c := newBatchConn(&timeoutConn{Conn: conn, idleTimeout: s.opts.IdleTimeout, writeTimeout: s.opts.WriteTimeout})
+	c := &serverConn{batchConn: newBatchConn(&timeoutConn{Conn: conn, idleTimeout: s.opts.IdleTimeout, writeTimeout: s.opts.WriteTimeout}), net: conn}
 	if !s.addConn(c) {
-		_ = c.Close()
+		c.abort("")
 		return
 	}
 	defer s.removeConn(c)
-	s.rpc.ServeCodec(newServerCodec(c, &s.runningCalls))
+	in := newServerCodec(c, &s.runningCalls, s.opts.Memory)
+	in.onRequest = sync.OnceFunc(func() {
+		s.guard.Start(c)
+		s.guard.Use(c)
+	})
+	s.rpc.ServeCodec(in)
 }
 
 // Shutdown stops accepting connections, waits until every running call has been
@@ -128,22 +159,21 @@
 	return true
 }
 
-// addConn adds conn to the connections. It returns false after Shutdown.
-func (s *Server) addConn(conn *batchConn) bool {
+// addConn adds a connection. It returns false after Shutdown, and if there are too many
+// connections that have sent a request.
+func (s *Server) addConn(c *serverConn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
 		return false
 	}
-	s.conns[conn] = struct{}{}
-	return true
+	_, ok := s.guard.Add(c, netip.Addr{})
+	return ok
 }
 
-func (s *Server) removeConn(conn *batchConn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.conns, conn)
-	_ = conn.Close()
+func (s *Server) removeConn(c *serverConn) {
+	s.guard.Remove(c, netip.Addr{})
+	_ = c.Close()
 }
 
 func (s *Server) closeListeners() {
@@ -156,9 +186,7 @@
 }
 
 func (s *Server) closeConns() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for conn := range s.conns {
-		_ = conn.Close()
+	for _, c := range s.guard.All() {
+		_ = c.Close()
 	}
 }
--- a/internal/process/base.go
+++ b/internal/process/base.go
@@ -40,7 +40,13 @@
 		registry: registry,
 		memory:   limit.NewBudget(limit.BudgetOptions{MemoryMB: cfg.Host.MemoryMB, Registry: registry}),
 		pool:     peer.NewPool(peer.PoolOptions{Dial: dial}),
-		peers:    peer.NewServer(peer.ServerOptions{Logger: log}),
+		peers: peer.NewServer(peer.ServerOptions{
+			Logger: log, Registry: registry,
+			MaxConnections: peerConnections(cfg.Listen),
+			// A budget of its own: callers must not keep the hosts from talking to each
+			// other.
+			Memory: limit.NewBudget(limit.BudgetOptions{MemoryMB: cfg.Host.MemoryMB / 2}),
+		}),
 	}, nil
 }
 
@@ -50,7 +56,7 @@
 // serve starts the operator server, and the peer server if the process has a
 // peer listener.
 func (b *base) serve(h operator.Handlers) {
-	h.Registry = b.registry
+	h.Registry, h.Memory, h.MaxConnections = b.registry, b.memory, operatorConnections(b.cfg.Listen)
 	b.http = operator.NewServer(h, b.log)
 	if b.lns.peers != nil {
 		b.tasks.start(b.runPeers)
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -88,12 +88,16 @@
 		Logger:         p.partLogger("owner"),
 		Registry:       p.registry,
 		MaxAnswerBytes: opts.Settings.Entry.MaxAnswerBytes,
+		Memory:         p.memory,
+		Limits:         owner.Limits{OutcomeBytes: outcomeBytes(opts.Settings.Host.MemoryMB)},
 	})
 	p.entry = entry.New(entry.Options{
 		Host:     p.host,
 		Owners:   ownerrpc.Client{Call: p.pool.Call},
 		Logger:   p.partLogger("entry"),
 		Registry: p.registry,
+
+		Memory: p.memory, SessionLimits: sessionLimits(opts.Settings.Entry),
 	})
 	p.controlSession = newControlSession(p)
 	if err := p.start(); err != nil {
@@ -107,12 +111,20 @@
 	if err := p.peers.Register("Owner", p.owner.Service()); err != nil {
 		return err
 	}
+	limits := callerLimits(p.cfg.Entry)
 	p.callers = caller.New(caller.Options{
 		Address:        p.cfg.Listen.Callers,
 		Handler:        p.entry.Handler(),
 		Logger:         p.partLogger("caller"),
-		MaxConnections: p.cfg.Entry.MaxConnections,
+		MaxConnections: limits.MaxConnections,
 		MaxCycleBytes:  p.cfg.Entry.MaxCycleBytes,
+		MaxQueuedBytes: p.cfg.Entry.MaxQueuedBytes,
+		MaxPerAddress:  limits.MaxPerAddress,
+		StartupTimeout: limits.StartupTimeout,
+		MessageTimeout: limits.MessageTimeout,
+		WriteTimeout:   limits.WriteTimeout,
+		Memory:         p.memory,
+		Registry:       p.registry,
 	})
 	if err := p.callers.Start(); err != nil {
 		return err
