--- /dev/null
+++ b/internal/lineserver/export_test.go
@@ -0,0 +1,22 @@
+package lineserver
+
+import (
+	"github.com/arbutusring/arbutusring/internal/limit"
+)
+
+// SplitLines passes pieces of input to a connection that runs no line. It returns the
+// queued lines, the incomplete one, and why the rest is refused.
+func SplitLines(maxLineBytes int, pieces ...[]byte) (lines []string, partial string, refused limit.Reason) {
+	s := New(Options{MaxLineBytes: maxLineBytes})
+	defer s.workers.Close()
+	c := &conn{srv: s, running: true}
+	for _, p := range pieces {
+		if c.refused == "" {
+			c.splitLines(p)
+		}
+	}
+	for _, line := range c.queued {
+		lines = append(lines, string(line))
+	}
+	return lines, string(c.partialLine), c.refused
+}
