--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -66,6 +66,7 @@
 		hosts:          1,
 		primaryFailing: make(chan struct{}, 1),
 	}
+	g.preparedStatements.budget = opts.Memory
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.view.Store(&view{cfg: new(database.Config), changed: make(chan struct{})})
 	g.tasks.Go(g.runMaintenance)
@@ -396,6 +397,7 @@
 		return nil, err
 	}
 	s := &Session{gateway: g, name: name, identity: id, settings: make(map[string]string), prepared: make(map[string]*preparedStatement)}
+	s.meter.Budget, s.meter.Max = g.opts.Memory, g.opts.MaxAnswerBytes
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.sessions[s] = struct{}{}
--- a/internal/process/base.go
+++ b/internal/process/base.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/arbutusring/arbutusring/internal/limit"
 	"github.com/arbutusring/arbutusring/internal/operator"
 	"github.com/arbutusring/arbutusring/internal/peer"
 	"github.com/arbutusring/arbutusring/pkg/settings"
@@ -17,6 +18,7 @@
 	cfg      settings.Settings
 	log      zerolog.Logger
 	registry metrics.Registry
+	memory   *limit.Budget // shared by all that callers make the process hold
 	pool     *peer.Pool
 	peers    *peer.Server
 	http     *operator.Server // nil until the process has started
@@ -36,8 +38,15 @@
 	return &base{
 		cfg: cfg, log: log, lns: lns,
 		registry: registry,
+		memory:   limit.NewBudget(limit.BudgetOptions{MemoryMB: cfg.Host.MemoryMB, Registry: registry}),
 		pool:     peer.NewPool(peer.PoolOptions{Dial: dial}),
-		peers:    peer.NewServer(peer.ServerOptions{Logger: log}),
+		peers: peer.NewServer(peer.ServerOptions{
+			Logger: log, Registry: registry,
+			MaxConnections: peerConnections(cfg.Listen),
+			// A budget of its own: callers must not keep the hosts from talking to each
+			// other.
+			Memory: limit.NewBudget(limit.BudgetOptions{MemoryMB: cfg.Host.MemoryMB / 2}),
+		}),
 	}, nil
 }
 
@@ -47,7 +56,7 @@
 // serve starts the operator server, and the peer server if the process has a
 // peer listener.
 func (b *base) serve(h operator.Handlers) {
-	h.Registry = b.registry
+	h.Registry, h.Memory, h.MaxConnections = b.registry, b.memory, operatorConnections(b.cfg.Listen)
 	b.http = operator.NewServer(h, b.log)
 	if b.lns.peers != nil {
 		b.tasks.start(b.runPeers)
