gateway: the package comment describes customers

Cause: it described sessions without customers only.

Change: a section on customers; a clearer comment of view.authorize.

Result: comments only.

--- a/internal/gateway/doc.go
+++ b/internal/gateway/doc.go
@@ -41,6 +41,16 @@
 // queue: the transaction has already used resources, and it holds a connection
 // until it ends.
 //
+// # Customers
+//
+// If the configuration names customers, a session belongs to the customer of its
+// key, and its statements run only on connections that were opened under the name
+// of that customer. Each statement requires that the key is in the newest
+// configuration and that the host has its lease, without which that configuration
+// may have been replaced. Both are checked when the statement is received and
+// immediately before anything is sent for it. docs/design/customers.md has the
+// details.
+//
 // # Concurrency
 //
 // The statements of a session run one at a time. Views are immutable and
--- a/internal/gateway/identity.go
+++ b/internal/gateway/identity.go
@@ -21,8 +21,8 @@
 	key      database.KeyDigest // set if customer is
 }
 
-// authorize reports whether a session with this identity may use a database that the
-// view declares. It must be Open's first and every later decision about a key.
+// authorize reports whether a session with this identity may use a database. A database
+// that the view does not declare is refused elsewhere.
 func (v *view) authorize(id identity, name string) bool {
 	if id.customer != "" {
 		return v.keyOwners[id.key] == id.customer
