--- /dev/null
+++ b/internal/allowance/params.go
@@ -0,0 +1,44 @@
+package allowance
+
+import (
+	"math"
+	"time"
+)
+
+// Params determine how exactly the limits hold: in every window, at most (rate x
+// window + burst) x (1 + overage) + tolerance operations are sent.
+type Params struct {
+	Window    time.Duration
+	Overage   float64
+	Tolerance float64 // operations
+}
+
+// Bound returns the most operations of a customer in one window.
+func (p Params) Bound(l Limit) float64 {
+	return (l.Rate*p.Window.Seconds()+l.Burst)*(1+p.Overage) + p.Tolerance
+}
+
+// bucketSize returns the capacity of the bucket of a customer and the rate at which it
+// is filled. With a capacity below one token no operation would ever be admitted, so
+// it is then one token, and the rate is lowered to keep the bound.
+func (p Params) bucketSize(l Limit) (capacity, rate float64) {
+	window := p.Window.Seconds()
+	capacity, rate = l.Burst*(1+p.Overage)+l.Rate*window*p.Overage+p.Tolerance, l.Rate
+	if capacity >= 1 {
+		return capacity, rate
+	}
+	if rate -= (1 - capacity) / window; rate <= 0 {
+		return 0, 0
+	}
+	return 1, rate
+}
+
+// smallStockLimit is the number of tokens up to which hosts may hold the whole capacity:
+// hosts report their use only twice a second, and half of a small capacity would be
+// used up by operations that were not reported yet.
+const smallStockLimit = 8
+
+// stockLimit returns the number of tokens that hosts may hold together.
+func stockLimit(capacity float64) int {
+	return int(max(math.Floor(capacity/2), min(math.Floor(capacity), smallStockLimit)))
+}
