--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -91,7 +91,7 @@
 			time.Sleep(300 * time.Millisecond)
 			s.loseLeader(allowance.EarlierUnsettled)
 		}},
-		{"answers lost and calls repeated", 1900, func(s *sim) { s.loseNext = 41 }},
+		{"answers lost and calls repeated", 1900, func(s *sim) { s.loseReplies(41) }},
 		{"limit lowered", 300, func(s *sim) { s.setLimits(lowered) }},
 		{"limit raised", 4000, func(s *sim) { s.setLimits(raised) }},
 		{"control unavailable for 5 s", 1300, func(s *sim) {
--- a/internal/allowance/sim_test.go
+++ b/internal/allowance/sim_test.go
@@ -77,7 +77,9 @@
 	h := &simHost{stock: allowance.NewStock(directoryrpc.Host{ID: fmt.Sprint(i), Incarnation: fmt.Sprint(incarnation)}, time.Now)}
 	h.ctx, h.cancel = context.WithCancel(s.ctx)
 	h.stock.SetLimits(s.limits)
+	s.mu.Lock()
 	s.hosts[i] = h
+	s.mu.Unlock()
 	s.all.Go(func() {
 		h.stock.Loop(h.ctx, func(ctx context.Context, args *directoryrpc.AllowanceArgs) (*directoryrpc.AllowanceReply, error) {
 			return s.call(ctx, h, args)
@@ -120,6 +122,13 @@
 	return &reply
 }
 
+// host returns the incarnation in force of host i.
+func (s *sim) host(i int) *simHost {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.hosts[i]
+}
+
 // await waits until the host is not suspended.
 func (h *simHost) await() { time.Sleep(time.Until(time.Unix(0, h.resume.Load()))) }
 
@@ -154,7 +163,7 @@
 			time.Sleep(time.Duration(rnd.ExpFloat64() / perSecond * float64(time.Second)))
 			i := int(rnd.Float64() * rnd.Float64() * float64(len(s.hosts)))
 			queue := time.Duration(rnd.IntN(20)) * time.Millisecond
-			s.all.Go(func() { s.do(s.hosts[i], customer, queue) })
+			s.all.Go(func() { s.do(s.host(i), customer, queue) })
 		}
 	})
 }
@@ -162,9 +171,9 @@
 // burst sends n operations of a customer at once, from one host or all in turn.
 func (s *sim) burst(customer string, n, host int) {
 	for i := range n {
-		h := s.hosts[i%len(s.hosts)]
+		h := s.host(i % len(s.hosts))
 		if host >= 0 {
-			h = s.hosts[host]
+			h = s.host(host)
 		}
 		s.all.Go(func() { s.do(h, customer, 0) })
 	}
@@ -192,6 +201,13 @@
 	}
 }
 
+// loseReplies loses the next n replies that name customers.
+func (s *sim) loseReplies(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loseNext = n
+}
+
 // loseLeader removes the ledger for the time of an election.
 func (s *sim) loseLeader(earlier allowance.Earlier) {
 	s.mu.Lock()
