directory, gateway: allowances of customers hold over all hosts

Nothing used the ledger and the stocks of internal/allowance.

Change: Directory.Allowance. The leader stores in the log that its ledger grants before it does so, and when it counts all tokens, because a new leader must know how many an earlier one may have granted; without limits the log holds no such entry. SyncReply.Allowances says that the leader limits operations; under a leader of an earlier release hosts admit everything and log it once. Gateways call it in loops of allowance.Stock. Admission.Use is called immediately before the first send: Valid is called several times, and the ledger may only be told of an operation that is sent. The directories of rejoin_test.go parse configurations, as every Adapter must.

--- a/internal/allowance/account.go
+++ b/internal/allowance/account.go
@@ -37,7 +37,7 @@
 	held     int       // tokens that hosts may hold
 	adopted  int       // tokens of an earlier ledger that hosts have named
 	shortage time.Time // when an operation that waited last got no token
-	used     uint64    // operations reported
+	used     meter     // operations reported
 }
 
 func (a *account) setLimit(p Params, l Limit) {
--- a/internal/allowance/ledger.go
+++ b/internal/allowance/ledger.go
@@ -43,11 +43,12 @@
 	hosts      map[directoryrpc.Host]*hostStock
 	limits     map[string]Limit
 	nextExpiry time.Time
-	reclaimed  int // tokens of hosts that fell silent since the last call of TakeReclaimed
+	reclaimed  []Reclaimed // since the last call of TakeReclaimed
 }
 
 // NewLedger returns a ledger without limits.
 func NewLedger(opts LedgerOptions) *Ledger {
+	opts.Params = opts.Params.withDefaults()
 	return &Ledger{opts: opts, accounts: make(map[string]*account), hosts: make(map[directoryrpc.Host]*hostStock), nextExpiry: opts.Now}
 }
 
@@ -82,15 +83,15 @@
 	return true
 }
 
-// TakeReclaimed returns the number of tokens that were taken as used because their
-// hosts fell silent, since its last call.
-func (l *Ledger) TakeReclaimed(now time.Time) int {
+// TakeReclaimed returns the stocks that were taken as used because their hosts fell
+// silent, since its last call.
+func (l *Ledger) TakeReclaimed(now time.Time) []Reclaimed {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.expire(now)
-	n := l.reclaimed
-	l.reclaimed = 0
-	return n
+	r := l.reclaimed
+	l.reclaimed = nil
+	return r
 }
 
 func (l *Ledger) earlierMayHold(now time.Time) bool {
@@ -142,10 +143,14 @@
 		if now.Before(h.expires) {
 			continue
 		}
-		for customer := range h.stocks {
-			l.reclaimed += h.stocks[customer].held
+		tokens := 0
+		for customer, s := range h.stocks {
+			tokens += s.held
 			l.drop(h, customer)
 		}
+		if tokens > 0 {
+			l.reclaimed = append(l.reclaimed, Reclaimed{Host: host.ID, Tokens: tokens})
+		}
 		delete(l.hosts, host)
 	}
 	for customer, a := range l.accounts {
@@ -227,7 +232,7 @@
 	used := s.held // if the counter went back: the host has started to count anew
 	if u.Used >= s.used {
 		used = int(min(u.Used-s.used, uint64(s.held)))
-		a.used += u.Used - s.used
+		a.used.add(now, u.Used-s.used)
 	}
 	s.used = u.Used
 	known := true
--- a/internal/allowance/loop.go
+++ b/internal/allowance/loop.go
@@ -17,6 +17,9 @@
 	callTimeout = time.Second
 	// failedCallDelay keeps failing calls from spinning.
 	failedCallDelay = 50 * time.Millisecond
+	// lastCallTimeout bounds the call that returns the tokens. If it fails, the leader
+	// takes them as used.
+	lastCallTimeout = 300 * time.Millisecond
 )
 
 // Loop makes the calls of the stock until ctx ends. Then it returns the free tokens.
@@ -48,7 +51,9 @@
 		}
 	}
 	if len(s.Held()) > 0 {
-		s.call(context.WithoutCancel(ctx), call, s.request(true))
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastCallTimeout)
+		defer cancel()
+		s.call(ctx, call, s.request(true))
 	}
 }
 
--- a/internal/allowance/params.go
+++ b/internal/allowance/params.go
@@ -1,6 +1,7 @@
 package allowance
 
 import (
+	"cmp"
 	"math"
 	"time"
 )
@@ -13,6 +14,17 @@
 	Tolerance float64 // operations
 }
 
+// defaultWindow is the window of Params without one.
+const defaultWindow = 5 * time.Second
+
+func (p Params) withDefaults() Params {
+	p.Window = cmp.Or(p.Window, defaultWindow)
+	return p
+}
+
+// maxAmount bounds rates and bursts, so that tokens can be counted in integers.
+const maxAmount = 1e9
+
 // Bound returns the most operations of a customer in one window.
 func (p Params) Bound(l Limit) float64 {
 	return (l.Rate*p.Window.Seconds()+l.Burst)*(1+p.Overage) + p.Tolerance
@@ -23,6 +35,7 @@
 // it is then one token, and the rate is lowered to keep the bound.
 func (p Params) bucketSize(l Limit) (capacity, rate float64) {
 	window := p.Window.Seconds()
+	l = Limit{Rate: min(l.Rate, maxAmount), Burst: min(l.Burst, maxAmount)}
 	capacity, rate = l.Burst*(1+p.Overage)+l.Rate*window*p.Overage+p.Tolerance, l.Rate
 	if capacity >= 1 {
 		return capacity, rate
--- a/internal/allowance/stock.go
+++ b/internal/allowance/stock.go
@@ -177,11 +177,22 @@
 	}
 }
 
-func (s *Stock) use(t *Token) bool {
+func (s *Stock) valid(t *Token) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.validLocked(t)
+}
+
+// validLocked is valid for callers that hold mu.
+func (s *Stock) validLocked(t *Token) bool {
 	s.expire(s.now())
-	if t.done || t.generation != t.account.generation {
+	return !t.done && t.generation == t.account.generation
+}
+
+func (s *Stock) use(t *Token) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.validLocked(t) {
 		return false
 	}
 	t.done = true
--- a/internal/allowance/stockaccount.go
+++ b/internal/allowance/stockaccount.go
@@ -7,8 +7,6 @@
 )
 
 const (
-	// demandMemory is the time over which the demand of a customer is averaged.
-	demandMemory = 2 * time.Second
 	// stockTime is the time for which a stock lasts at the recent demand: the
 	// longest time between two calls, and a round trip.
 	stockTime = 600 * time.Millisecond
@@ -27,8 +25,7 @@
 	generation uint64 // of the stock when the tokens were granted
 	waiters    []*waiter
 
-	demand     float64 // operations a second, as of demandAt
-	demandAt   time.Time
+	demand     meter
 	lastDemand time.Time // of the last operation
 	spareAfter time.Time // no tokens for operations to come are asked for until then
 	askAfter   time.Time // no call is made for waiting operations until then
@@ -43,15 +40,8 @@
 
 // recordDemand counts an operation.
 func (a *stockAccount) recordDemand(now time.Time) {
-	a.demand = a.currentDemand(now) + 1/demandMemory.Seconds()
-	a.demandAt, a.lastDemand = now, now
-}
-
-func (a *stockAccount) currentDemand(now time.Time) float64 {
-	if a.demandAt.IsZero() {
-		return 0
-	}
-	return a.demand * math.Exp(-now.Sub(a.demandAt).Seconds()/demandMemory.Seconds())
+	a.demand.add(now, 1)
+	a.lastDemand = now
 }
 
 // target returns the number of tokens that the host should have for operations to
@@ -60,7 +50,7 @@
 	if a.lastDemand.IsZero() || now.Sub(a.lastDemand) > idleTime {
 		return 0
 	}
-	return max(1, int(math.Ceil(a.currentDemand(now)*stockTime.Seconds())))
+	return max(1, int(math.Ceil(a.demand.perSecond(now)*stockTime.Seconds())))
 }
 
 // low reports whether the stock should be filled before the next regular call.
--- a/internal/allowance/token.go
+++ b/internal/allowance/token.go
@@ -9,6 +9,9 @@
 	done       bool // used or returned; guarded by Stock.mu
 }
 
+// Valid reports whether Use would return true now.
+func (t *Token) Valid() bool { return t == nil || t.stock.valid(t) }
+
 // Use uses the token. It must be called immediately before the operation is sent to a
 // server, which the operation must not be if Use returns false: the stock has become
 // invalid since, for instance because the host was suspended, or the token was used.
--- a/internal/directory/cluster_test.go
+++ b/internal/directory/cluster_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/arbutusring/arbutusring/internal/allowance"
 	"github.com/arbutusring/arbutusring/internal/control"
 	"github.com/arbutusring/arbutusring/internal/directory"
 	"github.com/arbutusring/arbutusring/internal/directoryrpc"
@@ -29,9 +30,10 @@
 	down            map[string]bool
 	promoted        []directory.Promotion
 	demoted         []string
-	refusePromotion map[string]bool // servers whose promotion fails with errkind.Conflict
-	syncReplicas    int             // value of the setting sync_replicas
-	panics          bool            // proposals of configurations panic
+	refusePromotion map[string]bool            // servers whose promotion fails with errkind.Conflict
+	syncReplicas    int                        // value of the setting sync_replicas
+	panics          bool                       // proposals of configurations panic
+	limits          map[string]allowance.Limit // of customers, with any configuration
 
 	ctx     context.Context // ends with the test
 	cancel  context.CancelFunc
@@ -68,6 +70,12 @@
 			Promote:      c.promote,
 			SyncReplicas: func(directoryrpc.State, string) int { return c.syncReplicas },
 			Control:      func() []string { return nil },
+			Limits: func(s directoryrpc.State) map[string]allowance.Limit {
+				if s.ConfigVersion == 0 {
+					return nil
+				}
+				return c.limits
+			},
 		})
 		c.d.Start(control.Log{
 			Propose: c.propose, IsLeader: func() bool { return true }, LeaseValid: c.leaseValid,
--- a/internal/directory/command.go
+++ b/internal/directory/command.go
@@ -14,6 +14,8 @@
 	Group     *SetGroup     `codec:"d,omitempty"`
 	Control   *PutControl   `codec:"e,omitempty"`
 	HostCount *SetHostCount `codec:"f,omitempty"`
+
+	AllowanceLedger *SetAllowanceLedger `codec:"al,omitempty"`
 }
 
 // PutConfig puts a configuration into force if its version is the highest.
@@ -52,6 +54,13 @@
 	Count int `codec:"n"`
 }
 
+// SetAllowanceLedger stores the state of the ledger of a leader for the next one. It is
+// stored before the ledger grants the first token.
+type SetAllowanceLedger struct {
+	Term    uint64 `codec:"t"` // of the log
+	Settled bool   `codec:"s"` // the ledger counts all tokens that hosts may hold
+}
+
 // result is the outcome of a command, which Machine.Apply returns encoded.
 type result struct {
 	Kind   errkind.Kind `codec:"k"`
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 
+	"github.com/arbutusring/arbutusring/internal/allowance"
+	"github.com/arbutusring/arbutusring/internal/clock"
 	"github.com/arbutusring/arbutusring/internal/control"
 	"github.com/arbutusring/arbutusring/internal/directoryrpc"
 	"github.com/arbutusring/arbutusring/internal/leading"
@@ -62,6 +64,17 @@
 // is known.
 func (d *Directory) Server(id string) (directoryrpc.Server, bool) { return d.machine.Server(id) }
 
+// Allowances returns the state of the ledger of allowances, or nil if this host is not
+// the leader or grants none.
+func (d *Directory) Allowances() *allowance.LedgerDump {
+	l, _, _ := d.currentLeadership()
+	if l == nil || !l.allowances.ready() {
+		return nil
+	}
+	dump := l.allowances.ledger.Dump(clock.Now())
+	return &dump
+}
+
 // Service returns the rpc service, to be registered as "Directory".
 func (d *Directory) Service() *Service { return &Service{d: d} }
 
--- a/internal/directory/leadership.go
+++ b/internal/directory/leadership.go
@@ -36,8 +36,10 @@
 	machine  *Machine
 	token    uint64 // fencing token: the term of the log, which grows with each leadership
 	sessions *sessions
-	ctx      context.Context // ends with the leadership
-	workers  sync.WaitGroup
+
+	allowances *allowances
+	ctx        context.Context // ends with the leadership
+	workers    sync.WaitGroup
 
 	liveHosts   atomic.Int64 // hosts with a lease, as of the last check
 	wholeStates *rate.Limiter
@@ -55,6 +57,7 @@
 	return &leadership{
 		opts: opts, log: log, machine: m, token: token, ctx: ctx,
 		sessions:    newSessions(opts.TTL, opts.ClockDrift),
+		allowances:  newAllowances(opts, m.AllowanceLedger(), token),
 		wholeStates: rate.NewLimiter(wholeStateRate, wholeStateBurst),
 		monitors:    make(map[string]*primaryMonitor),
 		inProcess:   make(map[string]bool),
@@ -71,6 +74,7 @@
 		l.liveHosts.Store(int64(l.sessions.liveCount()))
 		l.checkGroups(l.machine.State())
 		l.recordHostCount(l.machine.State())
+		l.checkAllowances(l.machine.State())
 		l.sessions.forgetSilent()
 		if time.Since(lastAnnounced) >= l.changeDelay() {
 			lastAnnounced = time.Now()
--- a/internal/directory/machine.go
+++ b/internal/directory/machine.go
@@ -21,6 +21,7 @@
 	shared   bool               // State has returned state.Servers
 	departed departures
 	history  changelog.Log[objectKey] // what the latest entries changed
+	ledger   SetAllowanceLedger       // of the latest leader that granted allowances
 	urgent   uint64                   // version of the last change that hosts are sent at once
 	changed  chan struct{}            // closed at the next change
 	encoded  encodedChanges           // since the versions that hosts have
@@ -42,7 +43,8 @@
 // snapshotData is the encoded form of a snapshot.
 type snapshotData struct {
 	directoryrpc.State
-	Departed []departure `codec:"x"`
+	Departed []departure        `codec:"x"`
+	Ledger   SetAllowanceLedger `codec:"al,omitempty"`
 }
 
 // NewMachine returns a Machine with the state before the first log entry.
@@ -56,6 +58,7 @@
 func (m *Machine) load(s snapshotData) {
 	s.Servers, s.Groups, s.Controls = orEmpty(s.Servers), orEmpty(s.Groups), orEmpty(s.Controls)
 	m.state, m.departed, m.urgent = s.State, newDepartures(s.Departed), s.Version
+	m.ledger = s.Ledger
 	m.shared, m.base = false, baseState{}
 	m.history = changelog.New[objectKey](maxHistory, s.Version)
 }
@@ -97,6 +100,14 @@
 	return m.state.HostCount
 }
 
+// AllowanceLedger returns the state of the ledger of the latest leader that granted
+// allowances.
+func (m *Machine) AllowanceLedger() SetAllowanceLedger {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.ledger
+}
+
 // ownServers makes state.Servers safe to modify. It copies the map only if State
 // has returned it since the last copy.
 func (m *Machine) ownServers() {
@@ -163,6 +174,11 @@
 	case c.HostCount != nil:
 		m.state.HostCount = c.HostCount.Count
 		return result{}, nil // entry hosts receive it with their lease
+	case c.AllowanceLedger != nil:
+		if c.AllowanceLedger.Term >= m.ledger.Term {
+			m.ledger = *c.AllowanceLedger
+		}
+		return result{}, nil // entry hosts do not use it
 	}
 	return result{Kind: errkind.BadRequest, Detail: "unknown command"}, nil
 }
@@ -249,7 +265,7 @@
 func (m *Machine) Snapshot() []byte {
 	m.mu.Lock()
 	m.shared = true
-	s := snapshotData{m.state, slices.Clone(m.departed.order)}
+	s := snapshotData{m.state, slices.Clone(m.departed.order), m.ledger}
 	m.mu.Unlock()
 	return msgpack.Encode(s)
 }
--- a/internal/directory/options.go
+++ b/internal/directory/options.go
@@ -5,6 +5,7 @@
 	"context"
 	"time"
 
+	"github.com/arbutusring/arbutusring/internal/allowance"
 	"github.com/arbutusring/arbutusring/internal/directoryrpc"
 	"github.com/arbutusring/arbutusring/internal/eventlog"
 	"github.com/arbutusring/arbutusring/internal/statement"
@@ -44,6 +45,12 @@
 	// force.
 	SyncReplicas func(s directoryrpc.State, group string) int
 
+	// Limits returns the limits of the customers that have one, from the configuration
+	// in force. The result is not modified. nil: there are none.
+	Limits func(s directoryrpc.State) map[string]allowance.Limit
+	// Allowance determines how exactly the limits hold.
+	Allowance allowance.Params
+
 	// Control returns the rpc addresses of the control hosts.
 	Control func() []string
 
@@ -84,6 +91,9 @@
 	o.FailAfter = cmp.Or(o.FailAfter, defaultFailAfter)
 	o.PartialFailAfter = cmp.Or(o.PartialFailAfter, defaultPartialFailAfter)
 	o.CatchUpTimeout = cmp.Or(o.CatchUpTimeout, defaultCatchUpTimeout)
+	if o.Limits == nil {
+		o.Limits = func(directoryrpc.State) map[string]allowance.Limit { return nil }
+	}
 	if o.Registry == nil {
 		o.Registry = metrics.NewRegistry()
 	}
--- a/internal/directory/service.go
+++ b/internal/directory/service.go
@@ -84,10 +84,33 @@
 	s.fillState(args, reply)
 	reply.Control = s.d.opts.Control()
 	reply.AsksReports = true
+	reply.Allowances = len(l.opts.Limits(s.d.machine.State())) > 0
 	reply.Suspected, _ = l.sessions.askedGroups()
 	return nil
 }
 
+// Allowance applies the use of allowances at a host and grants tokens. The ledger counts
+// them as granted even if the read lease has run out then and they are not sent.
+func (s *Service) Allowance(args *directoryrpc.AllowanceArgs, reply *directoryrpc.AllowanceReply) error {
+	defer s.recoverCall(&reply.Answer)
+	l := s.requireLeader(&reply.Answer)
+	switch {
+	case l == nil:
+	case args.Host.ID == "" || args.Host.Incarnation == "":
+		reply.Answer = controlrpc.Answer{Kind: errkind.BadRequest, Detail: "host id and incarnation must not be empty"}
+	case !l.allowances.ready():
+		reply.Answer = controlrpc.Answer{Kind: errkind.Overloaded, Detail: "the ledger has not begun"}
+	default:
+		granted := l.allowances.process(args)
+		if l.confirmLease(&granted.Answer) {
+			*reply = granted
+		} else {
+			reply.Answer = granted.Answer
+		}
+	}
+	return nil
+}
+
 // Announce stores or removes a backend server if the announcement changes
 // anything.
 func (s *Service) Announce(args *directoryrpc.AnnounceArgs, reply *directoryrpc.AnnounceReply) error {
--- a/internal/directoryrpc/client.go
+++ b/internal/directoryrpc/client.go
@@ -83,6 +83,12 @@
 	return do[AnnounceReply](ctx, c, "Directory.Announce", args, attemptTimeout)
 }
 
+// Allowance reports the use of allowances and asks for tokens. Attempts that are not
+// answered are sent again with the same sequence number.
+func (c *Client) Allowance(ctx context.Context, args *AllowanceArgs) (*AllowanceReply, error) {
+	return do[AllowanceReply](ctx, c, "Directory.Allowance", args, renewAttemptTimeout)
+}
+
 // Register sends the data centre of a control host.
 func (c *Client) Register(ctx context.Context, args *RegisterArgs) (*RegisterReply, error) {
 	return do[RegisterReply](ctx, c, "Directory.Register", args, attemptTimeout)
--- a/internal/directoryrpc/messages.go
+++ b/internal/directoryrpc/messages.go
@@ -118,6 +118,9 @@
 	AsksReports bool     `codec:"q"`
 	Suspected   []string `codec:"u"` // groups whose primary some host fails to reach; not all if there are many
 	HostCount   int      `codec:"n"` // number of entry hosts that share the servers
+	// Allowances reports that the leader limits the operations of customers, with the
+	// method Allowance. Leaders of earlier releases don't.
+	Allowances bool `codec:"al,omitempty"`
 }
 
 // AnnounceArgs carries the announcement of a backend server.
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -4,9 +4,13 @@
 // transaction, or a whole transaction. The zero value permits it without a condition.
 type Admission struct {
 	// Valid reports whether the operation may still be sent; nil if it always may. It
-	// is called immediately before the first send. An admission that is no longer
-	// valid is refunded, and the operation needs another one.
+	// may be called repeatedly. An admission that is no longer valid is refunded, and
+	// the operation needs another one.
 	Valid func() bool
+	// Use counts the operation as sent and reports whether it may be; nil if it always
+	// may. It is called immediately before the first send. If nothing was sent then,
+	// Valid returns false from then on.
+	Use func() bool
 	// Return gives the operation back, because nothing was sent to a server. It is
 	// called at most once; nil if there is nothing to give back.
 	Return func()
@@ -19,5 +23,8 @@
 	}
 }
 
+// use counts the operation as sent, if it may be.
+func (a Admission) use() bool { return a.Use == nil || a.Use() }
+
 // usable reports whether the operation may be sent.
 func (a Admission) usable() bool { return a.Valid == nil || a.Valid() }
--- a/internal/gateway/operation.go
+++ b/internal/gateway/operation.go
@@ -101,6 +101,16 @@
 	return false
 }
 
+// useAdmission counts the operation as sent, unless it was before, and reports whether
+// it may be. It is called immediately before the statement or BEGIN is sent.
+func (o *operation) useAdmission() error {
+	if !o.admitted || o.sent || o.admission.use() {
+		return nil
+	}
+	o.refundUnsent()
+	return errAdmissionEnded()
+}
+
 // refundUnsent gives the admission back if nothing was sent to a server.
 func (o *operation) refundUnsent() {
 	if o.admitted && !o.sent {
@@ -345,7 +355,7 @@
 		o.recordError(errkind.New(errkind.NoPrimary, "the primary of group %q is being changed", rt.group.name))
 		return a, true
 	}
-	if err := o.mayRun(); err != nil {
+	if err := o.maySend(); err != nil {
 		u.abandon()
 		rt.member.pool.put(pc)
 		rt.member.sched.Release(slot)
--- a/internal/gateway/operationtx.go
+++ b/internal/gateway/operationtx.go
@@ -75,7 +75,7 @@
 	if u != nil && !u.attach(pc) || rt.needsPrimary && !o.gateway.hasLease() {
 		return errkind.New(errkind.NoPrimary, "the primary of group %q is being changed", rt.group.name)
 	}
-	if err := o.mayRun(); err != nil {
+	if err := o.maySend(); err != nil {
 		return err
 	}
 	r := o.session.tx.begin
--- a/internal/gateway/withdrawal.go
+++ b/internal/gateway/withdrawal.go
@@ -116,11 +116,24 @@
 		return err
 	}
 	if !o.admissionUsable() {
-		return errkind.New(errkind.ConfigStale, "the admission of the operation has run out")
+		return errAdmissionEnded()
 	}
 	return nil
 }
 
+// maySend is mayRun immediately before a statement outside of a transaction, or BEGIN,
+// is sent. It counts the operation as sent.
+func (o *operation) maySend() error {
+	if err := o.mayRun(); err != nil {
+		return err
+	}
+	return o.useAdmission()
+}
+
+func errAdmissionEnded() error {
+	return errkind.New(errkind.ConfigStale, "the admission of the operation has run out")
+}
+
 // endUnauthorized ends a transaction whose next statement may not be sent.
 func (o *operation) endUnauthorized(err error) statement.Answer {
 	s := o.session
--- a/internal/process/config_cache.go
+++ b/internal/process/config_cache.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 
+	"github.com/arbutusring/arbutusring/internal/allowance"
 	"github.com/arbutusring/arbutusring/internal/directoryrpc"
 	"github.com/arbutusring/arbutusring/pkg/database"
 )
@@ -15,6 +16,7 @@
 	mu      sync.Mutex
 	version uint64 // of cfg and err; 0 before the first call
 	cfg     *database.Config
+	limits  map[string]allowance.Limit // of cfg
 	err     error
 }
 
@@ -25,13 +27,33 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if s.ConfigVersion != c.version {
-		c.version = s.ConfigVersion
-		c.cfg, c.err = c.read(s.Document)
-	}
+	c.update(s)
 	return c.cfg, c.err
 }
 
+// limitsOf returns the limits of customers in the configuration of a state.
+func (c *configCache) limitsOf(s directoryrpc.State) (map[string]allowance.Limit, error) {
+	if s.ConfigVersion == 0 {
+		return nil, nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.update(s)
+	return c.limits, c.err
+}
+
+// update reads the configuration of a state, if it is another one. The caller holds mu.
+func (c *configCache) update(s directoryrpc.State) {
+	if s.ConfigVersion == c.version {
+		return
+	}
+	c.version = s.ConfigVersion
+	c.limits = nil
+	if c.cfg, c.err = c.read(s.Document); c.err == nil {
+		c.limits = limitsOf(c.cfg)
+	}
+}
+
 // read decompresses and parses a document.
 func (c *configCache) read(compressed []byte) (*database.Config, error) {
 	document, err := directoryrpc.Decompress(compressed)
--- a/internal/process/directory.go
+++ b/internal/process/directory.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/arbutusring/arbutusring/internal/allowance"
 	"github.com/arbutusring/arbutusring/internal/consensus"
 	"github.com/arbutusring/arbutusring/internal/directory"
 	"github.com/arbutusring/arbutusring/internal/directoryrpc"
@@ -74,9 +75,13 @@
 		Members:      p.opts.Adapter.Members,
 		Promote:      p.opts.Adapter.Promote(p.cfg.Promotion.Address),
 		SyncReplicas: p.syncReplicas,
-		Control:      p.addresses,
-		Events:       p.opts.Events,
-		Registry:     p.registry,
+		Limits:       p.limits,
+		Allowance: allowance.Params{
+			Window: p.cfg.Allowance.Window.Std(), Overage: p.cfg.Allowance.Overage, Tolerance: p.cfg.Allowance.Tolerance,
+		},
+		Control:  p.addresses,
+		Events:   p.opts.Events,
+		Registry: p.registry,
 	})
 	p.sender = newSender(p.pool.Start)
 	node, err := consensus.Start(consensus.Options{
@@ -184,6 +189,13 @@
 	return cfg.Groups[group].SyncReplicas
 }
 
+// limits returns the limits of customers in the configuration in force. There are none
+// if it can't be read: gateways, which can't read it either, then lose their leases.
+func (p *Directory) limits(s directoryrpc.State) map[string]allowance.Limit {
+	limits, _ := p.configs.limitsOf(s) // syncReplicas logs the error
+	return limits
+}
+
 // announce returns at once if the replicated state already holds the same
 // announcement; only changes are sent to the leader.
 func (p *Directory) announce(ctx context.Context, s directoryrpc.Server, gone bool) error {
@@ -262,11 +274,13 @@
 type DirectoryDump struct {
 	Log   consensus.Status   `json:"log"`
 	State directoryrpc.State `json:"state"`
+	// Allowances is absent on other hosts than the leader, and without limits.
+	Allowances *allowance.LedgerDump `json:"allowances,omitempty"`
 }
 
 // Dump returns the state of the process.
 func (p *Directory) Dump() DirectoryDump {
-	return DirectoryDump{Log: p.node.Status(), State: p.directory.State()}
+	return DirectoryDump{Log: p.node.Status(), State: p.directory.State(), Allowances: p.directory.Allowances()}
 }
 
 // Done is closed when the replicated log has stopped, for example because a
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -53,6 +53,7 @@
 	control   *directoryrpc.Client
 	gateway   *gateway.Gateway
 	callers   *lineserver.Server
+	allowance *allowances
 	syncTasks tasks // renew the lease; stopped before the other goroutines
 
 	// Used by loopSync only.
@@ -79,8 +80,10 @@
 		host: directoryrpc.Host{ID: cfg.Host.ID, Incarnation: strconv.FormatInt(time.Now().UnixNano(), 36)},
 	}
 	p.control = directoryrpc.NewClient(p.seeds, p.pool.Call)
+	p.allowance = newAllowances(p.host, p.control.Allowance, opts.Events, p.registry)
 	p.gateway = gateway.New(gateway.Options{
 		Connect:  opts.Adapter.Connect,
+		Admit:    p.allowance.admit,
 		Place:    gateway.Place{DataCentre: cfg.Host.DataCentre, Regions: cfg.Host.Regions},
 		Events:   opts.Events,
 		Registry: p.registry,
@@ -97,6 +100,7 @@
 		Dump: func() any { return p.Dump() }, Ready: p.gateway.Ready, Routes: opts.Adapter.EntryRoutes(p.gateway.Ready),
 	})
 	p.syncTasks.start(p.loopSync)
+	p.syncTasks.start(p.allowance.loop)
 	p.tasks.start(p.loopShed)
 	opts.Events.Event("started").Str("incarnation", p.host.Incarnation).Stringer("callers", p.callers.Addr()).
 		Strs("control", p.seeds).Msg("gateway process started")
@@ -113,6 +117,7 @@
 	Sessions int                `json:"sessions"`
 	Callers  int                `json:"caller_connections"`
 	Gateway  any                `json:"gateway"`
+	Stocks   map[string]int     `json:"stocks,omitempty"` // tokens of allowances by customer
 }
 
 // Dump returns the state of the process.
@@ -120,7 +125,7 @@
 	p.mu.Lock()
 	state := p.state
 	p.mu.Unlock()
-	return GatewayDump{Host: p.host, State: state, Sessions: p.gateway.Sessions(), Callers: p.callers.Connections(), Gateway: p.gateway.Dump()}
+	return GatewayDump{Host: p.host, State: state, Sessions: p.gateway.Sessions(), Callers: p.callers.Connections(), Gateway: p.gateway.Dump(), Stocks: p.allowance.stock.Held()}
 }
 
 // Reload applies the addresses of the control hosts from changed settings. Other
@@ -211,6 +216,7 @@
 	if err := p.applyReply(state, reply); err != nil {
 		return err
 	}
+	p.allowance.enforce(reply.Allowances)
 	p.gateway.RenewLease(sentAt.Add(reply.TTL), reply.HostCount)
 	p.updateControlAddresses(reply.Control)
 	p.gateway.Release()
@@ -273,6 +279,9 @@
 		}
 	}
 	if p.config != nil {
+		if state.ConfigVersion != old.ConfigVersion {
+			p.allowance.setConfig(p.config)
+		}
 		p.gateway.SetState(state, p.config)
 	}
 	p.mu.Lock()
--- a/internal/process/rejoin_test.go
+++ b/internal/process/rejoin_test.go
@@ -18,6 +18,7 @@
 	"github.com/arbutusring/arbutusring/internal/eventlog"
 	"github.com/arbutusring/arbutusring/internal/loopback"
 	"github.com/arbutusring/arbutusring/internal/process"
+	"github.com/arbutusring/arbutusring/pkg/database"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
 	"github.com/arbutusring/arbutusring/pkg/settings"
 	"github.com/matryer/is"
@@ -71,6 +72,7 @@
 		cfg.Control.Addresses = append(cfg.Control.Addresses, d.addresses[seed])
 	}
 	p, err := process.StartDirectory(process.DirectoryOptions{Settings: cfg, Dial: d.network.dialFrom(d.addresses[id]), Adapter: process.Adapter{
+		ParseConfig:   func([]byte) (*database.Config, error) { return &database.Config{Version: 1}, nil },
 		ControlRoutes: func(c process.ControlPlane) map[string]http.HandlerFunc { d.planes[id] = c; return nil },
 		Promote:       func(string) func(context.Context, directory.Promotion) error { return nil },
 	}})
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"net/netip"
 	"slices"
 	"strings"
@@ -44,6 +45,13 @@
 	}
 }
 
+// checkAmount checks a number that must not be negative or infinite.
+func (c *checker) checkAmount(key string, f float64) {
+	if !(f >= 0 && f <= math.MaxFloat64) {
+		c.report(key, "is %v, must not be negative or infinite", f)
+	}
+}
+
 // checkListenAddress checks an address that the process listens on. With port 0
 // the operating system chooses the port, so the address conflicts with no other.
 // An unspecified address such as 0.0.0.0 conflicts with every address of the
@@ -104,6 +112,11 @@
 	if s.Entry.StopTimeout.Std() == 0 {
 		c.report("entry.stop_timeout", "is 0, must be positive")
 	}
+	if s.Allowance.Window.Std() <= 0 {
+		c.report("allowance.window", "is %v, must be positive", s.Allowance.Window.Std())
+	}
+	c.checkAmount("allowance.overage", s.Allowance.Overage)
+	c.checkAmount("allowance.tolerance", s.Allowance.Tolerance)
 	switch role {
 	case RoleEntry:
 		s.checkEntry(c)
--- a/pkg/settings/defaults.go
+++ b/pkg/settings/defaults.go
@@ -14,6 +14,7 @@
 			MaxAnswerBytes: 16 << 20,
 			StopTimeout:    tomlstrict.NewDuration(30 * time.Second),
 		},
-		Log: Log{Level: "info"},
+		Log:       Log{Level: "info"},
+		Allowance: Allowance{Window: tomlstrict.NewDuration(5 * time.Second)},
 	}
 }
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -46,6 +46,7 @@
 	Log     Log     `toml:"log"`
 
 	Promotion Promotion `toml:"promotion"`
+	Allowance Allowance `toml:"allowance"`
 }
 
 // Host identifies the host of the process and its location.
@@ -80,6 +81,15 @@
 	Address string `toml:"address"` // directory only: ip:port
 }
 
+// Allowance determines how exactly the limits of customers hold: in every window, at
+// most (rate x window + burst) x (1 + overage) + tolerance operations of a customer.
+// Directory only.
+type Allowance struct {
+	Window    tomlstrict.Duration `toml:"window"`
+	Overage   float64             `toml:"overage"`
+	Tolerance float64             `toml:"tolerance"` // operations
+}
+
 // Entry holds the limits of an entry process. StopTimeout applies to processes of
 // every role.
 type Entry struct {
