--- a/internal/allowance/sim_test.go
+++ b/internal/allowance/sim_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -30,7 +31,9 @@
 	params allowance.Params
 	hosts  []*simHost
 	ctx    context.Context
+	cancel context.CancelFunc
 	all    sync.WaitGroup
+	decide func(host int, customer string) bool // nil: the stocks of the hosts decide
 
 	mu       sync.Mutex
 	leader   *allowance.Ledger // nil while there is none
@@ -42,6 +45,8 @@
 	refused  map[string]int
 	invalid  int // tokens that were invalid at the time of the send
 	waits    time.Duration
+	asked    int                    // operations that sum up to waits
+	offered  map[string][]time.Time // if decide is set
 }
 
 // simHost is one host of a sim.
@@ -54,7 +59,8 @@
 }
 
 func newSim(ctx context.Context, params allowance.Params, hosts int, limits map[string]allowance.Limit) *sim {
-	s := &sim{params: params, ctx: ctx, limits: limits, sent: make(map[string][]time.Time), refused: make(map[string]int)}
+	s := &sim{params: params, limits: limits, sent: make(map[string][]time.Time), refused: make(map[string]int), offered: make(map[string][]time.Time)}
+	s.ctx, s.cancel = context.WithCancel(ctx)
 	s.elect(allowance.EarlierNone)
 	for i := range hosts {
 		s.hosts = append(s.hosts, nil)
@@ -154,6 +160,36 @@
 	}
 }
 
+// doDecided runs one operation if decide admits it.
+func (s *sim) doDecided(host int, customer string) {
+	begun := time.Now()
+	admitted := s.decide(host, customer)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.asked++
+	s.waits += time.Since(begun)
+	s.offered[customer] = append(s.offered[customer], begun)
+	if admitted {
+		s.sent[customer] = append(s.sent[customer], time.Now())
+	} else {
+		s.refused[customer]++
+	}
+}
+
+// ideal returns the number of operations that one bucket with the rate and burst of the
+// customer would admit.
+func (s *sim) ideal(customer string) int {
+	slices.SortFunc(s.offered[customer], time.Time.Compare)
+	limit, n := s.limits[customer], 0
+	b := bucket{rate: limit.Rate, size: limit.Burst, tokens: limit.Burst, at: s.offered[customer][0]}
+	for _, t := range s.offered[customer] {
+		if b.take(t) {
+			n++
+		}
+	}
+	return n
+}
+
 // play sends operations of a customer for a time, at random times and to hosts that
 // are chosen unevenly.
 func (s *sim) play(customer string, perSecond float64, length time.Duration) {
@@ -163,7 +199,13 @@
 			time.Sleep(time.Duration(rnd.ExpFloat64() / perSecond * float64(time.Second)))
 			i := int(rnd.Float64() * rnd.Float64() * float64(len(s.hosts)))
 			queue := time.Duration(rnd.IntN(20)) * time.Millisecond
-			s.all.Go(func() { s.do(s.host(i), customer, queue) })
+			s.all.Go(func() {
+				if s.decide != nil {
+					s.doDecided(i, customer)
+					return
+				}
+				s.do(s.host(i), customer, queue)
+			})
 		}
 	})
 }
