--- /dev/null
+++ b/internal/allowance/params.go
@@ -0,0 +1,57 @@
+package allowance
+
+import (
+	"cmp"
+	"math"
+	"time"
+)
+
+// Params determine how exactly the limits hold: in every window, at most (rate x
+// window + burst) x (1 + overage) + tolerance operations are sent.
+type Params struct {
+	Window    time.Duration
+	Overage   float64
+	Tolerance float64 // operations
+}
+
+// defaultWindow is the window of Params without one.
+const defaultWindow = 5 * time.Second
+
+func (p Params) withDefaults() Params {
+	p.Window = cmp.Or(p.Window, defaultWindow)
+	return p
+}
+
+// maxAmount bounds rates and bursts, so that tokens can be counted in integers.
+const maxAmount = 1e9
+
+// Bound returns the most operations of a customer in one window.
+func (p Params) Bound(l Limit) float64 {
+	return (l.Rate*p.Window.Seconds()+l.Burst)*(1+p.Overage) + p.Tolerance
+}
+
+// bucketSize returns the capacity of the bucket of a customer and the rate at which it
+// is filled. With a capacity below one token no operation would ever be admitted, so
+// it is then one token, and the rate is lowered to keep the bound.
+func (p Params) bucketSize(l Limit) (capacity, rate float64) {
+	window := p.Window.Seconds()
+	l = Limit{Rate: min(l.Rate, maxAmount), Burst: min(l.Burst, maxAmount)}
+	capacity, rate = l.Burst*(1+p.Overage)+l.Rate*window*p.Overage+p.Tolerance, l.Rate
+	if capacity >= 1 {
+		return capacity, rate
+	}
+	if rate -= (1 - capacity) / window; rate <= 0 {
+		return 0, 0
+	}
+	return 1, rate
+}
+
+// smallStockLimit is the number of tokens up to which hosts may hold the whole capacity:
+// hosts report their use only twice a second, and half of a small capacity would be
+// used up by operations that were not reported yet.
+const smallStockLimit = 8
+
+// stockLimit returns the number of tokens that hosts may hold together.
+func stockLimit(capacity float64) int {
+	return int(max(math.Floor(capacity/2), min(math.Floor(capacity), smallStockLimit)))
+}
--- a/internal/process/rejoin_test.go
+++ b/internal/process/rejoin_test.go
@@ -19,6 +19,7 @@
 	"github.com/arbutusring/arbutusring/internal/loopback"
 	"github.com/arbutusring/arbutusring/internal/process"
 	"github.com/arbutusring/arbutusring/internal/testlog"
+	"github.com/arbutusring/arbutusring/pkg/database"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
 	"github.com/arbutusring/arbutusring/pkg/settings"
 	"github.com/matryer/is"
@@ -79,6 +80,7 @@
 	events := eventlog.New(eventlog.Options{Output: d.logs.Writer(id), Host: id, Level: zerolog.InfoLevel})
 	d.t.Cleanup(func() { _ = events.Close() })
 	p, err := process.StartDirectory(process.DirectoryOptions{Settings: cfg, Events: events, Dial: d.network.dialFrom(d.addresses[id]), Adapter: process.Adapter{
+		ParseConfig:   func([]byte) (*database.Config, error) { return &database.Config{Version: 1}, nil },
 		ControlRoutes: func(c process.ControlPlane) map[string]http.HandlerFunc { d.planes[id] = c; return nil },
 		Promote:       func(string) func(context.Context, directory.Promotion) error { return nil },
 	}})
--- a/pkg/settings/defaults.go
+++ b/pkg/settings/defaults.go
@@ -21,6 +21,7 @@
 			MessageTimeout:  tomlstrict.NewDuration(2 * time.Minute),
 			WriteTimeout:    tomlstrict.NewDuration(30 * time.Second),
 		},
-		Log: Log{Level: "info"},
+		Log:       Log{Level: "info"},
+		Allowance: Allowance{Window: tomlstrict.NewDuration(5 * time.Second)},
 	}
 }
