relay: gateways share connections to servers

Where a group has fewer usable connections than there are gateways, and all of them have a peer address, only the connectors of a server connect to it. The other gateways send their statements through one of them (internal/relay, over the new peer.Stream). The leader of the directory provides the list of gateways with a lease, as changes since the digest that a host has. Optional fields only, sent where connectors are used; hosts and leaders of the last release are served as before.

--- a/internal/directory/leadership.go
+++ b/internal/directory/leadership.go
@@ -40,6 +40,7 @@
 	workers  sync.WaitGroup
 
 	liveHosts   atomic.Int64 // hosts with a lease, as of the last check
+	hostList    hostList     // the same hosts
 	wholeStates *rate.Limiter
 	switchovers atomic.Int64 // in progress
 
@@ -68,7 +69,9 @@
 	var lastAnnounced time.Time
 	for l.ctx.Err() == nil {
 		changed := l.machine.Changed()
-		l.liveHosts.Store(int64(l.sessions.liveCount()))
+		live := l.sessions.liveHosts()
+		l.liveHosts.Store(int64(len(live)))
+		l.hostList.update(live)
 		l.checkGroups(l.machine.State())
 		l.recordHostCount(l.machine.State())
 		l.sessions.forgetSilent()
--- a/internal/directory/service.go
+++ b/internal/directory/service.go
@@ -82,6 +82,7 @@
 	}
 	reply.TTL, reply.HostCount = l.opts.TTL, l.hostCount()
 	s.fillState(args, reply)
+	l.fillHosts(args, reply)
 	reply.Control = s.d.opts.Control()
 	reply.AsksReports = true
 	reply.Suspected, _ = l.sessions.askedGroups()
--- a/internal/directory/sessions.go
+++ b/internal/directory/sessions.go
@@ -39,6 +39,7 @@
 
 // session is the state of one host.
 type session struct {
+	host         directoryrpc.Host // as in the last request; the address as in the last that had one
 	incarnation  string
 	grantedAt    time.Time                      // time of the last reply that granted a lease
 	ackedVersion uint64                         // version of the state in force at the host
@@ -79,6 +80,7 @@
 		s.forget(args.Host.ID) // a host of an earlier release, which leaves without a last report
 		return
 	}
+	h.recordHost(args.Host)
 	h.ackedVersion = args.Version
 	s.setReports(args.Host.ID, h, args.Reports)
 	if args.Leaving {
@@ -119,6 +121,28 @@
 	}
 }
 
+// recordHost records what a host says about itself. A host sends its address only
+// while it shares connections, and at its start.
+func (h *session) recordHost(host directoryrpc.Host) {
+	if host.PeerAddress == "" {
+		host.PeerAddress, host.DataCentre = h.host.PeerAddress, h.host.DataCentre
+	}
+	h.host = host
+}
+
+// liveHosts returns the hosts whose lease may still be valid, by id.
+func (s *sessions) liveHosts() map[string]directoryrpc.Host {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	live := make(map[string]directoryrpc.Host, len(s.hosts))
+	for id, h := range s.hosts {
+		if clock.Now().Sub(h.grantedAt) <= s.leaseTimeout {
+			live[id] = h.host
+		}
+	}
+	return live
+}
+
 // liveCount returns the number of hosts whose lease may still be valid.
 func (s *sessions) liveCount() int {
 	s.mu.Lock()
--- a/internal/directoryrpc/messages.go
+++ b/internal/directoryrpc/messages.go
@@ -74,10 +74,14 @@
 	HostCount     int               `codec:"k" json:"hosts"`    // number of entry hosts with a lease, as last recorded by a leader
 }
 
-// Host is an entry host.
+// Host is an entry host. The optional fields are for connections that hosts share;
+// hosts of an earlier release don't send them.
 type Host struct {
 	ID          string `codec:"i" json:"id"`
-	Incarnation string `codec:"n" json:"incarnation"` // new at every start of the process
+	Incarnation string `codec:"n" json:"incarnation"`                      // new at every start of the process
+	PeerAddress string `codec:"p,omitempty" json:"peer_address,omitempty"` // ip:port for other hosts; empty if it serves none
+	DataCentre  string `codec:"d,omitempty" json:"data_centre,omitempty"`
+	Draining    bool   `codec:"x,omitempty" json:"draining,omitempty"` // about to stop: it must not become a connector
 }
 
 // Report is what an entry host observes about the primary of a group.
@@ -93,12 +97,14 @@
 // SyncArgs renews the lease of a host and waits for a newer state.
 type SyncArgs struct {
 	Host          Host          `codec:"h"`
-	Version       uint64        `codec:"v"` // newest state that the host has applied; it no longer uses a primary that this state replaces
-	ConfigVersion uint64        `codec:"c"` // the reply omits the document if it has this version
-	Reports       []Report      `codec:"r"` // replace those of the last request
-	Leaving       bool          `codec:"l"` // the host is stopping and gives up its lease; Reports are its last
-	Wait          time.Duration `codec:"w"` // maximum time to wait for a newer state
-	Delta         bool          `codec:"e"` // the host merges SyncReply.Changes; otherwise the reply has the whole State
+	Version       uint64        `codec:"v"`           // newest state that the host has applied; it no longer uses a primary that this state replaces
+	ConfigVersion uint64        `codec:"c"`           // the reply omits the document if it has this version
+	Reports       []Report      `codec:"r"`           // replace those of the last request
+	Leaving       bool          `codec:"l"`           // the host is stopping and gives up its lease; Reports are its last
+	Wait          time.Duration `codec:"w"`           // maximum time to wait for a newer state
+	Delta         bool          `codec:"e"`           // the host merges SyncReply.Changes; otherwise the reply has the whole State
+	AsksHosts     bool          `codec:"k,omitempty"` // the host shares connections and needs the list of hosts
+	HostsVersion  uint64        `codec:"o,omitempty"` // version of the list that the host has; 0 for none
 }
 
 // SyncReply grants the host a lease for TTL, which the host counts from before it
@@ -118,6 +124,11 @@
 	AsksReports bool     `codec:"q"`
 	Suspected   []string `codec:"u"` // groups whose primary some host fails to reach; not all if there are many
 	HostCount   int      `codec:"n"` // number of entry hosts that share the servers
+	// Hosts is the change of the list of hosts since SyncArgs.HostsVersion; nil if
+	// there is none, or if the host did not ask. HostsPending reports that a new
+	// leader does not know all hosts yet and will send the list within the lease TTL.
+	Hosts        *HostChanges `codec:"o,omitempty"`
+	HostsPending bool         `codec:"z,omitempty"`
 }
 
 // AnnounceArgs carries the announcement of a backend server.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -41,6 +41,7 @@
 	groups         map[string]*group
 	sessions       map[*Session]struct{}
 	hosts          int // hosts that share the connections of each server, including this one
+	sharing        *sharing
 	draining       bool
 	primaryFailing chan struct{} // capacity 1; returned by PrimaryFailing
 }
@@ -59,6 +60,7 @@
 		sessions:       make(map[*Session]struct{}),
 		hosts:          1,
 		primaryFailing: make(chan struct{}, 1),
+		sharing:        newSharing(nil, true, opts.Place),
 	}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.view.Store(&view{cfg: new(database.Config), changed: make(chan struct{})})
@@ -141,7 +143,7 @@
 			g.opts.Events.Event("server_joined").Str("server", id).Str("group", s.Group).Str("address", s.Address).Int64("born", s.Born).Msg("backend server added")
 		}
 		m.setDraining(s.Draining)
-		m.configure(specs, v.cfg.Groups[s.Group], g.hosts)
+		g.configureMember(m, specs, v.cfg)
 		gv := v.groups[s.Group]
 		if gv == nil {
 			gv = new(groupView)
@@ -177,11 +179,7 @@
 		return
 	}
 	g.hosts = hosts
-	v := g.view.Load()
-	specs := rankSpecs(v.ranks)
-	for _, m := range g.members {
-		m.configure(specs, v.cfg.Groups[m.server.Group], hosts)
-	}
+	g.configureMembers()
 }
 
 // hasLease reports whether the lease of the host is valid.
@@ -207,6 +205,13 @@
 	g.draining = true
 }
 
+// Draining reports whether a planned stop has begun.
+func (g *Gateway) Draining() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.draining
+}
+
 // Release waits until no work of this host is in progress at a primary that is
 // being replaced, and aborts work that does not end in time. The host must not
 // confirm the state to the directory before Release returns. All groups are
--- /dev/null
+++ b/internal/gateway/loan.go
@@ -0,0 +1,192 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/arbutusring/arbutusring/internal/clock"
+	"github.com/arbutusring/arbutusring/internal/schedule"
+	"github.com/arbutusring/arbutusring/internal/statement"
+	"github.com/arbutusring/arbutusring/pkg/errkind"
+)
+
+// LoanArgs describes a statement of another host that needs a connection.
+type LoanArgs struct {
+	Server   string
+	Born     int64 // start of the server's process
+	Customer string
+	Rank     int
+	Begin    bool      // the statement begins a transaction
+	Deadline time.Time // for the answer, on time.Now
+}
+
+// Loan is a connection to a backend server that a statement or a transaction of
+// another host uses. Its methods are not called concurrently, except for Abort.
+type Loan struct {
+	gateway *Gateway
+	member  *member
+	conn    *pooledConn
+	slot    schedule.Slot
+	release sync.Once // of slot
+}
+
+// lendable returns the server if this host lends connections to it. The view of the
+// sender may be newer or older than that of this host, and then it has to ask another
+// connector.
+func (g *Gateway) lendable(server string, born int64) (*member, error) {
+	g.mu.Lock()
+	m := g.members[server]
+	g.mu.Unlock()
+	switch {
+	case m == nil || m.server.Born != born:
+		return nil, errkind.New(errkind.NotOwner, "server %s with start %d is not known to this connector", server, born)
+	case m.drainingFor() >= primaryDrainTime:
+		return nil, errkind.New(errkind.NotOwner, "server %s is draining", server)
+	case m.role() != roleConnector:
+		return nil, errkind.New(errkind.NotOwner, "this host is no connector of server %s", server)
+	}
+	return m, nil
+}
+
+// Borrow waits for a slot and a connection. An error means that nothing was sent. It
+// is NotOwner if the sender has to use another connector, Draining if this host is
+// about to stop and takes no new transactions, and Overloaded at once if the statement
+// is not expected to start in time.
+func (g *Gateway) Borrow(ctx context.Context, args LoanArgs, s RelayedStatement) (*Loan, error) {
+	m, err := g.lendable(args.Server, args.Born)
+	if err != nil {
+		return nil, err
+	}
+	if args.Begin && g.Draining() {
+		return nil, errkind.New(errkind.Draining, "this connector is about to stop")
+	}
+	// The refusal of a statement that can't start in time must reach the sender before
+	// the deadline: after it, the outcome of a write is unknown there.
+	startBy := args.Deadline.Add(-min(answerReserveFactor*m.expectedAnswerTime(), time.Until(args.Deadline)/2))
+	ctx, cancel := context.WithDeadline(ctx, startBy)
+	defer cancel()
+	slot, err := m.sched.Acquire(ctx, g.view.Load().ranks.Name(args.Rank), startBy)
+	if err != nil {
+		return nil, err
+	}
+	pc, err := m.pool.get(ctx, args.Rank, g.sessionState(s))
+	if err != nil {
+		m.sched.Release(slot)
+		if errkind.Of(err) == errkind.ConnectFailed && ctx.Err() == nil {
+			g.recordFailure(m, "", err)
+		}
+		return nil, err
+	}
+	if pc.relayed != nil || m.drainingFor() >= primaryDrainTime {
+		m.pool.put(pc) // the role of this host has changed while the statement waited
+		m.sched.Release(slot)
+		return nil, errkind.New(errkind.NotOwner, "this host is no longer a connector of server %s", args.Server)
+	}
+	return &Loan{gateway: g, member: m, conn: pc, slot: slot}, nil
+}
+
+// sessionState converts the session state of a relayed statement.
+func (g *Gateway) sessionState(s RelayedStatement) sessionState {
+	sess := sessionState{settings: s.Settings}
+	if s.Prepared != nil {
+		sess.preparedStmt = g.preparedStatements.get(s.Prepared.Text, s.Prepared.ReadOnly)
+	}
+	return sess
+}
+
+// Do runs a statement. Its errors are those of Conn.Do.
+func (l *Loan) Do(deadline time.Time, s RelayedStatement) (statement.Answer, error) {
+	defer l.releaseSlot() // the first statement of a transaction holds it, too
+	m := l.member
+	r := s.Request
+	if s.HasState {
+		sess := l.gateway.sessionState(s)
+		if sess.preparedStmt != nil {
+			r.Name = sess.preparedStmt.name
+		}
+		if err := l.conn.adapt(deadline, sess); err != nil {
+			l.gateway.recordFailure(m, r.ID, err)
+			return statement.Answer{}, err
+		}
+	}
+	begun := time.Now()
+	m.startStatement()
+	a, err := l.conn.do(deadline, r)
+	m.endStatement(err == nil)
+	if err != nil {
+		if !l.conn.aborted.Load() {
+			l.gateway.recordFailure(m, r.ID, err)
+		}
+		return statement.Answer{}, err
+	}
+	l.gateway.metrics.lent.Inc(1)
+	m.recordAnswer(time.Since(begun), a.Position)
+	return a, nil
+}
+
+// Return gives the connection back, which has no open transaction.
+func (l *Loan) Return() {
+	l.releaseSlot()
+	l.member.pool.put(l.conn)
+}
+
+// Drop closes the connection, so that the server rolls back.
+func (l *Loan) Drop() {
+	l.releaseSlot()
+	l.member.pool.drop(l.conn)
+}
+
+// Abort ends a statement in progress by closing the connection. Drop must still be
+// called.
+func (l *Loan) Abort() { l.conn.abort() }
+
+func (l *Loan) releaseSlot() {
+	l.release.Do(func() { l.member.sched.Release(l.slot) })
+}
+
+// recentAnswer is the age up to which an answer of a server replaces a probe for
+// another host.
+const recentAnswer = unresponsiveAfter
+
+// probePollInterval is how often ProbeFor checks whether a probe has ended.
+const probePollInterval = 10 * time.Millisecond
+
+// ProbeFor reports to another host whether a server answers: from what this host has
+// observed lately, or by a probe, which it shares with all that ask. Senders would
+// otherwise each open a connection.
+func (g *Gateway) ProbeFor(ctx context.Context, server string, born int64) error {
+	m, err := g.lendable(server, born)
+	if err != nil {
+		return err
+	}
+	for {
+		now := clock.Now()
+		age, failing := m.sinceLastAnswer(now), m.failingFor(now)
+		if age > 0 && age < recentAnswer && failing == 0 {
+			return nil
+		}
+		if m.claimProbeFor() {
+			if m.probe(ctx) {
+				return nil
+			}
+			return errkind.New(errkind.ConnectFailed, "server %s does not answer a probe", server)
+		}
+		select {
+		case <-ctx.Done():
+			return errkind.New(errkind.ConnectFailed, "server %s has not answered for %v", server, age)
+		case <-time.After(probePollInterval):
+		}
+	}
+}
+
+// claimProbeFor is claimProbe for another host, whose statements are not answered.
+func (m *member) claimProbeFor() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.probing || clock.Now().Before(m.nextProbe) {
+		return false
+	}
+	m.probing = true
+	return true
+}
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -76,6 +76,8 @@
 	regionPenalty time.Duration // added to the cost if the server is in another region
 	sched         *schedule.Scheduler
 	pool          *pool
+	relay         func(customer string) RelayedConn // opens a logical connection; nil without Options.Relay
+	self          string                            // id of this host
 
 	mu                  sync.Mutex
 	answerTime          time.Duration // smoothed time from sending a statement to its answer
@@ -91,13 +93,25 @@
 	inflight            int       // statements sent and not yet answered
 	lastProgress        time.Time // last answer, or when inflight last became nonzero
 	drainingSince       time.Time // when the host learned that the server is draining; zero if it is not
+	connections         connections
+	orders              map[string][]string // addresses of the connectors by customer, in the order of use; cleared when connections change
 }
 
 func newMember(opts Options, s directoryrpc.Server) *member {
-	m := &member{server: s}
+	m := &member{server: s, self: opts.Host}
 	m.setDraining(s.Draining)
 	m.assumedRTT, m.regionPenalty = opts.Place.distance(s.DataCentre)
-	m.pool = newPool(func(ctx context.Context) (Conn, error) { return opts.Connect(ctx, s) })
+	m.pool = newPool(func(ctx context.Context) (Conn, error) {
+		if m.role() == roleSender {
+			return m.relay(""), nil
+		}
+		return opts.Connect(ctx, s)
+	})
+	if opts.Relay != nil {
+		m.relay = func(customer string) RelayedConn {
+			return opts.Relay(s, customer, func() []string { return m.connectors(customer) })
+		}
+	}
 	m.sched = schedule.New(schedule.Options{Slots: max(1, s.Slots), Ranks: rankSpecs(schedule.RankTable{}), Window: floorWindow, AssumedServiceTime: assumedServiceTime})
 	return m
 }
@@ -124,13 +138,83 @@
 	return max(1, min(slots, fair))
 }
 
-// configure applies a configuration and the number of hosts that share the
-// connections of the server.
-func (m *member) configure(specs []schedule.RankSpec, group database.Group, hosts int) {
-	m.sched.Configure(maxInFlight(m.server.Slots, hosts), specs)
-	usable := max(1, group.MaxConnections-reservedConnections)
-	share := max(1, usable/max(1, hosts))
-	m.pool.setLimits(min(usable, connectionOvercommit*share), share)
+// configure applies a configuration, the number of hosts that share the
+// connections of the server, and how this host reaches it. It reports whether the
+// connectors or the role of this host have changed.
+func (m *member) configure(specs []schedule.RankSpec, group database.Group, hosts int, c connections) (changed bool) {
+	before := m.setConnections(c)
+	if before.role != c.role && (before.role == roleSender || c.role == roleSender) {
+		m.pool.reset()
+	}
+	switch c.role {
+	case roleSender:
+		// The connectors limit what reaches the server, in the order of ranks.
+		m.sched.Configure(max(1, m.server.Slots), specs)
+		m.pool.setLimits(maxLogical, maxLogical)
+	case roleConnector:
+		m.sched.Configure(connectorInFlight(m.server.Slots, c), specs)
+		m.pool.setExactLimit(c.choice.Limit)
+	default:
+		m.sched.Configure(maxInFlight(m.server.Slots, hosts), specs)
+		usable := max(1, group.MaxConnections-reservedConnections)
+		share := max(1, usable/max(1, hosts))
+		m.pool.setLimits(min(usable, connectionOvercommit*share), share)
+	}
+	return !before.sameRoute(c)
+}
+
+// maxLogical is the limit on logical connections to one server. Outside of
+// transactions the scheduler lets fewer through, and transactions wait for a
+// connection of a connector.
+const maxLogical = 1 << 20
+
+// connectorInFlight returns how many statements outside of open transactions a
+// connector may have in progress at a server, its own included. Customers are spread
+// unevenly over connectors, so with customers each may use twice its part.
+func connectorInFlight(slots int, c connections) int {
+	n := maxInFlight(slots, len(c.choice.Hosts()))
+	if c.customers {
+		n = min(2*n, max(1, slots))
+	}
+	return min(n, c.choice.Limit)
+}
+
+// setConnections replaces how this host reaches the server and returns the previous
+// value.
+func (m *member) setConnections(c connections) connections {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	before := m.connections
+	if c.sharing == nil || before.sharing != c.sharing || before.usable != c.usable {
+		m.orders = nil
+	}
+	m.connections = c
+	return before
+}
+
+// currentConnections returns how this host reaches the server.
+func (m *member) currentConnections() connections {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.connections
+}
+
+// role returns the role of this host for the server.
+func (m *member) role() role { return m.currentConnections().role }
+
+// connectors returns the addresses of the connectors in the order in which they are
+// tried for a customer.
+func (m *member) connectors(customer string) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if order, ok := m.orders[customer]; ok {
+		return order
+	}
+	if m.orders == nil {
+		m.orders = make(map[string][]string)
+	}
+	m.orders[customer] = m.connections.order(m.self, customer, m.server.ID)
+	return m.orders[customer]
 }
 
 // setDraining records whether the server is draining.
@@ -308,10 +392,11 @@
 func (m *member) probe(ctx context.Context) (responds bool) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
+	if m.role() == roleSender {
+		return m.probeRelayed(ctx)
+	}
 	conn, err := m.pool.dialIgnoringLimits(ctx)
-	m.mu.Lock()
-	m.probing = false
-	m.mu.Unlock()
+	m.endProbe()
 	switch {
 	case err == nil:
 		m.recordReachable()
@@ -325,6 +410,31 @@
 	return true
 }
 
+// endProbe permits the next probe.
+func (m *member) endProbe() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.probing = false
+}
+
+// probeRelayed is probe for a sender: it asks a connector.
+func (m *member) probeRelayed(ctx context.Context) (responds bool) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = time.Now().Add(probeTimeout)
+	}
+	conn := m.relay("")
+	err := conn.Probe(deadline)
+	_ = conn.Close() // nothing is in progress on it
+	m.endProbe()
+	if err == nil {
+		m.recordReachable()
+		return true
+	}
+	_, unresponsive := m.recordFailure(err)
+	return !unresponsive
+}
+
 // recordReachable records that the server answers connection attempts.
 // Statements on older connections may still be unanswered.
 func (m *member) recordReachable() {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -18,6 +18,8 @@
 	primaryStatements   metrics.Counter
 	retries             metrics.Counter
 	abortedTransactions metrics.Counter // transactions aborted by this host
+	connectorChanges    metrics.Counter
+	lent                metrics.Counter // statements of other hosts that were sent to a server
 }
 
 func newMetrics(r metrics.Registry) *gatewayMetrics {
@@ -33,6 +35,8 @@
 		replicaReads:        metrics.GetOrRegisterCounter("gateway.reads_replica", r),
 		primaryStatements:   metrics.GetOrRegisterCounter("gateway.statements_primary", r),
 		retries:             metrics.GetOrRegisterCounter("gateway.retries", r),
+		connectorChanges:    metrics.GetOrRegisterCounter("gateway.connector_changes", r),
+		lent:                metrics.GetOrRegisterCounter("gateway.statements_of_other_hosts", r),
 		abortedTransactions: metrics.GetOrRegisterCounter("gateway.transactions_aborted", r),
 	}
 }
--- a/internal/gateway/operation.go
+++ b/internal/gateway/operation.go
@@ -219,6 +219,7 @@
 	required := o.session.requiredState(o.preparedStmt)
 	pc, err := m.pool.get(ctx, o.db.Rank, required)
 	if err == nil {
+		pc.rank = o.db.Rank
 		if err = pc.adapt(o.wallDeadline(), required); err != nil {
 			m.pool.drop(pc)
 		}
@@ -241,20 +242,27 @@
 // the server is unresponsive, it closes the idle connections and, for a primary,
 // signals Gateway.PrimaryFailing.
 func (o *operation) recordFailure(rt route, err error) {
-	first, unresponsive := rt.member.recordFailure(err)
+	if !connectorFailed(err) {
+		o.gateway.recordFailure(rt.member, o.request.ID, err)
+	}
+}
+
+// recordFailure is operation.recordFailure for a server.
+func (g *Gateway) recordFailure(m *member, request string, err error) {
+	first, unresponsive := m.recordFailure(err)
 	if !unresponsive {
 		// Keep the other connections: each that is reopened would occupy a slot
 		// of a busy server.
 		return
 	}
 	if first {
-		o.gateway.opts.Events.Event("server_failing").Str("server", rt.member.server.ID).Str("group", o.db.Group).
-			Str("request", o.request.ID).Err(err).Msg("backend server does not answer")
+		g.opts.Events.Event("server_failing").Str("server", m.server.ID).Str("group", m.server.Group).
+			Str("request", request).Err(err).Msg("backend server does not answer")
 	}
-	if gv := o.gateway.view.Load().groups[o.db.Group]; gv != nil && gv.primary == rt.member {
-		o.gateway.signalPrimaryFailing()
+	if gv := g.view.Load().groups[m.server.Group]; gv != nil && gv.primary == m {
+		g.signalPrimaryFailing()
 	}
-	rt.member.pool.closeIdle()
+	m.pool.closeIdle()
 }
 
 // attempt sends a statement outside of a transaction. retry reports whether the
@@ -298,6 +306,11 @@
 	if err != nil {
 		u.abandon()
 		rt.member.pool.drop(pc)
+		if refusedByConnector(err) {
+			o.recordError(err)
+			o.tried[rt.member] = true
+			return a, true
+		}
 		o.recordFailure(rt, err)
 		return o.handleNoAnswer(rt, err)
 	}
--- a/internal/gateway/operationtx.go
+++ b/internal/gateway/operationtx.go
@@ -76,6 +76,9 @@
 	rt.member.startStatement()
 	a, err := pc.do(o.wallDeadline(), r)
 	rt.member.endStatement(err == nil)
+	if refusedByConnector(err) {
+		return err
+	}
 	if err != nil {
 		o.recordFailure(rt, err)
 		return errkind.Wrap(errkind.ConnectFailed, err, "server %s did not begin the transaction", rt.member.server.ID)
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -15,7 +15,12 @@
 	// Connect opens a connection to a backend server and verifies the server's
 	// identity. An error of kind errkind.Overloaded means that the server has
 	// reached its connection limit.
-	Connect  func(ctx context.Context, s directoryrpc.Server) (Conn, error)
+	Connect func(ctx context.Context, s directoryrpc.Server) (Conn, error)
+	// Relay opens a logical connection through connectors. order returns their
+	// addresses in the order in which they are tried. nil: this host and its servers are
+	// always connected directly.
+	Relay    func(s directoryrpc.Server, customer string, order func() []string) RelayedConn
+	Host     string // id of this host in the list of hosts; used with Relay
 	Place    Place
 	Events   *eventlog.Log
 	Registry metrics.Registry // nil: New creates a private registry
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -31,8 +31,10 @@
 	connect func(ctx context.Context) (Conn, error)
 
 	mu        sync.Mutex
-	limit     int // maximum of open
-	fairShare int // this host's equal part of the server's connections; trim keeps that many open
+	limit     int    // maximum of open
+	fairShare int    // this host's equal part of the server's connections; trim keeps that many open
+	exact     bool   // no connection above limit is kept
+	epoch     uint64 // grows with reset
 	open      int
 	dialling  int
 	idle      []*pooledConn // most recently used last
@@ -160,6 +162,9 @@
 func (p *pool) dial(ctx context.Context) (*pooledConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
+	p.mu.Lock()
+	epoch := p.epoch
+	p.mu.Unlock()
 	conn, err := p.connect(ctx)
 	if err != nil {
 		p.releaseDial(err)
@@ -170,6 +175,7 @@
 	}
 	pc := newPooledConn(conn)
 	p.mu.Lock()
+	pc.epoch = epoch
 	p.inUse[pc] = struct{}{}
 	p.dialling--
 	p.wakeWaiters()
@@ -209,7 +215,7 @@
 // put returns a connection without an open transaction to the pool.
 func (p *pool) put(pc *pooledConn) {
 	p.mu.Lock()
-	if p.closed || pc.aborted.Load() {
+	if p.closed || pc.aborted.Load() || pc.epoch != p.epoch || p.exact && p.open > p.limit {
 		p.mu.Unlock()
 		p.drop(pc)
 		return
@@ -241,10 +247,34 @@
 func (p *pool) setLimits(limit, share int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.limit, p.fairShare = limit, share
+	p.limit, p.fairShare, p.exact = limit, share, false
 	p.wakeWaiters()
 }
 
+// setExactLimit sets the maximum of open connections of a connector. Idle connections
+// above it are closed at once, because other connectors may open them now.
+func (p *pool) setExactLimit(limit int) {
+	p.mu.Lock()
+	p.limit, p.fairShare, p.exact = limit, limit, true
+	n := min(max(p.open-limit, 0), len(p.idle))
+	surplus := slices.Clone(p.idle[:n])
+	p.idle = slices.Delete(p.idle, 0, n)
+	p.wakeWaiters()
+	p.mu.Unlock()
+	for _, pc := range surplus {
+		p.drop(pc)
+	}
+}
+
+// reset closes the idle connections now and those in use when they are returned,
+// because the host reaches the server in another way from now on.
+func (p *pool) reset() {
+	p.mu.Lock()
+	p.epoch++
+	p.mu.Unlock()
+	p.closeIdle()
+}
+
 // trim closes idle connections that are unusable, and surplus ones beyond the
 // fair share so that other hosts can connect.
 func (p *pool) trim() {
--- a/internal/gateway/pooledconn.go
+++ b/internal/gateway/pooledconn.go
@@ -22,6 +22,11 @@
 	prepared  map[string]bool // keyed by the name at the server
 	idleSince time.Time       // when it was returned to the pool
 	aborted   atomic.Bool     // the connection was closed by abort
+	epoch     uint64          // of the pool when the connection was opened
+
+	relayed  RelayedConn   // conn, if it is a logical connection
+	required *sessionState // relayed: state that the next statement needs
+	rank     int           // relayed: of the statement or transaction
 }
 
 // sessionState is the state that a session requires on its connection.
@@ -39,13 +44,18 @@
 }
 
 func newPooledConn(conn Conn) *pooledConn {
-	return &pooledConn{conn: conn, settings: make(map[string]string), prepared: make(map[string]bool)}
+	pc := &pooledConn{conn: conn, settings: make(map[string]string), prepared: make(map[string]bool)}
+	pc.relayed, _ = conn.(RelayedConn)
+	return pc
 }
 
 // adaptCost returns 0 if the connection already matches the session, 1 if
 // settings or a prepared statement have to be added, and 2 if the connection
 // has to be reset.
 func (pc *pooledConn) adaptCost(sess sessionState) int {
+	if pc.relayed != nil {
+		return 0
+	}
 	cost := 0
 	if sess.preparedStmt != nil && !pc.prepared[sess.preparedStmt.name] {
 		cost = 1
@@ -63,6 +73,10 @@
 
 // adapt applies the session's settings and prepared statement to the connection.
 func (pc *pooledConn) adapt(deadline time.Time, sess sessionState) error {
+	if pc.relayed != nil {
+		pc.required = &sess // sent with the statement
+		return nil
+	}
 	cost := pc.adaptCost(sess)
 	if cost == 0 && len(pc.prepared) <= maxPrepared {
 		return nil
@@ -98,6 +112,9 @@
 
 // do sends one statement and returns its answer.
 func (pc *pooledConn) do(deadline time.Time, r statement.Request) (statement.Answer, error) {
+	if pc.relayed != nil {
+		return pc.doRelayed(deadline, r)
+	}
 	answers, err := pc.conn.Do(deadline, r)
 	if err != nil {
 		return statement.Answer{}, err
--- a/internal/process/base.go
+++ b/internal/process/base.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 
 	"github.com/arbutusring/arbutusring/internal/operator"
 	"github.com/arbutusring/arbutusring/internal/peer"
@@ -19,7 +20,8 @@
 	registry metrics.Registry
 	pool     *peer.Pool
 	peers    *peer.Server
-	http     *operator.Server // nil until the process has started
+	relays   func(ln net.Listener) error // serves the peer listener instead of peers; nil except in gateways
+	http     *operator.Server            // nil until the process has started
 	lns      listeners
 	tasks    tasks
 }
@@ -56,7 +58,11 @@
 }
 
 func (b *base) runPeers(context.Context) {
-	if err := b.peers.Serve(b.lns.peers); err != nil {
+	serve := b.peers.Serve
+	if b.relays != nil {
+		serve = b.relays
+	}
+	if err := serve(b.lns.peers); err != nil {
 		b.log.Error().Err(err).Msg("peer listener failed")
 	}
 }
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -52,6 +52,7 @@
 	host      directoryrpc.Host
 	control   *directoryrpc.Client
 	gateway   *gateway.Gateway
+	relay     *relays // nil without a peer listener
 	callers   *lineserver.Server
 	syncTasks tasks // renew the lease; stopped before the other goroutines
 
@@ -60,6 +61,7 @@
 	connected   bool             // the last request was answered by the leader
 	asksReports bool             // as in the last reply
 	suspected   []string         // as in the last reply
+	hosts       hostList         // that share connections
 
 	mu         sync.Mutex
 	state      directoryrpc.State // in force on this host, with its document
@@ -76,20 +78,29 @@
 	cfg := opts.Settings
 	p := &Gateway{
 		base: b, opts: opts, seeds: cfg.Control.PeerAddresses(),
-		host: directoryrpc.Host{ID: cfg.Host.ID, Incarnation: strconv.FormatInt(time.Now().UnixNano(), 36)},
+		hosts: hostList{pending: true},
+		host:  directoryrpc.Host{ID: cfg.Host.ID, Incarnation: strconv.FormatInt(time.Now().UnixNano(), 36)},
 	}
 	p.control = directoryrpc.NewClient(p.seeds, p.pool.Call)
-	p.gateway = gateway.New(gateway.Options{
+	gatewayOpts := gateway.Options{
 		Connect:  opts.Adapter.Connect,
 		Place:    gateway.Place{DataCentre: cfg.Host.DataCentre, Regions: cfg.Host.Regions},
 		Events:   opts.Events,
 		Registry: p.registry,
-	})
+	}
+	if p.lns.peers != nil {
+		p.relay = newRelays(opts, p.registry, &gatewayOpts)
+	}
+	p.gateway = gateway.New(gatewayOpts)
+	if p.relay != nil {
+		p.relays = p.relay.serve(p.gateway)
+	}
 	p.callers = lineserver.New(lineserver.Options{
 		Address: cfg.Listen.Callers, Handler: opts.Adapter.Callers(p.gateway), Logger: p.partLogger("callers"), MaxLineBytes: opts.Adapter.MaxLineBytes,
 	})
 	if err := p.callers.Start(); err != nil {
 		p.close()
+		p.relay.close()
 		p.gateway.Close()
 		return nil, err
 	}
@@ -113,6 +124,7 @@
 	Sessions int                `json:"sessions"`
 	Callers  int                `json:"caller_connections"`
 	Gateway  any                `json:"gateway"`
+	Relay    *RelayDump         `json:"relay,omitempty"`
 }
 
 // Dump returns the state of the process.
@@ -120,7 +132,9 @@
 	p.mu.Lock()
 	state := p.state
 	p.mu.Unlock()
-	return GatewayDump{Host: p.host, State: state, Sessions: p.gateway.Sessions(), Callers: p.callers.Connections(), Gateway: p.gateway.Dump()}
+	return GatewayDump{
+		Host: p.host, State: state, Sessions: p.gateway.Sessions(), Callers: p.callers.Connections(), Gateway: p.gateway.Dump(), Relay: p.relay.dump(),
+	}
 }
 
 // Reload applies the addresses of the control hosts from changed settings. Other
@@ -183,10 +197,13 @@
 	args := &directoryrpc.SyncArgs{
 		Host: p.host, Version: state.Version, ConfigVersion: state.ConfigVersion, Reports: p.reports(), Wait: syncWait, Delta: true,
 	}
+	p.describeHost(args)
 	failing := slices.ContainsFunc(args.Reports, func(r directoryrpc.Report) bool { return r.FailingFor > 0 })
 	switch {
 	case !p.connected:
 		args.Wait = 0 // the next request has the other reports
+	case args.AsksHosts && p.hosts.version == 0 && p.hosts.pending:
+		args.Wait = failingSyncWait // until the list arrives, servers can't be reached
 	case failing:
 		// A request that reports a failing primary is not canceled when a
 		// primary fails: the lease of this host would never be renewed.
@@ -211,6 +228,7 @@
 	if err := p.applyReply(state, reply); err != nil {
 		return err
 	}
+	p.applyHosts(args, reply)
 	p.gateway.RenewLease(sentAt.Add(reply.TTL), reply.HostCount)
 	p.updateControlAddresses(reply.Control)
 	p.gateway.Release()
@@ -341,6 +359,7 @@
 	fraction := func(f float64) time.Time { return begun.Add(time.Duration(f * float64(deadline.Sub(begun)))) }
 	return []stopStep{
 		{fraction(transactionStopFraction), p.gateway.AbortTransactions},
+		{fraction(transactionStopFraction), p.relay.abortTransactions},
 		{fraction(refuseStopFraction), p.callers.CancelLines},
 		{deadline.Add(-stopAnswerReserve), p.gateway.AbortStatements},
 	}
@@ -359,7 +378,7 @@
 		notice = min(notice, time.Until(steps[0].from))
 	}
 	pause(ctx, notice)
-	for ctx.Err() == nil && p.callers.Quiesce() > 0 {
+	for ctx.Err() == nil && (p.callers.Quiesce() > 0 || p.relay.busy()) {
 		for _, step := range steps {
 			if !time.Now().Before(step.from) {
 				step.take()
@@ -369,6 +388,7 @@
 	}
 	p.callers.Close()
 	p.leave()
+	p.relay.shutdown(ctx)
 	err := p.shutdown(ctx)
 	p.close()
 	p.gateway.Close()
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -88,9 +88,12 @@
 	if s.Host.MemoryMB < 0 {
 		c.report("host.memory_mb", "is %d, must not be negative", s.Host.MemoryMB)
 	}
-	if role != RoleGateway {
+	if role != RoleGateway || s.Listen.Peers != "" {
 		c.checkListenAddress("listen.peers", s.Listen.Peers)
 	}
+	if addr, err := netip.ParseAddrPort(s.Listen.Peers); role == RoleGateway && err == nil && addr.Addr().IsUnspecified() {
+		c.report("listen.peers", "%q is not an address that other hosts can connect to", s.Listen.Peers)
+	}
 	c.checkListenAddress("listen.operators", s.Listen.Operators)
 	if len(s.Control.Addresses) == 0 {
 		c.report("control.addresses", "is missing")
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -62,7 +62,7 @@
 // Listen holds the addresses that the process listens on, each as ip:port.
 type Listen struct {
 	Callers   string `toml:"callers"`   // PostgreSQL protocol of an entry process or line protocol of a gateway; empty in other processes
-	Peers     string `toml:"peers"`     // other processes of the project; not used by gateways
+	Peers     string `toml:"peers"`     // other processes of the project; optional for gateways, which then share no connections
 	Operators string `toml:"operators"` // HTTP: operators, readiness, announcements
 }
 
