--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -11,11 +11,14 @@
 	Server     string        `json:"server"`
 	Group      string        `json:"group"`
 	Applied    string        `json:"applied"`
-	Service    time.Duration `json:"service"`     // smoothed time from sending a statement to its answer, in ns
-	FailingFor time.Duration `json:"failing_for"` // in ns; 0 if the server answers
-	Open       int           `json:"open_connections"`
+	Service    time.Duration `json:"service"`          // smoothed time from sending a statement to its answer, in ns
+	FailingFor time.Duration `json:"failing_for"`      // in ns; 0 if the server answers
+	Open       int           `json:"open_connections"` // logical ones for a sender
 	Idle       int           `json:"idle_connections"`
 	Busy       int           `json:"busy_slots"`
+	Role       string        `json:"role"`                 // direct, connector or sender
+	Connectors []string      `json:"connectors,omitempty"` // in the order in which this host tries them without a customer
+	Limit      int           `json:"connector_limit,omitempty"`
 }
 
 // Dump is the state of a Gateway.
@@ -36,7 +39,9 @@
 		md.Open, md.Idle = m.pool.size()
 		m.mu.Lock()
 		md.Applied, md.Service = m.applied.String(), m.answerTime
+		c := m.connections
 		m.mu.Unlock()
+		md.Role, md.Limit, md.Connectors = c.role.String(), c.choice.Limit, c.choice.Order(m.self, c.region)
 		d.Members = append(d.Members, md)
 	}
 	return d
--- a/internal/gateway/loan.go
+++ b/internal/gateway/loan.go
@@ -18,7 +18,7 @@
 	Customer string
 	Rank     int
 	Begin    bool      // the statement begins a transaction
-	Deadline time.Time // for the answer, on time.Now
+	Deadline time.Time // for the answer, on clock.Now
 }
 
 // Loan is a connection to a backend server that a statement or a transaction of
@@ -49,6 +49,10 @@
 	return m, nil
 }
 
+// minRefusalReserve is the least time that is left for a refusal to reach the sender. It
+// is above a round trip between regions.
+const minRefusalReserve = 100 * time.Millisecond
+
 // Borrow waits for a slot and a connection. An error means that nothing was sent. It
 // is NotOwner if the sender has to use another connector, Draining if this host is
 // about to stop and takes no new transactions, and Overloaded at once if the statement
@@ -63,14 +67,15 @@
 	}
 	// The refusal of a statement that can't start in time must reach the sender before
 	// the deadline: after it, the outcome of a write is unknown there.
-	startBy := args.Deadline.Add(-min(answerReserveFactor*m.expectedAnswerTime(), time.Until(args.Deadline)/2))
+	left := args.Deadline.Sub(clock.Now())
+	startBy := time.Now().Add(left - min(max(answerReserveFactor*m.expectedAnswerTime(), minRefusalReserve), left/2))
 	ctx, cancel := context.WithDeadline(ctx, startBy)
 	defer cancel()
-	slot, err := m.sched.Acquire(ctx, g.view.Load().ranks.Name(args.Rank), startBy)
+	slot, err := m.sched.Acquire(ctx, g.view.Load().ranks.Name(args.Rank), args.Customer, startBy)
 	if err != nil {
 		return nil, err
 	}
-	pc, err := m.pool.get(ctx, args.Rank, g.sessionState(s))
+	pc, err := m.pool.get(ctx, args.Rank, args.Customer, g.sessionState(s))
 	if err != nil {
 		m.sched.Release(slot)
 		if errkind.Of(err) == errkind.ConnectFailed && ctx.Err() == nil {
@@ -95,10 +100,17 @@
 	return sess
 }
 
-// Do runs a statement. Its errors are those of Conn.Do.
-func (l *Loan) Do(deadline time.Time, s RelayedStatement) (statement.Answer, error) {
+// Do runs a statement with a deadline on clock.Now. Its errors are those of Conn.Do, and
+// errkind.DeadlineExceeded if nothing was sent because the deadline has passed, for
+// instance while this host was suspended.
+func (l *Loan) Do(end time.Time, s RelayedStatement) (statement.Answer, error) {
 	defer l.releaseSlot() // the first statement of a transaction holds it, too
 	m := l.member
+	left := end.Sub(clock.Now())
+	if left <= 0 {
+		return statement.Answer{}, errkind.New(errkind.DeadlineExceeded, "the deadline passed at the connector")
+	}
+	deadline := time.Now().Add(left)
 	r := s.Request
 	if s.HasState {
 		sess := l.gateway.sessionState(s)
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -101,11 +101,11 @@
 	m := &member{server: s, self: opts.Host}
 	m.setDraining(s.Draining)
 	m.assumedRTT, m.regionPenalty = opts.Place.distance(s.DataCentre)
-	m.pool = newPool(func(ctx context.Context) (Conn, error) {
+	m.pool = newPool(func(ctx context.Context, customer string) (Conn, error) {
 		if m.role() == roleSender {
-			return m.relay(""), nil
+			return m.relay(customer), nil
 		}
-		return opts.Connect(ctx, s)
+		return opts.Connect(ctx, s, customer)
 	})
 	if opts.Relay != nil {
 		m.relay = func(customer string) RelayedConn {
--- a/internal/gateway/sharing.go
+++ b/internal/gateway/sharing.go
@@ -70,7 +70,7 @@
 }
 
 // namesCustomers reports whether each connection serves one customer only.
-func namesCustomers(*database.Config) bool { return false }
+func namesCustomers(cfg *database.Config) bool { return len(cfg.Customers) > 0 }
 
 // SetHosts replaces the list of the hosts that share connections. pending reports that
 // control will send a list soon; until the first one a host does not know the
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -177,7 +177,7 @@
 
 // exchange sends a statement to a connector and waits for its answer.
 func (c *Conn) exchange(s *outStream, id uint32, deadline time.Time, r gateway.RelayedStatement, t *target) (statement.Answer, error) {
-	m := &call{Conn: id, Target: t, Remaining: time.Until(deadline).Milliseconds(), HasState: r.HasState}
+	m := &call{Conn: id, Target: t, Sent: s.sentAt(), Remaining: time.Until(deadline).Milliseconds(), HasState: r.HasState}
 	if t != nil {
 		m.Rank = r.Rank
 	}
--- a/internal/relay/instream.go
+++ b/internal/relay/instream.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/arbutusring/arbutusring/internal/clock"
 	"github.com/arbutusring/arbutusring/internal/gateway"
 	"github.com/arbutusring/arbutusring/internal/peer"
 	"github.com/arbutusring/arbutusring/internal/statement"
@@ -36,6 +37,8 @@
 	mu        sync.Mutex
 	host      string // of hello
 	greeted   bool
+	started   time.Time            // on clock.Now
+	transit   transit              // used by receive only
 	conns     map[uint32]*lentConn // by the sender's id; those with a statement or transaction
 	running   int                  // calls and probes in progress
 	texts     map[uint32]gateway.PreparedText
@@ -53,7 +56,7 @@
 }
 
 func newInStream(service *Service, s *peer.Stream) *inStream {
-	in := &inStream{service: service, stream: s, conns: make(map[uint32]*lentConn), texts: make(map[uint32]gateway.PreparedText)}
+	in := &inStream{service: service, stream: s, started: clock.Now(), conns: make(map[uint32]*lentConn), texts: make(map[uint32]gateway.PreparedText)}
 	in.ctx, in.cancel = context.WithCancel(context.Background())
 	return in
 }
@@ -126,14 +129,19 @@
 	if m.Version < 1 || m.Version > version {
 		return errkind.New(errkind.Unsupported, "version %d of the relay protocol is not known", m.Version)
 	}
+	in.delay(m.Sent)
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	in.host, in.greeted = m.Host, true
 	return nil
 }
 
-// remaining converts the time that a sender allows. It counts from now: the time that
-// the frame took is not known.
+// delay returns how long a frame was under way, apart from the shortest time.
+func (in *inStream) delay(sent int64) time.Duration {
+	return in.transit.delay(time.Duration(sent)*time.Millisecond, clock.Now(), in.started)
+}
+
+// remaining converts the time that a sender allows.
 func remaining(ms int64) time.Duration {
 	return min(time.Duration(min(max(ms, 0), maxRemaining.Milliseconds()))*time.Millisecond, maxRemaining)
 }
@@ -147,6 +155,7 @@
 	if err != nil {
 		return err
 	}
+	deadline := clock.Now().Add(remaining(m.Remaining) - in.delay(m.Sent))
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	c := in.conns[m.Conn]
@@ -169,7 +178,6 @@
 	}
 	c.busy = true
 	in.running++
-	deadline := time.Now().Add(remaining(m.Remaining))
 	in.calls.Go(func() { in.runCall(c, m, r, deadline) })
 	return nil
 }
--- a/internal/relay/messages.go
+++ b/internal/relay/messages.go
@@ -22,6 +22,7 @@
 type hello struct {
 	Version int
 	Host    string
+	Sent    int64 // when the frame was sent, in ms on the clock of the sender
 }
 
 // target names one process of a backend server.
@@ -37,7 +38,8 @@
 	ID        uint32
 	Conn      uint32 // the logical connection
 	Target    *target
-	Remaining int64 // time for the answer, in ms
+	Sent      int64 // as in hello
+	Remaining int64 // time for the answer after Sent, in ms
 	Rank      int
 
 	HasState bool              // the session state below is required
--- a/internal/relay/outstream.go
+++ b/internal/relay/outstream.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/arbutusring/arbutusring/internal/clock"
 	"github.com/arbutusring/arbutusring/internal/peer"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
 )
@@ -27,7 +28,8 @@
 type outStream struct {
 	address string
 	stream  *peer.Stream
-	retired bool // closed by this host because it was unused; guarded by Client.mu
+	started time.Time // on clock.Now
+	retired bool      // closed by this host because it was unused; guarded by Client.mu
 	users   atomic.Int64
 	lastUse atomic.Int64 // in Unix ns
 
@@ -49,19 +51,22 @@
 }
 
 func newOutStream(address string, s *peer.Stream) *outStream {
-	out := &outStream{address: address, stream: s, calls: make(map[uint32]*pendingCall), texts: make(map[preparedKey]uint32)}
+	out := &outStream{address: address, stream: s, started: clock.Now(), calls: make(map[uint32]*pendingCall), texts: make(map[preparedKey]uint32)}
 	out.lastUse.Store(time.Now().UnixNano())
 	return out
 }
 
 // hello sends the first frame. A failure is seen by receive.
 func (s *outStream) hello(host string) {
-	_ = withFrame(kindHello, &hello{Version: version, Host: host}, func(frame []byte) error {
+	_ = withFrame(kindHello, &hello{Version: version, Host: host, Sent: s.sentAt()}, func(frame []byte) error {
 		_, err := s.stream.Send(frame)
 		return err
 	})
 }
 
+// sentAt returns the time for the Sent field of a message.
+func (s *outStream) sentAt() int64 { return clock.Now().Sub(s.started).Milliseconds() }
+
 // unusedFor returns the time since the last use; 0 if the stream is in use.
 func (s *outStream) unusedFor(now time.Time) time.Duration {
 	if s.users.Load() > 0 {
