gateway: connections of a customer stay at few connectors

With customers, each connection serves one of them.

Logical connections are no longer pooled: they cost nothing. They have a scheduler of their own, because two connectors that relay to each other would otherwise hold the slots that the other one waits for.

Metrics of connections.

--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -11,9 +11,10 @@
 	Server     string        `json:"server"`
 	Group      string        `json:"group"`
 	Applied    string        `json:"applied"`
-	Service    time.Duration `json:"service"`          // smoothed time from sending a statement to its answer, in ns
-	FailingFor time.Duration `json:"failing_for"`      // in ns; 0 if the server answers
-	Open       int           `json:"open_connections"` // logical ones for a sender
+	Service    time.Duration `json:"service"`     // smoothed time from sending a statement to its answer, in ns
+	FailingFor time.Duration `json:"failing_for"` // in ns; 0 if the server answers
+	Open       int           `json:"open_connections"`
+	Logical    int           `json:"logical_connections,omitempty"` // through connectors, in use
 	Idle       int           `json:"idle_connections"`
 	Busy       int           `json:"busy_slots"`
 	Role       string        `json:"role"`                 // direct, connector or sender
@@ -35,7 +36,7 @@
 	defer g.mu.Unlock()
 	d := Dump{LeaseLeft: g.leaseLeft(), Hosts: g.hosts, Sessions: len(g.sessions)}
 	for id, m := range g.members {
-		md := MemberDump{Server: id, Group: m.server.Group, FailingFor: m.failingFor(clock.Now()), Busy: m.sched.Busy()}
+		md := MemberDump{Server: id, Group: m.server.Group, FailingFor: m.failingFor(clock.Now()), Busy: m.sched.Busy() + m.relaySched.Busy(), Logical: m.pool.logicalInUse()}
 		md.Open, md.Idle = m.pool.size()
 		m.mu.Lock()
 		md.Applied, md.Service = m.applied.String(), m.answerTime
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -310,6 +310,9 @@
 		members := slices.Collect(maps.Values(g.members))
 		sessions := slices.Collect(maps.Keys(g.sessions))
 		g.mu.Unlock()
+		if round%trimRounds == 0 {
+			g.countConnections(members)
+		}
 		for _, m := range members {
 			if round%trimRounds == 0 {
 				m.pool.trim()
@@ -326,6 +329,17 @@
 	}
 }
 
+// countConnections updates the metrics of connections.
+func (g *Gateway) countConnections(members []*member) {
+	open, logical := 0, 0
+	for _, m := range members {
+		n, _ := m.pool.size()
+		open, logical = open+n, logical+m.pool.logicalInUse()
+	}
+	g.metrics.connections.Update(int64(open))
+	g.metrics.logicalConnections.Update(int64(logical))
+}
+
 // runProbe probes a member, and signals PrimaryFailing if it is a primary that
 // does not respond.
 func (g *Gateway) runProbe(m *member) {
--- a/internal/gateway/loan.go
+++ b/internal/gateway/loan.go
@@ -83,10 +83,10 @@
 		}
 		return nil, err
 	}
-	if pc.relayed != nil || m.drainingFor() >= primaryDrainTime {
-		m.pool.put(pc) // the role of this host has changed while the statement waited
+	if m.drainingFor() >= primaryDrainTime {
+		m.pool.put(pc)
 		m.sched.Release(slot)
-		return nil, errkind.New(errkind.NotOwner, "this host is no longer a connector of server %s", args.Server)
+		return nil, errkind.New(errkind.NotOwner, "server %s is draining", args.Server)
 	}
 	return &Loan{gateway: g, member: m, conn: pc, slot: slot}, nil
 }
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -72,9 +72,10 @@
 // host has observed of the server.
 type member struct {
 	server        directoryrpc.Server
-	assumedRTT    time.Duration // round-trip time assumed from the location
-	regionPenalty time.Duration // added to the cost if the server is in another region
-	sched         *schedule.Scheduler
+	assumedRTT    time.Duration       // round-trip time assumed from the location
+	regionPenalty time.Duration       // added to the cost if the server is in another region
+	sched         *schedule.Scheduler // of statements on connections of this host
+	relaySched    *schedule.Scheduler // of statements that are sent through connectors
 	pool          *pool
 	relay         func(customer string) RelayedConn // opens a logical connection; nil without Options.Relay
 	self          string                            // id of this host
@@ -101,18 +102,16 @@
 	m := &member{server: s, self: opts.Host}
 	m.setDraining(s.Draining)
 	m.assumedRTT, m.regionPenalty = opts.Place.distance(s.DataCentre)
-	m.pool = newPool(func(ctx context.Context, customer string) (Conn, error) {
-		if m.role() == roleSender {
-			return m.relay(customer), nil
-		}
-		return opts.Connect(ctx, s, customer)
-	})
+	m.pool = newPool(func(ctx context.Context, customer string) (Conn, error) { return opts.Connect(ctx, s, customer) })
 	if opts.Relay != nil {
 		m.relay = func(customer string) RelayedConn {
 			return opts.Relay(s, customer, func() []string { return m.connectors(customer) })
 		}
 	}
-	m.sched = schedule.New(schedule.Options{Slots: max(1, s.Slots), Ranks: rankSpecs(schedule.RankTable{}), Window: floorWindow, AssumedServiceTime: assumedServiceTime})
+	newScheduler := func() *schedule.Scheduler {
+		return schedule.New(schedule.Options{Slots: max(1, s.Slots), Ranks: rankSpecs(schedule.RankTable{}), Window: floorWindow, AssumedServiceTime: assumedServiceTime})
+	}
+	m.sched, m.relaySched = newScheduler(), newScheduler()
 	return m
 }
 
@@ -143,14 +142,12 @@
 // connectors or the role of this host have changed.
 func (m *member) configure(specs []schedule.RankSpec, group database.Group, hosts int, c connections) (changed bool) {
 	before := m.setConnections(c)
-	if before.role != c.role && (before.role == roleSender || c.role == roleSender) {
-		m.pool.reset()
-	}
+	// The connectors limit what reaches the server, in the order of ranks.
+	m.relaySched.Configure(max(1, m.server.Slots), specs)
 	switch c.role {
 	case roleSender:
-		// The connectors limit what reaches the server, in the order of ranks.
-		m.sched.Configure(max(1, m.server.Slots), specs)
-		m.pool.setLimits(maxLogical, maxLogical)
+		m.sched.Configure(1, specs)
+		m.pool.empty()
 	case roleConnector:
 		m.sched.Configure(connectorInFlight(m.server.Slots, c), specs)
 		m.pool.setExactLimit(c.choice.Limit)
@@ -163,11 +160,6 @@
 	return !before.sameRoute(c)
 }
 
-// maxLogical is the limit on logical connections to one server. Outside of
-// transactions the scheduler lets fewer through, and transactions wait for a
-// connection of a connector.
-const maxLogical = 1 << 20
-
 // connectorInFlight returns how many statements outside of open transactions a
 // connector may have in progress at a server, its own included. Customers are spread
 // unevenly over connectors, so with customers each may use twice its part.
@@ -207,6 +199,11 @@
 func (m *member) connectors(customer string) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.orderOf(customer)
+}
+
+// orderOf is connectors; the caller holds mu.
+func (m *member) orderOf(customer string) []string {
 	if order, ok := m.orders[customer]; ok {
 		return order
 	}
@@ -217,6 +214,47 @@
 	return m.orders[customer]
 }
 
+// relays reports whether statements of a customer are sent through a connector. A
+// connector uses its own connections, but those of each customer are at few
+// connectors: otherwise most statements would need a connection to be opened.
+func (m *member) relays(customer string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c := m.connections
+	switch c.role {
+	case roleSender:
+		return true
+	case roleConnector:
+		return customer != "" && m.orderOf(customer)[0] != c.sharing.list[m.self].PeerAddress
+	}
+	return false
+}
+
+// scheduler returns the scheduler of statements that are relayed or not.
+func (m *member) scheduler(relayed bool) *schedule.Scheduler {
+	if relayed {
+		return m.relaySched
+	}
+	return m.sched
+}
+
+// release frees the slot of a statement that used a connection.
+func (m *member) release(slot schedule.Slot, pc *pooledConn) {
+	m.scheduler(pc.relayed != nil).Release(slot)
+}
+
+// connection returns a connection for a statement that is relayed or not.
+func (m *member) connection(ctx context.Context, relayed bool, rank int, customer string, sess sessionState) (*pooledConn, error) {
+	if !relayed {
+		return m.pool.get(ctx, rank, customer, sess)
+	}
+	pc, err := m.pool.logical(m.relay(customer), customer)
+	if err == nil {
+		pc.rank = rank
+	}
+	return pc, err
+}
+
 // setDraining records whether the server is draining.
 func (m *member) setDraining(draining bool) {
 	m.mu.Lock()
@@ -335,7 +373,7 @@
 // classify returns the read class of the server and the cost of a read there: its
 // expected time, including the wait in the queue, plus the region penalty.
 func (m *member) classify(now time.Time) (readClass, time.Duration) {
-	queued, _, slotTime := m.sched.Load()
+	queued, _, slotTime := m.scheduler(m.role() == roleSender).Load()
 	waiting := 0
 	for _, n := range queued {
 		waiting += n
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -19,6 +19,8 @@
 	retries             metrics.Counter
 	abortedTransactions metrics.Counter // transactions aborted by this host
 	connectorChanges    metrics.Counter
+	connections         metrics.Gauge   // of this host to all servers
+	logicalConnections  metrics.Gauge   // through connectors, in use
 	lent                metrics.Counter // statements of other hosts that were sent to a server
 }
 
@@ -35,6 +37,8 @@
 		replicaReads:        metrics.GetOrRegisterCounter("gateway.reads_replica", r),
 		primaryStatements:   metrics.GetOrRegisterCounter("gateway.statements_primary", r),
 		retries:             metrics.GetOrRegisterCounter("gateway.retries", r),
+		connections:         metrics.GetOrRegisterGauge("gateway.connections", r),
+		logicalConnections:  metrics.GetOrRegisterGauge("gateway.connections_logical", r),
 		connectorChanges:    metrics.GetOrRegisterCounter("gateway.connector_changes", r),
 		lent:                metrics.GetOrRegisterCounter("gateway.statements_of_other_hosts", r),
 		abortedTransactions: metrics.GetOrRegisterCounter("gateway.transactions_aborted", r),
--- a/internal/gateway/operation.go
+++ b/internal/gateway/operation.go
@@ -258,22 +258,22 @@
 	startWithin := left - min(answerReserveFactor*m.expectedAnswerTime(), left/2)
 	startCtx, cancelStart := context.WithTimeout(ctx, startWithin)
 	defer cancelStart()
-	slot, err := m.sched.Acquire(startCtx, o.gateway.view.Load().ranks.Name(o.db.Rank), o.session.customer, begun.Add(startWithin))
+	relayed := m.relays(o.session.customer)
+	slot, err := m.scheduler(relayed).Acquire(startCtx, o.gateway.view.Load().ranks.Name(o.db.Rank), o.session.customer, begun.Add(startWithin))
 	o.queued += time.Since(begun)
 	o.gateway.metrics.queueWait.Update(int64(time.Since(begun)))
 	if err != nil {
 		return nil, slot, err
 	}
 	required := o.session.requiredState(o.preparedStmt)
-	pc, err := m.pool.get(ctx, o.db.Rank, o.session.customer, required)
+	pc, err := m.connection(ctx, relayed, o.db.Rank, o.session.customer, required)
 	if err == nil {
-		pc.rank = o.db.Rank
 		if err = pc.adapt(o.wallDeadline(), required); err != nil {
 			m.pool.drop(pc)
 		}
 	}
 	if err != nil {
-		m.sched.Release(slot)
+		m.scheduler(relayed).Release(slot)
 		if errkind.Of(err) == errkind.ConnectFailed && o.ctx.Err() == nil {
 			o.recordFailure(rt, err)
 		}
@@ -335,14 +335,14 @@
 	if u != nil && (!u.attach(pc) || !o.gateway.hasLease()) {
 		u.abandon()
 		rt.member.pool.put(pc)
-		rt.member.sched.Release(slot)
+		rt.member.release(slot, pc)
 		o.recordError(errkind.New(errkind.NoPrimary, "the primary of group %q is being changed", rt.group.name))
 		return a, true
 	}
 	if !o.admissionUsable() {
 		u.abandon()
 		rt.member.pool.put(pc)
-		rt.member.sched.Release(slot)
+		rt.member.release(slot, pc)
 		o.recordError(errkind.New(errkind.ConfigStale, "the admission of the operation has run out"))
 		return a, true
 	}
@@ -358,7 +358,7 @@
 	rt.member.endStatement(err == nil)
 	took := time.Since(begun)
 	valid := err == nil && o.finishUse(u, sent, a)
-	rt.member.sched.Release(slot)
+	rt.member.release(slot, pc)
 	if err != nil {
 		u.abandon()
 		rt.member.pool.drop(pc)
--- a/internal/gateway/operationtx.go
+++ b/internal/gateway/operationtx.go
@@ -58,7 +58,7 @@
 	}
 	// The slot is held only for BEGIN. Later statements of the transaction bypass
 	// the queue, because it holds a connection until it ends.
-	defer rt.member.sched.Release(slot)
+	defer rt.member.release(slot, pc)
 	err = o.sendBegin(rt, u, pc)
 	if err != nil {
 		u.abandon()
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -36,7 +36,7 @@
 	limit     int    // maximum of open
 	fairShare int    // this host's equal part of the server's connections; trim keeps that many open
 	exact     bool   // no connection above limit is kept
-	epoch     uint64 // grows with reset
+	epoch     uint64 // grows with empty
 	open      int
 	dialling  int
 	idle      []*pooledConn // most recently used last
@@ -96,7 +96,7 @@
 		select {
 		case pc, open := <-w.ready:
 			if !open {
-				return nil, errPoolClosed()
+				return nil, p.noConnection()
 			}
 			return p.dialIfNil(ctx, customer, pc)
 		case <-exchange.C:
@@ -110,6 +110,29 @@
 	}
 }
 
+// noConnection returns the error of a statement whose wait was ended.
+func (p *pool) noConnection() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return errPoolClosed()
+	}
+	return errkind.New(errkind.NotOwner, "this host no longer connects to the server")
+}
+
+// logical returns a new logical connection. It costs nothing, so that there are no idle
+// ones, and the limits do not apply to it.
+func (p *pool) logical(conn RelayedConn, customer string) (*pooledConn, error) {
+	pc := &pooledConn{conn: conn, relayed: conn, customer: customer}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, errPoolClosed()
+	}
+	p.use(pc, time.Now())
+	return pc, nil
+}
+
 // use marks a connection as in use. The caller holds mu.
 func (p *pool) use(pc *pooledConn, now time.Time) {
 	pc.usedSince = now
@@ -294,7 +317,7 @@
 // put returns a connection without an open transaction to the pool.
 func (p *pool) put(pc *pooledConn) {
 	p.mu.Lock()
-	if p.closed || pc.aborted.Load() || pc.epoch != p.epoch || p.exact && p.open > p.limit {
+	if p.closed || pc.relayed != nil || pc.aborted.Load() || pc.epoch != p.epoch || p.exact && p.open > p.limit {
 		p.mu.Unlock()
 		p.drop(pc)
 		return
@@ -325,6 +348,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.inUse, pc)
+	if pc.relayed != nil {
+		return
+	}
 	p.open--
 	p.wakeWaiters()
 }
@@ -353,12 +379,18 @@
 	}
 }
 
-// reset closes the idle connections now and those in use when they are returned,
-// because the host reaches the server in another way from now on.
-func (p *pool) reset() {
+// empty closes the idle connections now and those in use when they are returned, and
+// ends the waits, because the host does not connect to the server any more.
+func (p *pool) empty() {
 	p.mu.Lock()
 	p.epoch++
+	p.limit, p.fairShare, p.exact = 0, 0, true
+	waiting := p.waiting
+	p.waiting = nil
 	p.mu.Unlock()
+	for _, w := range waiting {
+		close(w.ready)
+	}
 	p.closeIdle()
 }
 
@@ -428,6 +460,19 @@
 	return p.open, len(p.idle)
 }
 
+// logicalInUse returns the number of logical connections.
+func (p *pool) logicalInUse() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for pc := range p.inUse {
+		if pc.relayed != nil {
+			n++
+		}
+	}
+	return n
+}
+
 // dialIgnoringLimits opens a connection even if the pool's limits are reached. It is
 // opened for no customer.
 func (p *pool) dialIgnoringLimits(ctx context.Context) (*pooledConn, error) {
--- a/internal/gateway/pooledconn.go
+++ b/internal/gateway/pooledconn.go
@@ -26,7 +26,7 @@
 	aborted   atomic.Bool     // the connection was closed by abort
 	epoch     uint64          // of the pool when the connection was opened
 
-	relayed  RelayedConn   // conn, if it is a logical connection
+	relayed  RelayedConn   // conn, if it is a logical connection; settings and prepared are not used then
 	required *sessionState // relayed: state that the next statement needs
 	rank     int           // relayed: of the statement or transaction
 }
@@ -46,18 +46,13 @@
 }
 
 func newPooledConn(conn Conn, customer string) *pooledConn {
-	pc := &pooledConn{conn: conn, customer: customer, settings: make(map[string]string), prepared: make(map[string]bool)}
-	pc.relayed, _ = conn.(RelayedConn)
-	return pc
+	return &pooledConn{conn: conn, customer: customer, settings: make(map[string]string), prepared: make(map[string]bool)}
 }
 
 // adaptCost returns 0 if the connection already matches the session, 1 if
 // settings or a prepared statement have to be added, and 2 if the connection
 // has to be reset.
 func (pc *pooledConn) adaptCost(sess sessionState) int {
-	if pc.relayed != nil {
-		return 0
-	}
 	cost := 0
 	if sess.preparedStmt != nil && !pc.prepared[sess.preparedStmt.name] {
 		cost = 1
