--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -20,6 +20,15 @@
 	Role       string        `json:"role"`                 // direct, connector or sender
 	Connectors []string      `json:"connectors,omitempty"` // in the order in which this host tries them without a customer
 	Limit      int           `json:"connector_limit,omitempty"`
+	// Connections holds the number of open connections by customer; absent without
+	// customers.
+	Connections map[string]int `json:"connections_by_customer,omitempty"`
+}
+
+// CustomerDump is what this host did for one customer.
+type CustomerDump struct {
+	Customer string `json:"customer"`
+	customerCounts
 }
 
 // Dump is the state of a Gateway.
@@ -28,6 +37,10 @@
 	Hosts     int           `json:"hosts"`      // that share the connections of each server, including this one
 	Sessions  int           `json:"sessions"`
 	Members   []MemberDump  `json:"members"`
+	// Customers holds the busiest customers, and OtherCustomers the sum of all others;
+	// both are absent without customers.
+	Customers      []CustomerDump  `json:"customers,omitempty"`
+	OtherCustomers *customerCounts `json:"other_customers,omitempty"`
 }
 
 // Dump returns the state of the gateway.
@@ -35,9 +48,17 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	d := Dump{LeaseLeft: g.leaseLeft(), Hosts: g.hosts, Sessions: len(g.sessions)}
+	named := len(g.view.Load().cfg.Customers) > 0
+	if named {
+		busiest, other := g.metrics.customers.counts(g.metrics.customers.busiestFirst())
+		d.Customers, d.OtherCustomers = busiest, &other
+	}
 	for id, m := range g.members {
 		md := MemberDump{Server: id, Group: m.server.Group, FailingFor: m.failingFor(clock.Now()), Busy: m.sched.Busy() + m.relaySched.Busy(), Logical: m.pool.logicalInUse()}
 		md.Open, md.Idle = m.pool.size()
+		if named {
+			md.Connections = m.pool.byCustomer()
+		}
 		m.mu.Lock()
 		md.Applied, md.Service = m.applied.String(), m.answerTime
 		c := m.connections
--- a/internal/gateway/loan.go
+++ b/internal/gateway/loan.go
@@ -18,6 +18,7 @@
 	Customer string
 	Rank     int
 	Begin    bool      // the statement begins a transaction
+	Start    time.Time // latest time to send it to the server, on clock.Now
 	Deadline time.Time // for the answer, on clock.Now
 }
 
@@ -69,6 +70,9 @@
 	// the deadline: after it, the outcome of a write is unknown there.
 	left := args.Deadline.Sub(clock.Now())
 	startBy := time.Now().Add(left - min(max(answerReserveFactor*m.expectedAnswerTime(), minRefusalReserve), left/2))
+	if latest := time.Now().Add(args.Start.Sub(clock.Now())); latest.Before(startBy) {
+		startBy = latest
+	}
 	ctx, cancel := context.WithDeadline(ctx, startBy)
 	defer cancel()
 	slot, err := m.sched.Acquire(ctx, g.view.Load().ranks.Name(args.Rank), args.Customer, startBy)
@@ -100,10 +104,10 @@
 	return sess
 }
 
-// Do runs a statement with a deadline on clock.Now. Its errors are those of Conn.Do, and
-// errkind.DeadlineExceeded if nothing was sent because the deadline has passed, for
-// instance while this host was suspended.
-func (l *Loan) Do(end time.Time, s RelayedStatement) (statement.Answer, error) {
+// Do runs a statement with a latest start and a deadline on clock.Now. Its errors are
+// those of Conn.Do, and errkind.DeadlineExceeded if nothing was sent because one of
+// them has passed, for instance while this host was suspended.
+func (l *Loan) Do(start, end time.Time, s RelayedStatement) (statement.Answer, error) {
 	defer l.releaseSlot() // the first statement of a transaction holds it, too
 	m := l.member
 	left := end.Sub(clock.Now())
@@ -122,6 +126,9 @@
 			return statement.Answer{}, err
 		}
 	}
+	if clock.Now().After(start) {
+		return statement.Answer{}, errkind.New(errkind.DeadlineExceeded, "the latest start passed at the connector")
+	}
 	begun := time.Now()
 	m.startStatement()
 	a, err := l.conn.do(deadline, r)
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -98,11 +98,13 @@
 	orders              map[string][]string // addresses of the connectors by customer, in the order of use; cleared when connections change
 }
 
-func newMember(opts Options, s directoryrpc.Server) *member {
+// newMember returns a member without connections. opened is called for each connection
+// that is opened.
+func newMember(opts Options, s directoryrpc.Server, opened func(customer string, exchanged bool)) *member {
 	m := &member{server: s, self: opts.Host}
 	m.setDraining(s.Draining)
 	m.assumedRTT, m.regionPenalty = opts.Place.distance(s.DataCentre)
-	m.pool = newPool(func(ctx context.Context, customer string) (Conn, error) { return opts.Connect(ctx, s, customer) })
+	m.pool = newPool(func(ctx context.Context, customer string) (Conn, error) { return opts.Connect(ctx, s, customer) }, opened)
 	if opts.Relay != nil {
 		m.relay = func(customer string) RelayedConn {
 			return opts.Relay(s, customer, func() []string { return m.connectors(customer) })
@@ -155,7 +157,7 @@
 		m.sched.Configure(maxInFlight(m.server.Slots, hosts), specs)
 		usable := max(1, group.MaxConnections-reservedConnections)
 		share := max(1, usable/max(1, hosts))
-		m.pool.setLimits(min(usable, connectionOvercommit*share), share)
+		m.pool.setLimits(min(usable, connectionOvercommit*share), share, usable < hosts)
 	}
 	return !before.sameRoute(c)
 }
--- a/internal/relay/instream.go
+++ b/internal/relay/instream.go
@@ -24,8 +24,17 @@
 	// maxRemaining bounds the time that a sender may ask for. Statement timeouts are
 	// below 30 days, which is more than any statement of a peer needs.
 	maxRemaining = time.Hour
+	// maxStartDelay is the longest time from the sending of a statement by its host to
+	// its sending to the server. The host checks its lease, keys and the state of the
+	// server immediately before it sends: a lease lasts 2.2 s, a withdrawn key must have
+	// no effect after 5 s, and a draining server, which gets statements for 4 s, gets
+	// none after 7 s.
+	maxStartDelay = 1500 * time.Millisecond
 )
 
+// limits are the latest start and end of a statement, on clock.Now.
+type limits struct{ start, end time.Time }
+
 // inStream is a stream from a sender, at the connector.
 type inStream struct {
 	service *Service
@@ -155,7 +164,8 @@
 	if err != nil {
 		return err
 	}
-	deadline := clock.Now().Add(remaining(m.Remaining) - in.delay(m.Sent))
+	sent := clock.Now().Add(-in.delay(m.Sent))
+	until := limits{start: sent.Add(maxStartDelay), end: sent.Add(remaining(m.Remaining))}
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	c := in.conns[m.Conn]
@@ -178,7 +188,7 @@
 	}
 	c.busy = true
 	in.running++
-	in.calls.Go(func() { in.runCall(c, m, r, deadline) })
+	in.calls.Go(func() { in.runCall(c, m, r, until) })
 	return nil
 }
 
@@ -210,10 +220,10 @@
 }
 
 // runCall runs a statement and sends its answer.
-func (in *inStream) runCall(c *lentConn, m *call, r gateway.RelayedStatement, deadline time.Time) {
+func (in *inStream) runCall(c *lentConn, m *call, r gateway.RelayedStatement, until limits) {
 	defer in.service.recoverPanic(in)
 	out := &answer{ID: m.ID}
-	a, err := in.execute(c, m, r, deadline)
+	a, err := in.execute(c, m, r, until)
 	if err == nil {
 		out.setAnswer(a)
 	} else {
@@ -226,14 +236,14 @@
 
 // execute borrows a connection, unless the logical connection has one, and runs the
 // statement.
-func (in *inStream) execute(c *lentConn, m *call, r gateway.RelayedStatement, deadline time.Time) (statement.Answer, error) {
+func (in *inStream) execute(c *lentConn, m *call, r gateway.RelayedStatement, until limits) (statement.Answer, error) {
 	in.mu.Lock()
 	loan := c.loan
 	in.mu.Unlock()
 	if loan == nil {
 		args := gateway.LoanArgs{
 			Server: m.Target.Server, Born: m.Target.Born, Customer: m.Target.Customer,
-			Rank: m.Rank, Begin: m.Kind == statement.Begin, Deadline: deadline,
+			Rank: m.Rank, Begin: m.Kind == statement.Begin, Start: until.start, Deadline: until.end,
 		}
 		var err error
 		if loan, err = in.service.opts.Gateway.Borrow(c.ctx, args, r); err != nil {
@@ -243,7 +253,7 @@
 			return statement.Answer{}, errkind.New(errkind.Cancelled, "the sender has closed the logical connection")
 		}
 	}
-	return loan.Do(deadline, r)
+	return loan.Do(until.start, until.end, r)
 }
 
 // attach records the connection of a statement, so that a cancellation can end it. It
