peer, relay: streams that are not in use send a heartbeat in 5 s

With customers a host has a stream to most others, in both directions. A heartbeat a second on each would cost 60 kbit/s at 30 hosts. Both ends now count what is in progress: then a heartbeat is sent after at most a second of quiet and 1.5 s of silence end the stream, also when the call that was not answered has been given up; otherwise both times are five times as long.

A gateway that needs the list of hosts and will get it soon is not ready.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -208,9 +208,9 @@
 // Ready reports whether the load balancer should send callers here.
 func (g *Gateway) Ready() bool {
 	g.mu.Lock()
-	draining := g.draining
+	stopped := g.draining || g.awaitsHosts()
 	g.mu.Unlock()
-	return !draining && g.hasLease() && g.view.Load().cfg.Version > 0
+	return !stopped && g.hasLease() && g.view.Load().cfg.Version > 0
 }
 
 // Drain makes Ready return false, for a planned stop. Open sessions continue.
--- a/internal/gateway/sharing.go
+++ b/internal/gateway/sharing.go
@@ -51,6 +51,11 @@
 func (g *Gateway) SharesConnections() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	return g.sharesConnections()
+}
+
+// sharesConnections is SharesConnections; the caller holds mu.
+func (g *Gateway) sharesConnections() bool {
 	cfg := g.view.Load().cfg
 	for _, group := range cfg.Groups {
 		if g.connectorsApply(cfg, group) {
@@ -60,6 +65,12 @@
 	return false
 }
 
+// awaitsHosts reports whether this host needs the list of hosts, and control will send
+// the first one soon. The caller holds mu.
+func (g *Gateway) awaitsHosts() bool {
+	return len(g.sharing.list) == 0 && g.sharing.pending && g.sharesConnections()
+}
+
 // connectorsApply reports whether connectors are used for the servers of a group. The
 // caller holds mu.
 func (g *Gateway) connectorsApply(cfg *database.Config, group database.Group) bool {
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"errors"
 	"net"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -12,12 +13,14 @@
 )
 
 const (
-	// defaultStreamHeartbeat is the interval of the messages on an idle stream. They
-	// cross regions, where bytes are expensive.
+	// defaultStreamHeartbeat is the interval of the heartbeats on a stream in use.
 	defaultStreamHeartbeat = time.Second
 	// defaultStreamIdleTimeout is the time without received data after which a
-	// stream has failed. A heartbeat may be late by one retransmission.
+	// stream in use has failed. A heartbeat may be late by one retransmission.
 	defaultStreamIdleTimeout = 1500 * time.Millisecond
+	// unusedFactor is the multiple of both while a stream is not in use. Heartbeats
+	// cross regions, where bytes are expensive, and a host may have many streams.
+	unusedFactor = 5
 	// defaultChunkTimeout bounds the writing of writeChunkBytes, which takes 0.3 s on
 	// a link of 2 Mbit/s. A peer that takes less is too slow to be used.
 	defaultChunkTimeout = 2 * time.Second
@@ -43,17 +46,19 @@
 type StreamOptions struct {
 	MaxFrameBytes     int           // of received frames
 	MaxPendingBytes   int           // that wait to be written; default 8 MiB
-	HeartbeatInterval time.Duration // default 1 s
-	IdleTimeout       time.Duration // default 1.5 s
+	HeartbeatInterval time.Duration // of a stream in use; default 1 s
+	IdleTimeout       time.Duration // of a stream in use; default 1.5 s
 	ChunkTimeout      time.Duration // limit for writing 64 KiB; default 2 s
 }
 
 // Stream carries frames between two hosts in both directions. Frames that are sent at
-// the same time share system calls, sending never blocks, and an idle stream costs
-// one byte in each direction per heartbeat interval. Use it instead of Pool and
-// Server where the processor time and the bytes of each message matter.
+// the same time share system calls, sending never blocks, and a quiet stream costs one
+// byte in each direction per heartbeat interval, or per five while it is not in use.
+// Both ends call Use, and the one that asks calls Expect, so that a host that waits for an
+// answer soon sees that its peer is silent. Use Stream instead of Pool and Server where
+// the processor time and the bytes of each message matter.
 //
-// Send, Written and Close are safe for concurrent use; Receive is for one goroutine.
+// All methods but Receive are safe for concurrent use.
 type Stream struct {
 	opts    StreamOptions
 	conn    net.Conn
@@ -64,6 +69,13 @@
 	ended   chan struct{} // closed when nothing is written any more
 	once    sync.Once
 	written atomic.Uint64
+	created time.Time
+
+	// The times are in ns since created.
+	users         atomic.Int64
+	usedSince     atomic.Int64 // when users last became 1
+	expectedSince atomic.Int64 // first call of Expect after the last receipt before it
+	receivedAt    atomic.Int64
 
 	mu      sync.Mutex
 	pending []byte
@@ -88,7 +100,7 @@
 	}
 	s := &Stream{
 		opts: opts, conn: conn, r: bufio.NewReaderSize(conn, readBufferBytes),
-		wake: make(chan struct{}, 1), done: make(chan struct{}), ended: make(chan struct{}),
+		created: time.Now(), wake: make(chan struct{}, 1), done: make(chan struct{}), ended: make(chan struct{}),
 	}
 	go s.loop()
 	return s
@@ -130,7 +142,10 @@
 // the caller must close the stream.
 func (s *Stream) Receive() ([]byte, error) {
 	for {
-		size, err := s.receiveSize()
+		if err := s.awaitData(); err != nil {
+			return nil, err
+		}
+		size, err := binary.ReadUvarint(s.r)
 		if err != nil {
 			return nil, err
 		}
@@ -144,12 +159,78 @@
 	}
 }
 
-// receiveSize reads the length of a frame.
-func (s *Stream) receiveSize() (uint64, error) {
-	if err := s.extendReadDeadline(); err != nil {
-		return 0, err
+// Use counts something in progress between both hosts, such as a call or a transaction,
+// with n = 1, and ends it with n = -1.
+func (s *Stream) Use(n int64) {
+	if s.users.Add(n) == 1 && n == 1 {
+		s.usedSince.Store(s.now())
+		s.shortenReadDeadline()
+	}
+}
+
+// Expect records that the peer has to send something, because it was or is about to be
+// asked.
+func (s *Stream) Expect() {
+	if expected := s.expectedSince.Load(); expected <= s.receivedAt.Load() {
+		s.expectedSince.Store(s.now())
+		s.shortenReadDeadline()
+	}
+}
+
+// now returns the time since the start of the stream, in ns.
+func (s *Stream) now() int64 { return int64(time.Since(s.created)) }
+
+// expiry returns the time at which the peer is taken as failed, as now does.
+func (s *Stream) expiry() int64 {
+	received, timeout := s.receivedAt.Load(), int64(s.opts.IdleTimeout)
+	if expected := s.expectedSince.Load(); expected > received {
+		return expected + timeout // also if what was expected is no longer needed
+	}
+	if s.users.Load() > 0 {
+		return max(received, s.usedSince.Load()) + timeout
+	}
+	return received + unusedFactor*timeout
+}
+
+// shortenReadDeadline applies an earlier expiry to a read in progress.
+func (s *Stream) shortenReadDeadline() {
+	_ = s.conn.SetReadDeadline(s.created.Add(time.Duration(s.expiry()))) // a closed connection fails at the read
+}
+
+// awaitData waits until the first byte of a frame has arrived.
+func (s *Stream) awaitData() error {
+	for {
+		if err := s.setReadDeadline(); err != nil {
+			return err
+		}
+		_, err := s.r.Peek(1)
+		if err == nil {
+			s.receivedAt.Store(s.now())
+			return nil
+		}
+		// The deadline may be that of a use that has ended.
+		if !errors.Is(err, os.ErrDeadlineExceeded) || s.now() >= s.expiry() {
+			return err
+		}
+	}
+}
+
+// setReadDeadline sets the time at which the peer is taken as failed.
+func (s *Stream) setReadDeadline() error {
+	for {
+		select {
+		case <-s.done:
+			return ErrStreamClosed
+		default:
+		}
+		end := s.expiry()
+		if err := s.conn.SetReadDeadline(s.created.Add(time.Duration(end))); err != nil {
+			return err
+		}
+		if s.expiry() >= end { // otherwise a use has begun meanwhile
+			return nil
+		}
 	}
-	return binary.ReadUvarint(s.r)
 }
 
 // receiveBody reads a frame. The buffer grows with what arrives, so that a length
@@ -160,7 +241,8 @@
 	}
 	s.in = s.in[:0]
 	for len(s.in) < size {
-		if err := s.extendReadDeadline(); err != nil {
+		// The rest of a frame that has begun follows without a pause.
+		if err := s.conn.SetReadDeadline(time.Now().Add(s.opts.IdleTimeout)); err != nil {
 			return nil, err
 		}
 		at, n := len(s.in), min(size-len(s.in), writeChunkBytes)
@@ -170,21 +252,11 @@
 		if err != nil {
 			return nil, err
 		}
+		s.receivedAt.Store(s.now())
 	}
 	return s.in, nil
 }
 
-// extendReadDeadline sets the time at which the peer is taken as failed, if what has
-// arrived already is not enough.
-func (s *Stream) extendReadDeadline() error {
-	select {
-	case <-s.done:
-		return ErrStreamClosed
-	default:
-		return s.conn.SetReadDeadline(time.Now().Add(s.opts.IdleTimeout))
-	}
-}
-
 // Close writes what is pending, for a short time, and closes the connection. It does
 // not wait for either.
 func (s *Stream) Close() {
@@ -205,22 +277,27 @@
 func (s *Stream) loop() {
 	defer close(s.ended)
 	defer s.end()
-	heartbeat := time.NewTimer(s.opts.HeartbeatInterval)
+	heartbeat := time.NewTicker(s.opts.HeartbeatInterval / 2)
 	defer heartbeat.Stop()
 	var buf []byte
+	quiet := 0 // ticks without a written byte
 	for closing := false; !closing; {
 		select {
 		case <-s.wake:
 		case <-heartbeat.C:
-			s.queueHeartbeat()
+			if quiet++; quiet >= 2*unusedFactor || quiet >= 2 && s.users.Load() > 0 {
+				s.queueHeartbeat()
+			}
 		case <-s.done:
 			closing = true
 		}
-		buf = s.take(buf)
+		if buf = s.take(buf); len(buf) == 0 {
+			continue
+		}
 		if err := s.write(buf); err != nil {
 			return
 		}
-		heartbeat.Reset(s.opts.HeartbeatInterval)
+		quiet = 0
 	}
 }
 
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -262,6 +262,8 @@
 	if err != nil {
 		return true, err
 	}
+	s.use(1)
+	defer s.use(-1)
 	p, err := s.startProbe(&probe{Target: c.target, Remaining: time.Until(deadline).Milliseconds()})
 	if err != nil {
 		return true, err
--- a/internal/relay/customers_test.go
+++ b/internal/relay/customers_test.go
@@ -15,6 +15,9 @@
 func TestCustomers(t *testing.T) {
 	is := is.New(t)
 	in := install(t, 6, 20) // all six are connectors, with three connections each
+	cfg := *in.cfg
+	cfg.Version, in.state.ConfigVersion, in.state.Version = 2, 2, 2
+	in.cfg = &cfg
 	in.cfg.Customers = make(map[string]database.Customer)
 	for i := range 8 {
 		name := fmt.Sprint("c", i)
--- a/internal/relay/instream.go
+++ b/internal/relay/instream.go
@@ -185,6 +185,7 @@
 		c = new(lentConn)
 		c.ctx, c.cancel = context.WithCancel(in.ctx)
 		in.conns[m.Conn] = c
+		in.stream.Use(1)
 	}
 	c.busy = true
 	in.running++
@@ -277,7 +278,7 @@
 		return
 	}
 	if in.conns[id] == c {
-		delete(in.conns, id)
+		in.removeConn(id)
 	}
 	c.cancel()
 	switch {
@@ -303,7 +304,7 @@
 func (in *inStream) endConn(id uint32, c *lentConn) {
 	c.cancelled = true
 	c.cancel()
-	delete(in.conns, id)
+	in.removeConn(id)
 	switch {
 	case c.busy && c.loan != nil:
 		c.loan.Abort()
@@ -312,6 +313,12 @@
 	}
 }
 
+// removeConn removes a logical connection. The caller holds mu.
+func (in *inStream) removeConn(id uint32) {
+	delete(in.conns, id)
+	in.stream.Use(-1)
+}
+
 // abortTransactions ends the transactions without a statement in progress.
 func (in *inStream) abortTransactions() {
 	in.mu.Lock()
@@ -357,6 +364,7 @@
 		return nil
 	}
 	in.running++
+	in.stream.Use(1)
 	in.calls.Go(func() { in.runProbe(m) })
 	return nil
 }
@@ -374,6 +382,7 @@
 	in.running--
 	in.mu.Unlock()
 	in.send(out)
+	in.stream.Use(-1)
 }
 
 // refuse answers a call that was not run.
--- a/internal/relay/outstream.go
+++ b/internal/relay/outstream.go
@@ -78,6 +78,7 @@
 // use counts a logical connection that has a call or a transaction on the stream.
 func (s *outStream) use(n int64) {
 	s.users.Add(n)
+	s.stream.Use(n)
 	s.lastUse.Store(time.Now().UnixNano())
 }
 
@@ -125,6 +126,7 @@
 	if s.calls == nil {
 		return nil, s.failure(errkind.ConnectFailed, peer.ErrStreamClosed)
 	}
+	s.stream.Expect()
 	s.lastCall++
 	id := s.lastCall
 	p := &pendingCall{id: id, done: make(chan struct{})}
