--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -62,6 +62,10 @@
 // is known.
 func (d *Directory) Server(id string) (directoryrpc.Server, bool) { return d.machine.Server(id) }
 
+// Config returns a state that holds only the configuration in force as applied on this
+// host.
+func (d *Directory) Config() directoryrpc.State { return d.machine.Config() }
+
 // Service returns the rpc service, to be registered as "Directory".
 func (d *Directory) Service() *Service { return &Service{d: d} }
 
@@ -112,3 +116,10 @@
 	address, _ := log.Leader()
 	return nil, errkind.NotLeader, address
 }
+
+// leads reports whether l is still the leadership of this host and its read lease is
+// valid. The lease is checked first: it may belong to a later leadership of this host,
+// in which case l is not current any more.
+func (d *Directory) leads(l *leadership) bool {
+	return l.ctx.Err() == nil && l.log.LeaseValid() && d.loop.Current() == l
+}
