--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -14,8 +14,12 @@
 	Service    time.Duration `json:"service"`     // smoothed time from sending a statement to its answer, in ns
 	FailingFor time.Duration `json:"failing_for"` // in ns; 0 if the server answers
 	Open       int           `json:"open_connections"`
+	Logical    int           `json:"logical_connections,omitempty"` // through connectors, in use
 	Idle       int           `json:"idle_connections"`
 	Busy       int           `json:"busy_slots"`
+	Role       string        `json:"role"`                 // direct, connector or sender
+	Connectors []string      `json:"connectors,omitempty"` // in the order in which this host tries them without a customer
+	Limit      int           `json:"connector_limit,omitempty"`
 	// Connections holds the number of open connections by customer; absent without
 	// customers.
 	Connections map[string]int `json:"connections_by_customer,omitempty"`
@@ -50,14 +54,16 @@
 		d.Customers, d.OtherCustomers = busiest, &other
 	}
 	for id, m := range g.members {
-		md := MemberDump{Server: id, Group: m.server.Group, FailingFor: m.failingFor(clock.Now()), Busy: m.sched.Busy()}
+		md := MemberDump{Server: id, Group: m.server.Group, FailingFor: m.failingFor(clock.Now()), Busy: m.sched.Busy() + m.relaySched.Busy(), Logical: m.pool.logicalInUse()}
 		md.Open, md.Idle = m.pool.size()
 		if named {
 			md.Connections = m.pool.byCustomer()
 		}
 		m.mu.Lock()
 		md.Applied, md.Service = m.applied.String(), m.answerTime
+		c := m.connections
 		m.mu.Unlock()
+		md.Role, md.Limit, md.Connectors = c.role.String(), c.choice.Limit, c.choice.Order(m.self, c.region)
 		d.Members = append(d.Members, md)
 	}
 	return d
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,6 +47,7 @@
 	groups         map[string]*group
 	sessions       map[*Session]struct{}
 	hosts          int // hosts that share the connections of each server, including this one
+	sharing        *sharing
 	draining       bool
 	primaryFailing chan struct{} // capacity 1; returned by PrimaryFailing
 }
@@ -65,6 +66,7 @@
 		sessions:       make(map[*Session]struct{}),
 		hosts:          1,
 		primaryFailing: make(chan struct{}, 1),
+		sharing:        newSharing(nil, true, opts.Place),
 	}
 	g.preparedStatements.budget = opts.Memory
 	g.ctx, g.cancel = context.WithCancel(context.Background())
@@ -153,7 +155,7 @@
 			g.opts.Events.Event("server_joined").Str("server", id).Str("group", s.Group).Str("address", s.Address).Int64("born", s.Born).Msg("backend server added")
 		}
 		m.setDraining(s.Draining)
-		m.configure(specs, v.cfg.Groups[s.Group], g.hosts)
+		g.configureMember(m, specs, v.cfg)
 		gv := v.groups[s.Group]
 		if gv == nil {
 			gv = new(groupView)
@@ -190,11 +192,7 @@
 		return
 	}
 	g.hosts = hosts
-	v := g.view.Load()
-	specs := rankSpecs(v.ranks)
-	for _, m := range g.members {
-		m.configure(specs, v.cfg.Groups[m.server.Group], hosts)
-	}
+	g.configureMembers()
 }
 
 // hasLease reports whether the lease of the host is valid.
@@ -211,9 +209,9 @@
 // Ready reports whether the load balancer should send callers here.
 func (g *Gateway) Ready() bool {
 	g.mu.Lock()
-	draining := g.draining
+	stopped := g.draining || g.awaitsHosts()
 	g.mu.Unlock()
-	return !draining && g.hasLease() && g.view.Load().cfg.Version > 0
+	return !stopped && g.hasLease() && g.view.Load().cfg.Version > 0
 }
 
 // Drain makes Ready return false, for a planned stop. Open sessions continue.
@@ -223,6 +221,13 @@
 	g.draining = true
 }
 
+// Draining reports whether a planned stop has begun.
+func (g *Gateway) Draining() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.draining
+}
+
 // Release waits until no work of this host is in progress at a primary that is
 // being replaced, and aborts work that does not end in time. The host must not
 // confirm the state to the directory before Release returns. All groups are
@@ -322,6 +327,9 @@
 		g.mu.Unlock()
 		sessions := g.allSessions()
 		g.endDeniedTransactions(sessions)
+		if round%trimRounds == 0 {
+			g.countConnections(members)
+		}
 		if round%exportRounds == 0 {
 			g.metrics.customers.export()
 		}
@@ -341,6 +349,17 @@
 	}
 }
 
+// countConnections updates the metrics of connections.
+func (g *Gateway) countConnections(members []*member) {
+	open, logical := 0, 0
+	for _, m := range members {
+		n, _ := m.pool.size()
+		open, logical = open+n, logical+m.pool.logicalInUse()
+	}
+	g.metrics.connections.Update(int64(open))
+	g.metrics.logicalConnections.Update(int64(logical))
+}
+
 // runProbe probes a member, and signals PrimaryFailing if it is a primary that
 // does not respond.
 func (g *Gateway) runProbe(m *member) {
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -72,10 +72,13 @@
 // host has observed of the server.
 type member struct {
 	server        directoryrpc.Server
-	assumedRTT    time.Duration // round-trip time assumed from the location
-	regionPenalty time.Duration // added to the cost if the server is in another region
-	sched         *schedule.Scheduler
+	assumedRTT    time.Duration       // round-trip time assumed from the location
+	regionPenalty time.Duration       // added to the cost if the server is in another region
+	sched         *schedule.Scheduler // of statements on connections of this host
+	relaySched    *schedule.Scheduler // of statements that are sent through connectors
 	pool          *pool
+	relay         func(customer string) RelayedConn // opens a logical connection; nil without Options.Relay
+	self          string                            // id of this host
 
 	mu                  sync.Mutex
 	answerTime          time.Duration // smoothed time from sending a statement to its answer
@@ -91,16 +94,26 @@
 	inflight            int       // statements sent and not yet answered
 	lastProgress        time.Time // last answer, or when inflight last became nonzero
 	drainingSince       time.Time // when the host learned that the server is draining; zero if it is not
+	connections         connections
+	orders              map[string][]string // addresses of the connectors by customer, in the order of use; cleared when connections change
 }
 
 // newMember returns a member without connections. opened is called for each connection
 // that is opened.
 func newMember(opts Options, s directoryrpc.Server, opened func(customer string, exchanged bool)) *member {
-	m := &member{server: s}
+	m := &member{server: s, self: opts.Host}
 	m.setDraining(s.Draining)
 	m.assumedRTT, m.regionPenalty = opts.Place.distance(s.DataCentre)
 	m.pool = newPool(func(ctx context.Context, customer string) (Conn, error) { return opts.Connect(ctx, s, customer) }, opened)
-	m.sched = schedule.New(schedule.Options{Slots: max(1, s.Slots), Ranks: rankSpecs(schedule.RankTable{}), Window: floorWindow, AssumedServiceTime: assumedServiceTime})
+	if opts.Relay != nil {
+		m.relay = func(customer string) RelayedConn {
+			return opts.Relay(s, customer, func() []string { return m.connectors(customer) })
+		}
+	}
+	newScheduler := func() *schedule.Scheduler {
+		return schedule.New(schedule.Options{Slots: max(1, s.Slots), Ranks: rankSpecs(schedule.RankTable{}), Window: floorWindow, AssumedServiceTime: assumedServiceTime})
+	}
+	m.sched, m.relaySched = newScheduler(), newScheduler()
 	return m
 }
 
@@ -126,13 +139,122 @@
 	return max(1, min(slots, fair))
 }
 
-// configure applies a configuration and the number of hosts that share the
-// connections of the server.
-func (m *member) configure(specs []schedule.RankSpec, group database.Group, hosts int) {
-	m.sched.Configure(maxInFlight(m.server.Slots, hosts), specs)
-	usable := max(1, group.MaxConnections-reservedConnections)
-	share := max(1, usable/max(1, hosts))
-	m.pool.setLimits(min(usable, connectionOvercommit*share), share, usable < hosts)
+// configure applies a configuration, the number of hosts that share the
+// connections of the server, and how this host reaches it. It reports whether the
+// connectors or the role of this host have changed.
+func (m *member) configure(specs []schedule.RankSpec, group database.Group, hosts int, c connections) (changed bool) {
+	before := m.setConnections(c)
+	// The connectors limit what reaches the server, in the order of ranks.
+	m.relaySched.Configure(max(1, m.server.Slots), specs)
+	switch c.role {
+	case roleSender:
+		m.sched.Configure(1, specs)
+		m.pool.empty()
+	case roleConnector:
+		m.sched.Configure(connectorInFlight(m.server.Slots, c), specs)
+		m.pool.setExactLimit(c.choice.Limit)
+	default:
+		m.sched.Configure(maxInFlight(m.server.Slots, hosts), specs)
+		usable := max(1, group.MaxConnections-reservedConnections)
+		share := max(1, usable/max(1, hosts))
+		m.pool.setLimits(min(usable, connectionOvercommit*share), share, usable < hosts)
+	}
+	return !before.sameRoute(c)
+}
+
+// connectorInFlight returns how many statements outside of open transactions a
+// connector may have in progress at a server, its own included. Customers are spread
+// unevenly over connectors, so with customers each may use twice its part.
+func connectorInFlight(slots int, c connections) int {
+	n := maxInFlight(slots, len(c.choice.Hosts()))
+	if c.customers {
+		n = min(2*n, max(1, slots))
+	}
+	return min(n, c.choice.Limit)
+}
+
+// setConnections replaces how this host reaches the server and returns the previous
+// value.
+func (m *member) setConnections(c connections) connections {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	before := m.connections
+	if c.sharing == nil || before.sharing != c.sharing || before.usable != c.usable {
+		m.orders = nil
+	}
+	m.connections = c
+	return before
+}
+
+// currentConnections returns how this host reaches the server.
+func (m *member) currentConnections() connections {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.connections
+}
+
+// role returns the role of this host for the server.
+func (m *member) role() role { return m.currentConnections().role }
+
+// connectors returns the addresses of the connectors in the order in which they are
+// tried for a customer.
+func (m *member) connectors(customer string) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.orderOf(customer)
+}
+
+// orderOf is connectors; the caller holds mu.
+func (m *member) orderOf(customer string) []string {
+	if order, ok := m.orders[customer]; ok {
+		return order
+	}
+	if m.orders == nil {
+		m.orders = make(map[string][]string)
+	}
+	m.orders[customer] = m.connections.order(m.self, customer, m.server.ID)
+	return m.orders[customer]
+}
+
+// relays reports whether statements of a customer are sent through a connector. A
+// connector uses its own connections, but those of each customer are at few
+// connectors: otherwise most statements would need a connection to be opened.
+func (m *member) relays(customer string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c := m.connections
+	switch c.role {
+	case roleSender:
+		return true
+	case roleConnector:
+		return customer != "" && m.orderOf(customer)[0] != c.sharing.list[m.self].PeerAddress
+	}
+	return false
+}
+
+// scheduler returns the scheduler of statements that are relayed or not.
+func (m *member) scheduler(relayed bool) *schedule.Scheduler {
+	if relayed {
+		return m.relaySched
+	}
+	return m.sched
+}
+
+// release frees the slot of a statement that used a connection.
+func (m *member) release(slot schedule.Slot, pc *pooledConn) {
+	m.scheduler(pc.relayed != nil).Release(slot)
+}
+
+// connection returns a connection for a statement that is relayed or not.
+func (m *member) connection(ctx context.Context, relayed bool, rank int, customer string, sess sessionState) (*pooledConn, error) {
+	if !relayed {
+		return m.pool.get(ctx, rank, customer, sess)
+	}
+	pc, err := m.pool.logical(m.relay(customer), customer)
+	if err == nil {
+		pc.rank = rank
+	}
+	return pc, err
 }
 
 // setDraining records whether the server is draining.
@@ -253,7 +375,7 @@
 // classify returns the read class of the server and the cost of a read there: its
 // expected time, including the wait in the queue, plus the region penalty.
 func (m *member) classify(now time.Time) (readClass, time.Duration) {
-	queued, _, slotTime := m.sched.Load()
+	queued, _, slotTime := m.scheduler(m.role() == roleSender).Load()
 	waiting := 0
 	for _, n := range queued {
 		waiting += n
@@ -310,10 +432,11 @@
 func (m *member) probe(ctx context.Context) (responds bool) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
+	if m.role() == roleSender {
+		return m.probeRelayed(ctx)
+	}
 	conn, err := m.pool.dialIgnoringLimits(ctx)
-	m.mu.Lock()
-	m.probing = false
-	m.mu.Unlock()
+	m.endProbe()
 	switch {
 	case err == nil:
 		m.recordReachable()
@@ -327,6 +450,31 @@
 	return true
 }
 
+// endProbe permits the next probe.
+func (m *member) endProbe() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.probing = false
+}
+
+// probeRelayed is probe for a sender: it asks a connector.
+func (m *member) probeRelayed(ctx context.Context) (responds bool) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = time.Now().Add(probeTimeout)
+	}
+	conn := m.relay("")
+	err := conn.Probe(deadline)
+	_ = conn.Close() // nothing is in progress on it
+	m.endProbe()
+	if err == nil {
+		m.recordReachable()
+		return true
+	}
+	_, unresponsive := m.recordFailure(err)
+	return !unresponsive
+}
+
 // recordReachable records that the server answers connection attempts.
 // Statements on older connections may still be unanswered.
 func (m *member) recordReachable() {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -22,6 +22,10 @@
 	connectionsExchanged metrics.Counter // opened in place of one of another customer
 	abortedTransactions  metrics.Counter // transactions aborted by this host
 	keysRefused          metrics.Counter // callers with an unknown key
+	connectorChanges     metrics.Counter
+	connections          metrics.Gauge   // of this host to all servers
+	logicalConnections   metrics.Gauge   // through connectors, in use
+	lent                 metrics.Counter // statements of other hosts that were sent to a server
 }
 
 func newMetrics(r metrics.Registry) *gatewayMetrics {
@@ -42,6 +46,10 @@
 		connectionsOpened:    metrics.GetOrRegisterCounter("gateway.connections_opened", r),
 		connectionsExchanged: metrics.GetOrRegisterCounter("gateway.connections_exchanged", r),
 		abortedTransactions:  metrics.GetOrRegisterCounter("gateway.transactions_aborted", r),
+		connections:          metrics.GetOrRegisterGauge("gateway.connections", r),
+		logicalConnections:   metrics.GetOrRegisterGauge("gateway.connections_logical", r),
+		connectorChanges:     metrics.GetOrRegisterCounter("gateway.connector_changes", r),
+		lent:                 metrics.GetOrRegisterCounter("gateway.statements_of_other_hosts", r),
 	}
 }
 
--- a/internal/gateway/operation.go
+++ b/internal/gateway/operation.go
@@ -119,10 +119,10 @@
 	}
 }
 
-// recordSend records an attempt to send the statement, or BEGIN, which ended with
-// err.
-func (o *operation) recordSend(err error) {
-	o.sent = o.sent || errkind.Of(err) != errkind.ConnectFailed
+// recordSend records an attempt to send the statement, or BEGIN, on a connection,
+// which ended with err.
+func (o *operation) recordSend(pc *pooledConn, err error) {
+	o.sent = o.sent || errkind.Of(err) != errkind.ConnectFailed && !pc.refusedByConnector(err)
 }
 
 // route is the destination of an attempt.
@@ -280,14 +280,15 @@
 	startWithin := left - min(answerReserveFactor*m.expectedAnswerTime(), left/2)
 	startCtx, cancelStart := context.WithTimeout(ctx, startWithin)
 	defer cancelStart()
-	slot, err := m.sched.Acquire(startCtx, o.gateway.view.Load().ranks.Name(o.db.Rank), o.session.identity.customer, begun.Add(startWithin))
+	relayed := m.relays(o.session.identity.customer)
+	slot, err := m.scheduler(relayed).Acquire(startCtx, o.gateway.view.Load().ranks.Name(o.db.Rank), o.session.identity.customer, begun.Add(startWithin))
 	o.queued += time.Since(begun)
 	o.gateway.metrics.queueWait.Update(int64(time.Since(begun)))
 	if err != nil {
 		return nil, slot, err
 	}
 	required := o.session.requiredState(o.preparedStmt)
-	pc, err := m.pool.get(ctx, o.db.Rank, o.session.identity.customer, required)
+	pc, err := m.connection(ctx, relayed, o.db.Rank, o.session.identity.customer, required)
 	if err == nil {
 		if err = o.mayRun(); err != nil {
 			m.pool.put(pc)
@@ -296,7 +297,7 @@
 		}
 	}
 	if err != nil {
-		m.sched.Release(slot)
+		m.scheduler(relayed).Release(slot)
 		if errkind.Of(err) == errkind.ConnectFailed && o.ctx.Err() == nil {
 			o.recordFailure(rt, err)
 		}
@@ -313,20 +314,27 @@
 // the server is unresponsive, it closes the idle connections and, for a primary,
 // signals Gateway.PrimaryFailing.
 func (o *operation) recordFailure(rt route, err error) {
-	first, unresponsive := rt.member.recordFailure(err)
+	if !connectorFailed(err) {
+		o.gateway.recordFailure(rt.member, o.request.ID, err)
+	}
+}
+
+// recordFailure is operation.recordFailure for a server.
+func (g *Gateway) recordFailure(m *member, request string, err error) {
+	first, unresponsive := m.recordFailure(err)
 	if !unresponsive {
 		// Keep the other connections: each that is reopened would occupy a slot
 		// of a busy server.
 		return
 	}
 	if first {
-		o.gateway.opts.Events.Event("server_failing").Str("server", rt.member.server.ID).Str("group", o.db.Group).
-			Str("request", o.request.ID).Err(err).Msg("backend server does not answer")
+		g.opts.Events.Event("server_failing").Str("server", m.server.ID).Str("group", m.server.Group).
+			Str("request", request).Err(err).Msg("backend server does not answer")
 	}
-	if gv := o.gateway.view.Load().groups[o.db.Group]; gv != nil && gv.primary == rt.member {
-		o.gateway.signalPrimaryFailing()
+	if gv := g.view.Load().groups[m.server.Group]; gv != nil && gv.primary == m {
+		g.signalPrimaryFailing()
 	}
-	rt.member.pool.closeIdle()
+	m.pool.closeIdle()
 }
 
 // attempt sends a statement outside of a transaction. retry reports whether the
@@ -351,14 +359,14 @@
 	if u != nil && (!u.attach(pc) || !o.gateway.hasLease()) {
 		u.abandon()
 		rt.member.pool.put(pc)
-		rt.member.sched.Release(slot)
+		rt.member.release(slot, pc)
 		o.recordError(errkind.New(errkind.NoPrimary, "the primary of group %q is being changed", rt.group.name))
 		return a, true
 	}
 	if err := o.maySend(); err != nil {
 		u.abandon()
 		rt.member.pool.put(pc)
-		rt.member.sched.Release(slot)
+		rt.member.release(slot, pc)
 		o.recordError(err)
 		return a, true
 	}
@@ -370,17 +378,22 @@
 	sent, begun := clock.Now(), time.Now()
 	rt.member.startStatement()
 	a, err = pc.do(o.answerDeadline(rt), r)
-	o.recordSend(err)
-	rt.member.endStatement(err == nil || refusedAnswer(err))
+	o.recordSend(pc, err)
+	rt.member.endStatement(err == nil || pc.refusedAnswer(err))
 	took := time.Since(begun)
 	valid := err == nil && o.finishUse(u, sent, a)
-	rt.member.sched.Release(slot)
+	rt.member.release(slot, pc)
 	if err != nil {
 		u.abandon()
 		rt.member.pool.drop(pc)
-		if refusedAnswer(err) {
+		if pc.refusedAnswer(err) {
 			return o.refuseAnswer(err), false
 		}
+		if pc.refusedByConnector(err) {
+			o.recordError(err)
+			o.tried[rt.member] = true
+			return a, true
+		}
 		o.recordFailure(rt, err)
 		return o.handleNoAnswer(rt, err)
 	}
@@ -419,13 +432,6 @@
 	return o.session.failureAnswer(errkind.Wrap(errkind.OutcomeUnknown, err, "server %s did not answer a write", rt.member.server.ID)), false
 }
 
-// refusedAnswer reports whether an answer was refused by this host because of its size.
-// That is no failure of the server.
-func refusedAnswer(err error) bool {
-	kind := errkind.Of(err)
-	return kind == errkind.AnswerTooLarge || kind == errkind.Overloaded
-}
-
 // refuseAnswer returns the answer for the caller if the answer of the server was
 // refused. Only a read may be reported as not run: it has no effect.
 func (o *operation) refuseAnswer(err error) statement.Answer {
--- a/internal/gateway/operationtx.go
+++ b/internal/gateway/operationtx.go
@@ -58,7 +58,7 @@
 	}
 	// The slot is held only for BEGIN. Later statements of the transaction bypass
 	// the queue, because it holds a connection until it ends.
-	defer rt.member.sched.Release(slot)
+	defer rt.member.release(slot, pc)
 	err = o.sendBegin(rt, u, pc)
 	if err != nil {
 		u.abandon()
@@ -84,8 +84,11 @@
 	sent, begun := clock.Now(), time.Now()
 	rt.member.startStatement()
 	a, err := pc.do(o.wallDeadline(), r)
-	o.recordSend(err)
+	o.recordSend(pc, err)
 	rt.member.endStatement(err == nil)
+	if pc.refusedByConnector(err) {
+		return err
+	}
 	if err != nil {
 		o.recordFailure(rt, err)
 		return errkind.Wrap(errkind.ConnectFailed, err, "server %s did not begin the transaction", rt.member.server.ID)
@@ -141,7 +144,7 @@
 		o.attempts++
 		a, err = t.conn.do(o.wallDeadline(), o.request)
 	}
-	t.member.endStatement(err == nil || refusedAnswer(err))
+	t.member.endStatement(err == nil || t.conn.refusedAnswer(err))
 	if err != nil {
 		return o.handleLostTransaction(err)
 	}
@@ -190,7 +193,7 @@
 	s := o.session
 	t := s.tx
 	gv := o.gateway.view.Load().groups[o.db.Group]
-	if gv != nil && !t.conn.aborted.Load() && !refusedAnswer(err) {
+	if gv != nil && !t.conn.aborted.Load() && !t.conn.refusedAnswer(err) {
 		o.recordFailure(route{member: t.member, group: gv.group}, err)
 	}
 	wrote, commit := t.wrote, o.request.Kind == statement.Commit
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -22,7 +22,12 @@
 	// of kind errkind.OverAllowance. It is called once for each operation of a session
 	// with a customer: before a statement outside of a transaction is first sent, and
 	// before BEGIN is sent. It may wait until ctx ends. nil: no operation is refused.
-	Admit    func(ctx context.Context, customer string) (Admission, error)
+	Admit func(ctx context.Context, customer string) (Admission, error)
+	// Relay opens a logical connection through connectors. order returns their
+	// addresses in the order in which they are tried. nil: this host and its servers are
+	// always connected directly.
+	Relay    func(s directoryrpc.Server, customer string, order func() []string) RelayedConn
+	Host     string // id of this host in the list of hosts; used with Relay
 	Place    Place
 	Events   *eventlog.Log
 	Registry metrics.Registry // nil: New creates a private registry
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -37,9 +37,11 @@
 	opened  func(customer string, exchanged bool) // called for each connection that was opened
 
 	mu        sync.Mutex
-	limit     int  // maximum of open
-	fairShare int  // this host's equal part of the server's connections, at least 1
-	scarce    bool // there are fewer connections than hosts; otherwise trim keeps fairShare open
+	limit     int    // maximum of open
+	fairShare int    // this host's equal part of the server's connections, at least 1
+	scarce    bool   // there are fewer connections than hosts; otherwise trim keeps fairShare open
+	exact     bool   // no connection above limit is kept
+	epoch     uint64 // grows with empty
 	open      int
 	dialling  int
 	idle      []*pooledConn // most recently used last
@@ -102,7 +104,7 @@
 		select {
 		case pc, open := <-w.ready:
 			if !open {
-				return nil, errPoolClosed()
+				return nil, p.noConnection()
 			}
 			if pc != nil {
 				return pc, nil
@@ -119,6 +121,29 @@
 	}
 }
 
+// noConnection returns the error of a statement whose wait was ended.
+func (p *pool) noConnection() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return errPoolClosed()
+	}
+	return errkind.New(errkind.NotOwner, "this host no longer connects to the server")
+}
+
+// logical returns a new logical connection. It costs nothing, so that there are no idle
+// ones, and the limits do not apply to it.
+func (p *pool) logical(conn RelayedConn, customer string) (*pooledConn, error) {
+	pc := &pooledConn{conn: conn, relayed: conn, customer: customer}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, errPoolClosed()
+	}
+	p.use(pc, time.Now())
+	return pc, nil
+}
+
 // use marks a connection as in use. The caller holds mu.
 func (p *pool) use(pc *pooledConn, now time.Time) {
 	pc.usedSince = now
@@ -238,6 +263,9 @@
 func (p *pool) dial(ctx context.Context, customer string, exchanged bool) (*pooledConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
+	p.mu.Lock()
+	epoch := p.epoch
+	p.mu.Unlock()
 	conn, err := p.connect(ctx, customer)
 	if err != nil {
 		p.releaseDial(err)
@@ -249,6 +277,7 @@
 	p.opened(customer, exchanged)
 	pc := newPooledConn(conn, customer)
 	p.mu.Lock()
+	pc.epoch = epoch
 	p.use(pc, time.Now())
 	p.dialling--
 	p.wakeWaiters()
@@ -292,7 +321,7 @@
 // put returns a connection without an open transaction to the pool.
 func (p *pool) put(pc *pooledConn) {
 	p.mu.Lock()
-	if p.closed || pc.aborted.Load() {
+	if p.closed || pc.relayed != nil || pc.aborted.Load() || pc.epoch != p.epoch || p.exact && p.open > p.limit {
 		p.mu.Unlock()
 		p.drop(pc)
 		return
@@ -336,6 +365,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.inUse, pc)
+	if pc.relayed != nil {
+		return
+	}
 	p.open--
 	p.wakeWaiters()
 }
@@ -345,8 +377,38 @@
 func (p *pool) setLimits(limit, share int, scarce bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.limit, p.fairShare, p.scarce = limit, share, scarce
+	p.limit, p.fairShare, p.scarce, p.exact = limit, share, scarce, false
+	p.wakeWaiters()
+}
+
+// setExactLimit sets the maximum of open connections of a connector. Idle connections
+// above it are closed at once, because other connectors may open them now.
+func (p *pool) setExactLimit(limit int) {
+	p.mu.Lock()
+	p.limit, p.fairShare, p.scarce, p.exact = limit, limit, false, true
+	n := min(max(p.open-limit, 0), len(p.idle))
+	surplus := slices.Clone(p.idle[:n])
+	p.idle = slices.Delete(p.idle, 0, n)
 	p.wakeWaiters()
+	p.mu.Unlock()
+	for _, pc := range surplus {
+		p.drop(pc)
+	}
+}
+
+// empty closes the idle connections now and those in use when they are returned, and
+// ends the waits, because the host does not connect to the server any more.
+func (p *pool) empty() {
+	p.mu.Lock()
+	p.epoch++
+	p.limit, p.fairShare, p.scarce, p.exact = 0, 0, false, true
+	waiting := p.waiting
+	p.waiting = nil
+	p.mu.Unlock()
+	for _, w := range waiting {
+		close(w.ready)
+	}
+	p.closeIdle()
 }
 
 // trim closes idle connections that are unusable, and surplus ones beyond the
@@ -433,6 +495,19 @@
 	return p.open, len(p.idle)
 }
 
+// logicalInUse returns the number of logical connections.
+func (p *pool) logicalInUse() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for pc := range p.inUse {
+		if pc.relayed != nil {
+			n++
+		}
+	}
+	return n
+}
+
 // dialIgnoringLimits opens a connection even if the pool's limits are reached. It is
 // opened for no customer.
 func (p *pool) dialIgnoringLimits(ctx context.Context) (*pooledConn, error) {
--- a/internal/gateway/pooledconn.go
+++ b/internal/gateway/pooledconn.go
@@ -24,6 +24,11 @@
 	idleSince time.Time       // when it was returned to the pool
 	usedSince time.Time       // when it was taken from the pool
 	aborted   atomic.Bool     // the connection was closed by abort
+	epoch     uint64          // of the pool when the connection was opened
+
+	relayed  RelayedConn   // conn, if it is a logical connection; settings and prepared are not used then
+	required *sessionState // relayed: state that the next statement needs
+	rank     int           // relayed: of the statement or transaction
 }
 
 // sessionState is the state that a session requires on its connection.
@@ -65,6 +70,10 @@
 
 // adapt applies the session's settings and prepared statement to the connection.
 func (pc *pooledConn) adapt(deadline time.Time, sess sessionState) error {
+	if pc.relayed != nil {
+		pc.required = &sess // sent with the statement
+		return nil
+	}
 	cost := pc.adaptCost(sess)
 	if cost == 0 && len(pc.prepared) <= maxPrepared {
 		return nil
@@ -98,9 +107,19 @@
 	return nil
 }
 
+// refusedAnswer reports whether this host refused the answer of a server because of its
+// size. The statement has run, and that is no failure of the server.
+func (pc *pooledConn) refusedAnswer(err error) bool {
+	kind := errkind.Of(err)
+	return pc.relayed == nil && (kind == errkind.AnswerTooLarge || kind == errkind.Overloaded)
+}
+
 // do sends one statement and returns its answer.
 func (pc *pooledConn) do(deadline time.Time, r statement.Request) (statement.Answer, error) {
 	r.Meter.Release() // of an earlier attempt
+	if pc.relayed != nil {
+		return pc.doRelayed(deadline, r)
+	}
 	answers, err := pc.conn.Do(deadline, r)
 	if err != nil {
 		return statement.Answer{}, err
