directory, gateway: hosts that return all at once reach servers before the leases of the earlier leader end

Change: the leader sends the list once it knows nine tenths of the recorded hosts. If a server has a connection for each host, hosts connect directly until the list arrives. A statement whose connectors are not known waits for the list instead of using up its attempts.

--- a/internal/directory/hostlist.go
+++ b/internal/directory/hostlist.go
@@ -73,6 +73,13 @@
 	}
 }
 
+// len returns the number of hosts in the list.
+func (l *hostList) len() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.hosts)
+}
+
 // record records a change that adds delta to the version. The caller holds mu.
 func (l *hostList) record(id string, delta uint64) {
 	l.changes = append(l.changes, hostChange{l.version, id})
@@ -124,6 +131,10 @@
 // whole states.
 const hostEntryBytes = 48
 
+// minKnownHosts is the fraction of the hosts of an earlier leader that a new leader must
+// know before it sends the list. The few that are missing move few connectors.
+const minKnownHosts = 0.9
+
 // fillHosts sets the changes of the list of hosts, if the host asks for them. Until
 // every host has had the time to report, a new leader does not know all hosts, and an
 // incomplete list would name other connectors than the one that the hosts have.
@@ -131,7 +142,7 @@
 	if !args.AsksHosts {
 		return
 	}
-	if !l.sessions.earlierLeasesExpired() && l.machine.HostCount() > 0 {
+	if !l.sessions.earlierLeasesExpired() && float64(l.hostList.len()) < minKnownHosts*float64(l.machine.HostCount()) {
 		reply.HostsPending = true
 		return
 	}
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -193,6 +193,13 @@
 	return m.connections
 }
 
+// awaitsConnectors reports whether this host reaches the server only through
+// connectors, which it does not know yet.
+func (m *member) awaitsConnectors() bool {
+	c := m.currentConnections()
+	return c.role == roleSender && c.sharing == nil
+}
+
 // role returns the role of this host for the server.
 func (m *member) role() role { return m.currentConnections().role }
 
--- a/internal/gateway/operation.go
+++ b/internal/gateway/operation.go
@@ -209,12 +209,17 @@
 	return clock.Now().Before(o.deadline)
 }
 
-// authorizedRoute returns the next route if the key of the session permits it.
+// authorizedRoute returns the next route if the key of the session permits it and this
+// host knows how to reach the server.
 func (o *operation) authorizedRoute(nextRoute func() (route, error)) (route, error) {
 	if err := o.gateway.authorize(o.session.identity, o.session.name); err != nil {
 		return route{}, err
 	}
-	return nextRoute()
+	rt, err := nextRoute()
+	if err == nil && rt.member.awaitsConnectors() {
+		return route{}, errkind.New(errkind.NoMember, "the connectors of server %s are not known yet", rt.member.server.ID)
+	}
+	return rt, err
 }
 
 // executeSingle runs a statement outside of a transaction.
--- a/internal/gateway/sharing.go
+++ b/internal/gateway/sharing.go
@@ -65,10 +65,19 @@
 	return false
 }
 
-// awaitsHosts reports whether this host needs the list of hosts, and control will send
-// the first one soon. The caller holds mu.
+// awaitsHosts reports whether this host can't reach some server before control sends
+// the first list of hosts. The caller holds mu.
 func (g *Gateway) awaitsHosts() bool {
-	return len(g.sharing.list) == 0 && g.sharing.pending && g.sharesConnections()
+	if len(g.sharing.list) > 0 || !g.sharing.pending {
+		return false
+	}
+	cfg := g.view.Load().cfg
+	for _, group := range cfg.Groups {
+		if g.connectorsApply(cfg, group) && connector.Usable(group.MaxConnections) < g.hosts {
+			return true
+		}
+	}
+	return false
 }
 
 // connectorsApply reports whether connectors are used for the servers of a group. The
@@ -85,8 +94,8 @@
 
 // SetHosts replaces the list of the hosts that share connections. pending reports that
 // control will send a list soon; until the first one a host does not know the
-// connectors and must not connect by itself, because all hosts that have just started
-// would do so.
+// connectors. If a server has fewer connections than there are hosts, it must not
+// connect by itself then, because all hosts that have just started would do so.
 func (g *Gateway) SetHosts(list map[string]directoryrpc.Host, pending bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -121,8 +130,12 @@
 	switch {
 	case !g.connectorsApply(cfg, group):
 		return connections{}
-	case len(g.sharing.list) == 0 && g.sharing.pending:
+	case len(g.sharing.list) == 0 && g.sharing.pending && connector.Usable(group.MaxConnections) < g.hosts:
 		return connections{role: roleSender}
+	case len(g.sharing.list) == 0 && g.sharing.pending:
+		// Each host has a connection of its own until the list arrives. After a loss of
+		// all hosts, callers would otherwise be refused until then.
+		return connections{}
 	case !g.sharing.complete:
 		return connections{}
 	}
