--- a/internal/allowance/doc.go
+++ b/internal/allowance/doc.go
@@ -12,17 +12,18 @@
 // In every window of length W, at most (rate x W + burst) x (1 + overage) +
 // tolerance operations of a customer are sent. Let
 //
-//	capacity = burst x (1 + overage) + rate x W x overage + tolerance
+//	capacity = burst x (1 + overage) + rate x W x overage / 2 + tolerance
+//	fill rate = rate x (1 + overage / 2)
 //
 // Let potential be the number of tokens that may still be used: those in the bucket
 // of the ledger in force, at hosts and in replies on their way. If potential never
-// exceeds capacity and grows by at most rate x t in a time t, then in a window at
-// most capacity + rate x W operations are sent, which is the bound. It holds because:
+// exceeds capacity and grows by at most fill rate x t in a time t, then in a window at
+// most capacity + fill rate x W operations are sent, which is the bound. It holds because:
 //
 //   - The ledger counts a token as held from its grant until the host reports that
 //     the operation was sent, that the token was returned, or until it can no longer
 //     be valid. So it never counts fewer than there are. The bucket is filled at
-//     rate, up to capacity less the tokens held.
+//     the fill rate, up to capacity less the tokens held.
 //   - An operation is counted as used when it is sent, not when it is admitted. A
 //     token that an operation holds in a queue counts as held.
 //   - The stock of a host is valid for the TTL, counted from before the request was
--- a/internal/allowance/params.go
+++ b/internal/allowance/params.go
@@ -31,12 +31,16 @@
 }
 
 // bucketSize returns the capacity of the bucket of a customer and the rate at which it
-// is filled. With a capacity below one token no operation would ever be admitted, so
+// is filled. Half of the overage of the rate goes into the fill rate: a customer that
+// sends more than its limit all the time is then served at least at its rate, although
+// tokens lie idle at hosts and on their way. The other half makes room for these tokens.
+// With a capacity below one token no operation would ever be admitted, so
 // it is then one token, and the rate is lowered to keep the bound.
 func (p Params) bucketSize(l Limit) (capacity, rate float64) {
 	window := p.Window.Seconds()
 	l = Limit{Rate: min(l.Rate, maxAmount), Burst: min(l.Burst, maxAmount)}
-	capacity, rate = l.Burst*(1+p.Overage)+l.Rate*window*p.Overage+p.Tolerance, l.Rate
+	capacity = l.Burst*(1+p.Overage) + l.Rate*window*p.Overage/2 + p.Tolerance
+	rate = l.Rate * (1 + p.Overage/2)
 	if capacity >= 1 {
 		return capacity, rate
 	}
--- a/internal/allowance/stock.go
+++ b/internal/allowance/stock.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	// maxWait bounds the wait of an operation for a token.
-	maxWait = 500 * time.Millisecond
+	// maxWait bounds the wait of an operation for a token, if its deadline doesn't. The
+	// leader answers within a round trip; a change of the leader takes up to a second.
+	maxWait = 1200 * time.Millisecond
 	// minCallInterval is the shortest time between two calls.
 	minCallInterval = 10 * time.Millisecond
 	// refillInterval is the shortest time between two calls for operations to come.
@@ -97,7 +98,7 @@
 }
 
 // Acquire returns a token for an operation. If the host has none, it waits for the
-// next answer of the ledger, for at most 500 ms. The error is a *Refused, or the
+// next answer of the ledger, for at most 1.2 s. The error is a *Refused, or the
 // cause of the end of ctx.
 func (s *Stock) Acquire(ctx context.Context, customer string) (*Token, error) {
 	s.mu.Lock()
