consensus, process: reads of the configuration during restarts of nine tenths of control

Every answer must hold the highest version that was committed or acknowledged before the read, and reads must be answered again.

--- a/internal/consensus/sim_test.go
+++ b/internal/consensus/sim_test.go
@@ -41,6 +41,7 @@
 
 	earlyDiskLoss   string // host that lost its disk before the first commit
 	keepIncarnation bool   // a host that lost its disk keeps its incarnation
+	answersEarly    bool   // a leader answers reads before it has committed an entry of its term
 
 	leaders   map[uint64]string // first leader seen, by term
 	committed []uint64          // by index: chained hash of the entries up to it
--- a/internal/process/control_sim_test.go
+++ b/internal/process/control_sim_test.go
@@ -343,6 +343,8 @@
 	case e.Kind != 0:
 	case words[0] == "dc":
 		h.state["dc "+words[1]] = words[2]
+	case words[0] == "config":
+		h.state["config"] = max(h.state["config"], words[1]) // of one length
 	default:
 		h.state["cmd "+words[0]] = words[0]
 	}
