testlog: faulttest, platform, cmd and control tests keep their logs, with the slowest sync

The log of TestLeaseWithFailingPrimary has "writing the replicated log took" 6,334 ms at the leader and 5,987 ms at a second of the three control hosts, which ran on one disk; without two of three logs there is no leader, the leases expired after 2.2 s and /readyz was right to answer 503. The machine counted 48.6 s of full stalls of its disk in its first 21 minutes. TestDepartures failed in the same minutes: primary_drained with "not the leader with a valid read lease", replica_silent with writes and statements that hung for 2.8 s at the server whose log the stand-in syncs to the same disk. That the disk is the cause there is inferred, since these tests kept no logs. Nothing in the product is at fault in what was seen.

Ruled out by repetition: with the disk quiet, the whole of internal/faulttest passes twice, ./platform twice, at loads of 6 to 13.

Change: these tests keep the logs of their processes, and a failed test names the slowest sync of the disk during its run and when it was, so that such a failure is told from a fault at once.

--- a/cmd/arbutusring/installation_test.go
+++ b/cmd/arbutusring/installation_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -14,6 +15,7 @@
 	"github.com/arbutusring/arbutusring/internal/controlrpc"
 	"github.com/arbutusring/arbutusring/internal/loopback"
 	"github.com/arbutusring/arbutusring/internal/operator"
+	"github.com/arbutusring/arbutusring/internal/testlog"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
 	"github.com/jackc/pgx/v5"
 )
@@ -40,6 +42,7 @@
 	dir       string
 	procs     map[string]*exec.Cmd
 	logs      map[string]*bytes.Buffer
+	kept      *testlog.Folder
 	controls  []string // peer addresses
 	operators []string // operator addresses of the entries
 	callers   []string // caller addresses of the entries
@@ -67,7 +70,7 @@
 func newInstallation(t *testing.T, controls, entries int) *installation {
 	in := &installation{
 		t: t, bin: build(t), dir: t.TempDir(),
-		procs: make(map[string]*exec.Cmd), logs: make(map[string]*bytes.Buffer),
+		procs: make(map[string]*exec.Cmd), logs: make(map[string]*bytes.Buffer), kept: testlog.New(t),
 	}
 	t.Cleanup(in.close)
 	for range controls {
@@ -129,7 +132,7 @@
 func (in *installation) startCommand(name, path string, args ...string) {
 	cmd := exec.Command(path, args...)
 	log := new(bytes.Buffer)
-	cmd.Stderr = log
+	cmd.Stderr = io.MultiWriter(log, in.kept.Writer(name))
 	if err := cmd.Start(); err != nil {
 		in.t.Fatal(err)
 	}
--- a/internal/faulttest/fixture_test.go
+++ b/internal/faulttest/fixture_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/arbutusring/arbutusring/internal/faulttest"
 	"github.com/arbutusring/arbutusring/internal/standin"
+	"github.com/arbutusring/arbutusring/internal/testlog"
 	"github.com/matryer/is"
 )
 
@@ -24,7 +25,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Second)
 	t.Cleanup(cancel)
 	in, err := faulttest.Start(ctx, faulttest.Options{
-		Folder: t.TempDir(), Policy: policy,
+		Folder: t.TempDir(), Policy: policy, Logger: testlog.New(t).Logger("all"),
 		Standin: standin.Options{ReplicationDelay: 5 * time.Millisecond, ServiceTime: time.Millisecond, LockTimeout: time.Second},
 	})
 	is.New(t).NoErr(err)
--- a/internal/faulttest/history_test.go
+++ b/internal/faulttest/history_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"flag"
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/arbutusring/arbutusring/internal/faulttest"
 	"github.com/arbutusring/arbutusring/internal/standin"
+	"github.com/arbutusring/arbutusring/internal/testlog"
 )
 
 var (
@@ -20,12 +22,14 @@
 // faulttest under all of its faults, alone and in pairs.
 func TestHistory(t *testing.T) {
 	total := 0
+	logs := testlog.New(t)
 	for i := range *seeds {
 		seed := *firstSeed + uint64(i)
 		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Minute)
 		res, err := faulttest.Run(ctx, faulttest.RunOptions{
 			Installation: faulttest.Options{
 				Folder:  t.TempDir(),
+				Logger:  logs.Logger(fmt.Sprint("seed-", seed)),
 				Standin: standin.Options{ReplicationDelay: 5 * time.Millisecond, ServiceTime: time.Millisecond, LockTimeout: time.Second},
 			},
 			Seed: seed, Sessions: 8, Ops: *ops, Keys: 20,
--- a/internal/faulttest/installation.go
+++ b/internal/faulttest/installation.go
@@ -258,7 +258,7 @@
 	}
 	p, err := retryStart(func() (*process.Control, error) {
 		return process.StartControl(process.ControlOptions{
-			Settings: cfg, Logger: in.opts.Logger, Dial: in.Network.Dialer(controlID(i)),
+			Settings: cfg, Logger: in.logger(controlID(i)), Dial: in.Network.Dialer(controlID(i)),
 		})
 	})
 	if err != nil {
@@ -270,6 +270,11 @@
 	return nil
 }
 
+// logger returns the logger of a host.
+func (in *Installation) logger(host string) zerolog.Logger {
+	return in.opts.Logger.With().Str("host", host).Logger()
+}
+
 func (in *Installation) controlFolder(i int) string {
 	return filepath.Join(in.opts.Folder, controlID(i))
 }
@@ -287,7 +292,7 @@
 	}
 	p, err := retryStart(func() (*process.Entry, error) {
 		return process.StartEntry(process.EntryOptions{
-			Settings: cfg, Logger: in.opts.Logger, Dial: in.Network.Dialer(entryID(i)),
+			Settings: cfg, Logger: in.logger(entryID(i)), Dial: in.Network.Dialer(entryID(i)),
 		})
 	})
 	if err != nil {
--- a/internal/process/control_loss_test.go
+++ b/internal/process/control_loss_test.go
@@ -15,10 +15,10 @@
 	"github.com/arbutusring/arbutusring/internal/operator"
 	"github.com/arbutusring/arbutusring/internal/process"
 	"github.com/arbutusring/arbutusring/internal/standin"
+	"github.com/arbutusring/arbutusring/internal/testlog"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
 	"github.com/arbutusring/arbutusring/pkg/settings"
 	"github.com/matryer/is"
-	"github.com/rs/zerolog"
 )
 
 // controlPolicy declares one group of one server.
@@ -46,13 +46,14 @@
 	entrySettings settings.Settings
 	entry         *process.Entry
 	entryDial     process.DialFunc // nil for TCP
+	logs          *testlog.Folder
 	changes       int
 }
 
 func startControls(t *testing.T, n int) *installation {
 	is := is.New(t)
 	in := &installation{
-		t: t, dir: t.TempDir(),
+		t: t, dir: t.TempDir(), logs: testlog.New(t),
 		addresses: make(map[string]string), operators: make(map[string]string), running: make(map[string]*process.Control),
 	}
 	for i := range n {
@@ -102,7 +103,7 @@
 	if err := os.MkdirAll(cfg.Control.DataFolder, 0o700); err != nil {
 		in.t.Fatal(err)
 	}
-	p, err := process.StartControl(process.ControlOptions{Settings: cfg, Logger: zerolog.Nop()})
+	p, err := process.StartControl(process.ControlOptions{Settings: cfg, Logger: in.logs.Logger(id)})
 	if err != nil {
 		in.t.Fatal(err)
 	}
@@ -116,7 +117,7 @@
 	for _, id := range named {
 		cfg.Control.Addresses = append(cfg.Control.Addresses, in.addresses[id])
 	}
-	p, err := process.StartEntry(process.EntryOptions{Settings: cfg, Logger: zerolog.Nop(), Dial: in.entryDial})
+	p, err := process.StartEntry(process.EntryOptions{Settings: cfg, Logger: in.logs.Logger("entry"), Dial: in.entryDial})
 	if err != nil {
 		in.t.Fatal(err)
 	}
--- a/internal/process/stop_test.go
+++ b/internal/process/stop_test.go
@@ -11,10 +11,10 @@
 	"github.com/arbutusring/arbutusring/internal/controlrpc"
 	"github.com/arbutusring/arbutusring/internal/operator"
 	"github.com/arbutusring/arbutusring/internal/process"
+	"github.com/arbutusring/arbutusring/internal/testlog"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
 	"github.com/arbutusring/arbutusring/pkg/settings"
 	"github.com/matryer/is"
-	"github.com/rs/zerolog"
 )
 
 // eventually polls f until it returns true, for at most 20 s.
@@ -39,9 +39,10 @@
 		members[id] = ln.Addr().String()
 		is.NoErr(ln.Close())
 	}
+	logs := testlog.New(t)
 	running := make(map[string]*process.Control)
 	for id, address := range members {
-		c, err := process.StartControl(process.ControlOptions{Logger: zerolog.Nop(), Settings: settings.Settings{
+		c, err := process.StartControl(process.ControlOptions{Logger: logs.Logger(id), Settings: settings.Settings{
 			Host:    settings.Host{ID: id, DataCentre: "d", Region: "r"},
 			Listen:  settings.Listen{Peers: address, Operators: "127.0.0.1:0"},
 			Control: settings.Control{DataFolder: t.TempDir(), Bootstrap: true, Members: members, Addresses: []string{members["c1"], members["c2"]}},
@@ -73,7 +74,7 @@
 	is := is.New(t)
 	ctx, cancel := context.WithTimeout(t.Context(), 60*time.Second)
 	defer cancel()
-	d, err := process.StartDev(ctx, process.DevOptions{Callers: [2]string{"127.0.0.1:0", "127.0.0.1:0"}, Logger: zerolog.Nop()})
+	d, err := process.StartDev(ctx, process.DevOptions{Callers: [2]string{"127.0.0.1:0", "127.0.0.1:0"}, Logger: testlog.New(t).Logger("dev")})
 	is.NoErr(err)
 	address := d.OperatorAddresses()[1]
 	ready := func() bool {
--- a/internal/testlog/folder.go
+++ b/internal/testlog/folder.go
@@ -14,6 +14,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/rs/zerolog"
 )
 
 // RootName is the name of the folder in os.TempDir that holds the folders of failed
@@ -24,10 +26,12 @@
 type Folder struct {
 	t    testing.TB
 	path string
+	disk *diskWatch
 }
 
 // New creates the folder of a test. When the test and its later cleanups have ended,
-// the folder is removed if the test has passed, and its path is logged otherwise.
+// the folder is removed if the test has passed. Otherwise its path is logged, and the
+// slowest sync of the disk meanwhile.
 func New(t testing.TB) *Folder {
 	t.Helper()
 	root := filepath.Join(os.TempDir(), RootName)
@@ -39,7 +43,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := &Folder{t: t, path: path}
+	f := &Folder{t: t, path: path, disk: startDiskWatch(path)}
 	t.Cleanup(f.end)
 	return f
 }
@@ -60,9 +64,15 @@
 	return w
 }
 
+// Logger returns a logger that writes to the file of the named process.
+func (f *Folder) Logger(process string) zerolog.Logger {
+	return zerolog.New(f.Writer(process)).With().Timestamp().Str("host", process).Logger()
+}
+
 func (f *Folder) end() {
+	slowest, at := f.disk.stop()
 	if f.t.Failed() {
-		f.t.Logf("the logs of the processes are kept in %s", f.path)
+		f.t.Logf("the logs of the processes are kept in %s; the slowest sync of the disk took %s at %s", f.path, slowest, at.UTC().Format(time.RFC3339))
 		return
 	}
 	if err := os.RemoveAll(f.path); err != nil {
--- a/internal/testlog/folder_test.go
+++ b/internal/testlog/folder_test.go
@@ -53,6 +53,7 @@
 		is.NoErr(err)
 		is.Equal(string(got), "line\nline\n")
 		is.Equal(len(fake.logged), 1)
+		is.True(strings.Contains(fake.logged[0], "slowest sync"))
 		is.NoErr(os.RemoveAll(f.Path()))
 	}
 }
