directory: heartbeats of groups that the configuration does not declare are refused

Cause: a heartbeat that names another service, with a later start time, replaced the server that has its id; entry hosts then lost that server.

Change: once there is a configuration, the leader refuses an announcement of a group that it does not declare (bad_request), and changes nothing. It decides by its own state, so a group that is declared later works with the next heartbeat after the acknowledgement, also at a control host that has not applied the configuration yet. A control host answers a repeated announcement itself only if the group is declared. Departures name no group and are accepted as before. Without a configuration, or if it can't be parsed, everything is accepted.

--- a/internal/directory/cluster_test.go
+++ b/internal/directory/cluster_test.go
@@ -32,6 +32,7 @@
 	demoted         []string
 	refusePromotion map[string]bool // servers whose promotion fails with errkind.Conflict
 	syncReplicas    int             // value of the setting sync_replicas
+	declared        map[string]bool // groups of the configuration; nil if there is none
 	panics          bool            // proposals of configurations panic
 	silentTargets   bool            // a promoted server does not announce its role
 
@@ -69,7 +70,12 @@
 			},
 			Promote:      c.promote,
 			SyncReplicas: func(directoryrpc.State, string) int { return c.syncReplicas },
-			Control:      func() []string { return nil },
+			Declares: func(_ directoryrpc.State, group string) bool {
+				c.mu.Lock()
+				defer c.mu.Unlock()
+				return c.declared == nil || c.declared[group]
+			},
+			Control: func() []string { return nil },
 		})
 		c.d.Start(control.Log{
 			Propose: c.propose, IsLeader: func() bool { return true }, LeaseValid: c.leaseValid,
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -62,6 +62,10 @@
 // is known.
 func (d *Directory) Server(id string) (directoryrpc.Server, bool) { return d.machine.Server(id) }
 
+// Config returns a state that holds only the configuration in force as applied on this
+// host.
+func (d *Directory) Config() directoryrpc.State { return d.machine.Config() }
+
 // Service returns the rpc service, to be registered as "Directory".
 func (d *Directory) Service() *Service { return &Service{d: d} }
 
--- a/internal/directory/machine.go
+++ b/internal/directory/machine.go
@@ -90,6 +90,14 @@
 	return m.state.ConfigVersion
 }
 
+// Config returns a state that holds only the configuration in force. Unlike State, it
+// does not make the next announcement copy the servers.
+func (m *Machine) Config() directoryrpc.State {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return directoryrpc.State{ConfigVersion: m.state.ConfigVersion, Document: m.state.Document}
+}
+
 // HostCount returns the number of entry hosts as last recorded by a leader.
 func (m *Machine) HostCount() int {
 	m.mu.Lock()
--- a/internal/directory/options.go
+++ b/internal/directory/options.go
@@ -44,6 +44,11 @@
 	// force.
 	SyncReplicas func(s directoryrpc.State, group string) int
 
+	// Declares reports whether the configuration in force, which is all that s holds,
+	// declares a group. If there is no configuration, it reports true. It may be nil,
+	// which accepts the servers of all groups.
+	Declares func(s directoryrpc.State, group string) bool
+
 	// Control returns the rpc addresses of the control hosts.
 	Control func() []string
 
--- a/internal/directory/service.go
+++ b/internal/directory/service.go
@@ -100,6 +100,10 @@
 	old, known := s.d.machine.Server(srv.ID)
 	departed := s.d.machine.Departed(srv.ID, srv.Born)
 	switch {
+	case !args.Gone && !l.declares(srv.Group):
+		// It would replace the server that has this id.
+		reply.Answer = controlrpc.Answer{Kind: errkind.BadRequest, Detail: "the configuration in force does not declare the group"}
+		return nil
 	case departed, args.Gone && !known && srv.Born == 0, !args.Gone && known && (srv.Same(old) || !srv.Newer(old)):
 		s.confirmLease(l, &reply.Answer)
 		return nil
@@ -116,6 +120,11 @@
 	return nil
 }
 
+// declares reports whether the configuration in force declares a group.
+func (l *leadership) declares(group string) bool {
+	return l.opts.Declares == nil || l.opts.Declares(l.machine.Config(), group)
+}
+
 // Register stores the data centre of a control host.
 func (s *Service) Register(args *directoryrpc.RegisterArgs, reply *directoryrpc.RegisterReply) error {
 	defer s.recoverCall(&reply.Answer)
--- a/internal/process/directory.go
+++ b/internal/process/directory.go
@@ -74,6 +74,7 @@
 		Members:      p.opts.Adapter.Members,
 		Promote:      p.opts.Adapter.Promote(p.cfg.Promotion.Address),
 		SyncReplicas: p.syncReplicas,
+		Declares:     p.declares,
 		Control:      p.addresses,
 		Events:       p.opts.Events,
 		Registry:     p.registry,
@@ -184,10 +185,26 @@
 	return cfg.Groups[group].SyncReplicas
 }
 
+// declares reports whether the configuration in force declares group, or there is no
+// readable configuration.
+func (p *Directory) declares(s directoryrpc.State, group string) bool {
+	if s.ConfigVersion == 0 {
+		return true
+	}
+	cfg, err := p.configs.get(s)
+	if err != nil {
+		p.opts.Events.Event("config_unreadable").Err(err).Uint64("config_version", s.ConfigVersion).
+			Msg("configuration in force can't be parsed; servers of every group are accepted")
+		return true
+	}
+	_, declared := cfg.Groups[group]
+	return declared
+}
+
 // announce returns at once if the replicated state already holds the same
-// announcement; only changes are sent to the leader.
+// announcement of a declared group; others are sent to the leader.
 func (p *Directory) announce(ctx context.Context, s directoryrpc.Server, gone bool) error {
-	if known, ok := p.directory.Server(s.ID); ok && !gone && s.Same(known) {
+	if known, ok := p.directory.Server(s.ID); ok && !gone && s.Same(known) && p.declares(p.directory.Config(), s.Group) {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
