directory: the first primary of a group reaches a few hosts at once

Change: a first primary is collected for 1 ms for each host, up to a second. From 100 hosts on that is the delay of the other changes, so the bound of 1,000 requests a second for hundreds of groups that start at once stays. The test waits until the gateway knows the primary: when servers announce themselves is not what it checks.

Result: TestFirstPrimaryIsSentAtOnce fails without the change.

--- a/internal/directory/changes_test.go
+++ b/internal/directory/changes_test.go
@@ -219,3 +219,28 @@
 		is.True(time.Since(begun) < 6*time.Second) // 30 MB
 	})
 }
+
+// TestFirstPrimaryIsSentAtOnce guards against a group of a small installation that takes
+// no statements for longer than necessary, because its first primary is collected with
+// the announcements of its servers.
+func TestFirstPrimaryIsSentAtOnce(t *testing.T) {
+	runWithCluster(t, func(is *is.I, c *testCluster, h *testHost) {
+		host := directoryrpc.Host{ID: "h9", Incarnation: "1"}
+		version := c.d.State().Version
+		for i := range 3 {
+			c.workers.Go(func() { c.announceIn("new", fmt.Sprint("new", i), i == 2, false, 1) })
+		}
+		for begun := time.Now(); ; {
+			reply := new(directoryrpc.SyncReply)
+			is.NoErr(c.d.Service().Sync(&directoryrpc.SyncArgs{Host: host, Version: version, Wait: time.Second, Delta: true}, reply))
+			changes, err := reply.Changes.Decode()
+			is.NoErr(err)
+			version = changes.Version
+			if g := changes.Groups["new"]; g != nil {
+				is.Equal(g.Primary, "new2")
+				is.True(time.Since(begun) < 100*time.Millisecond) // two writes of the log and a check of the groups
+				break
+			}
+		}
+	})
+}
--- a/internal/directory/delivery.go
+++ b/internal/directory/delivery.go
@@ -24,6 +24,13 @@
 	return min(max(time.Duration(l.hostCount())*changeDelayPerHost, minChangeDelay), maxChangeDelay)
 }
 
+// namingDelay returns how long the first primary of a group is collected with other
+// changes. Its group takes no statements until then, so that a few hosts are sent it
+// almost at once.
+func (l *leadership) namingDelay() time.Duration {
+	return min(time.Duration(l.hostCount())*changeDelayPerHost, maxChangeDelay)
+}
+
 // awaitChange waits until the state is newer than version or a host begins to
 // suspect a primary, but not longer than wait or the leadership. Changes that are
 // not urgent are collected, for longer the more hosts there are.
@@ -31,14 +38,27 @@
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	_, suspicion := l.sessions.askedGroups()
-	for collecting := false; ; {
-		changed, urgent := l.machine.Changed(), l.machine.UrgentChanged()
+	end := time.Now().Add(wait)
+	shorten := func(delay time.Duration) {
+		if at := time.Now().Add(delay); at.Before(end) {
+			end = at
+			timer.Reset(delay)
+		}
+	}
+	for collecting, naming := false, false; ; {
+		changed, urgent, named := l.machine.Changed(), l.machine.UrgentChanged(), l.machine.NamedChanged()
 		switch {
 		case l.machine.UrgentVersion() > version:
 			return
+		case l.machine.NamedVersion() > version && !naming:
+			collecting, naming = true, true
+			shorten(l.namingDelay())
 		case l.machine.Version() > version && !collecting:
 			collecting = true
-			timer.Reset(min(l.changeDelay(), wait))
+			shorten(l.changeDelay())
+		}
+		if naming {
+			named = nil
 		}
 		if collecting {
 			changed = nil // hundreds of hosts would wake at each of hundreds of changes
@@ -46,6 +66,7 @@
 		select {
 		case <-changed:
 		case <-urgent:
+		case <-named:
 		case <-suspicion:
 			return
 		case <-l.ctx.Done():
--- a/internal/directory/machine.go
+++ b/internal/directory/machine.go
@@ -27,6 +27,9 @@
 	base     baseState
 
 	urgentChanged chan struct{} // closed at the next urgent change
+
+	named        uint64        // version of the last change that named the first primary of a group
+	namedChanged chan struct{} // closed at the next such change
 }
 
 // objectKey identifies an object of the state. The zero value is the configuration.
@@ -47,7 +50,7 @@
 
 // NewMachine returns a Machine with the state before the first log entry.
 func NewMachine() *Machine {
-	m := &Machine{changed: make(chan struct{}), urgentChanged: make(chan struct{})}
+	m := &Machine{changed: make(chan struct{}), urgentChanged: make(chan struct{}), namedChanged: make(chan struct{})}
 	m.load(snapshotData{})
 	return m
 }
@@ -55,7 +58,7 @@
 // load replaces the state. The caller holds mu, or is the only user of m.
 func (m *Machine) load(s snapshotData) {
 	s.Servers, s.Groups, s.Controls = orEmpty(s.Servers), orEmpty(s.Groups), orEmpty(s.Controls)
-	m.state, m.departed, m.urgent = s.State, newDepartures(s.Departed), s.Version
+	m.state, m.departed, m.urgent, m.named = s.State, newDepartures(s.Departed), s.Version, s.Version
 	m.shared, m.base = false, baseState{}
 	m.history = changelog.New[objectKey](maxHistory, s.Version)
 }
@@ -105,6 +108,21 @@
 	return m.state.HostCount
 }
 
+// NamedVersion returns the version of the last change that named the first primary of a
+// group.
+func (m *Machine) NamedVersion() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.named
+}
+
+// NamedChanged returns a channel that is closed at the next such change.
+func (m *Machine) NamedChanged() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.namedChanged
+}
+
 // ownServers makes state.Servers safe to modify. It copies the map only if State
 // has returned it since the last copy.
 func (m *Machine) ownServers() {
@@ -141,8 +159,11 @@
 	r, changed := m.apply(c)
 	for _, key := range changed {
 		m.history.Add(index, key)
-		// The first primary of a group replaces none.
-		if key.server == "" && (key.group == "" || m.state.Groups[key.group].Generation > 1) {
+		switch {
+		case key.server != "":
+		case key.group != "" && m.state.Groups[key.group].Generation == 1:
+			m.named = index // it replaces none
+		default:
 			m.urgent = index
 		}
 	}
@@ -251,6 +272,10 @@
 		close(m.urgentChanged)
 		m.urgentChanged = make(chan struct{})
 	}
+	if m.named == m.state.Version {
+		close(m.namedChanged)
+		m.namedChanged = make(chan struct{})
+	}
 }
 
 // Snapshot returns the encoded state.
