--- a/internal/testlog/folder.go
+++ b/internal/testlog/folder.go
@@ -9,6 +9,7 @@
 package testlog
 
 import (
+	"io"
 	"os"
 	"path/filepath"
 	"strings"
@@ -24,14 +25,14 @@
 
 // Folder holds the logs of the processes of one run of a test, one file a process.
 type Folder struct {
-	t    testing.TB
-	path string
-	disk *diskWatch
+	t     testing.TB
+	path  string
+	watch *machineWatch
 }
 
 // New creates the folder of a test. When the test and its later cleanups have ended,
-// the folder is removed if the test has passed. Otherwise its path is logged, and the
-// slowest sync of the disk meanwhile.
+// the folder is removed if the test has passed. Otherwise its path is logged, with the
+// slowest sync of the disk and the longest time for which the test process did not run.
 func New(t testing.TB) *Folder {
 	t.Helper()
 	root := filepath.Join(os.TempDir(), RootName)
@@ -43,7 +44,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := &Folder{t: t, path: path, disk: startDiskWatch(path)}
+	f := &Folder{t: t, path: path, watch: startMachineWatch(path)}
 	t.Cleanup(f.end)
 	return f
 }
@@ -53,26 +54,27 @@
 
 // Writer returns the file that keeps the log of the named process, which several lives
 // of the process share. It is closed before the folder ends.
-func (f *Folder) Writer(process string) *os.File {
+func (f *Folder) Writer(process string) io.Writer {
 	f.t.Helper()
 	name := filepath.Join(f.path, strings.ReplaceAll(process, "/", "_")+".log")
-	w, err := os.OpenFile(name, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	file, err := os.OpenFile(name, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	f.t.Cleanup(func() { _ = w.Close() }) // the lines are kept only for reading
+	w := &logFile{file: file}
+	f.t.Cleanup(w.close)
 	return w
 }
 
 // Logger returns a logger that writes to the file of the named process.
 func (f *Folder) Logger(process string) zerolog.Logger {
-	return zerolog.New(f.Writer(process)).With().Timestamp().Str("host", process).Logger()
+	return zerolog.New(f.Writer(process)).With().Timestamp().Logger()
 }
 
 func (f *Folder) end() {
-	slowest, at := f.disk.stop()
+	slowestSync, latestWake := f.watch.stop()
 	if f.t.Failed() {
-		f.t.Logf("the logs of the processes are kept in %s; the slowest sync of the disk took %s at %s", f.path, slowest, at.UTC().Format(time.RFC3339))
+		f.t.Logf("the logs of the processes are kept in %s; the slowest sync of the disk took %s; the test process woke up at most %s late", f.path, slowestSync, latestWake)
 		return
 	}
 	if err := os.RemoveAll(f.path); err != nil {
