--- a/internal/directory/cluster_test.go
+++ b/internal/directory/cluster_test.go
@@ -25,14 +25,17 @@
 
 	mu              sync.Mutex
 	index           uint64
-	leaseIsValid    bool // read lease of the leader
+	leaseIsValid    bool   // read lease of the leader
+	onLeaseCheck    func() // called at each check of the read lease; nil for none
 	status          map[string]statement.ServerStatus
 	down            map[string]bool
 	promoted        []directory.Promotion
 	demoted         []string
 	refusePromotion map[string]bool            // servers whose promotion fails with errkind.Conflict
 	syncReplicas    int                        // value of the setting sync_replicas
+	declared        map[string]bool            // groups of the configuration; nil if there is none
 	panics          bool                       // proposals of configurations panic
+	silentTargets   bool                       // a promoted server does not announce its role
 	limits          map[string]allowance.Limit // of customers, with any configuration
 
 	ctx     context.Context // ends with the test
@@ -69,13 +72,18 @@
 			},
 			Promote:      c.promote,
 			SyncReplicas: func(directoryrpc.State, string) int { return c.syncReplicas },
-			Control:      func() []string { return nil },
 			Limits: func(s directoryrpc.State) map[string]allowance.Limit {
 				if s.ConfigVersion == 0 {
 					return nil
 				}
 				return c.limits
 			},
+			Declares: func(_ directoryrpc.State, group string) bool {
+				c.mu.Lock()
+				defer c.mu.Unlock()
+				return c.declared == nil || c.declared[group]
+			},
+			Control: func() []string { return nil },
 		})
 		c.d.Start(control.Log{
 			Propose: c.propose, IsLeader: func() bool { return true }, LeaseValid: c.leaseValid,
@@ -102,8 +110,12 @@
 
 func (c *testCluster) leaseValid() bool {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.leaseIsValid
+	valid, onCheck := c.leaseIsValid, c.onLeaseCheck
+	c.mu.Unlock()
+	if onCheck != nil {
+		onCheck()
+	}
+	return valid
 }
 
 func (c *testCluster) propose(_ context.Context, entry []byte) ([]byte, error) {
@@ -119,12 +131,17 @@
 }
 
 func (c *testCluster) announce(id string, primary, draining bool, sequence uint64) {
+	c.announceIn("g", id, primary, draining, sequence)
+}
+
+// announceIn announces a server of a group.
+func (c *testCluster) announceIn(group, id string, primary, draining bool, sequence uint64) {
 	role := statement.Replica
 	if primary {
 		role = statement.Primary
 	}
 	_ = c.d.Service().Announce(&directoryrpc.AnnounceArgs{Server: directoryrpc.Server{
-		ID: id, Group: "g", Address: id + ":1", Slots: 3, Role: role, Draining: draining, Born: 1, Sequence: sequence,
+		ID: id, Group: group, Address: id + ":1", Slots: 3, Role: role, Draining: draining, Born: 1, Sequence: sequence,
 	}}, new(directoryrpc.AnnounceReply))
 }
 
@@ -145,13 +162,16 @@
 		return errkind.New(errkind.Conflict, "not running")
 	}
 	c.promoted = append(c.promoted, p)
+	silent := c.silentTargets
 	if st := c.status[p.Server]; st.Role == statement.Replica {
 		c.workers.Go(func() {
 			time.Sleep(300 * time.Millisecond)
 			c.withLock(func() {
 				c.status[p.Server] = statement.ServerStatus{Role: statement.Primary, Term: st.Term + 1, Received: st.Received}
 			})
-			c.announce(p.Server, true, false, 50)
+			if !silent {
+				c.announceIn(p.Group, p.Server, true, false, 50)
+			}
 		})
 	}
 	return nil
--- a/internal/directory/options.go
+++ b/internal/directory/options.go
@@ -45,6 +45,11 @@
 	// force.
 	SyncReplicas func(s directoryrpc.State, group string) int
 
+	// Declares reports whether the configuration in force, which is all that s holds,
+	// declares a group. If there is no configuration, it reports true. It may be nil,
+	// which accepts the servers of all groups.
+	Declares func(s directoryrpc.State, group string) bool
+
 	// Limits returns the limits of the customers that have one, from the configuration
 	// in force. The result is not modified. nil: there are none.
 	Limits func(s directoryrpc.State) map[string]allowance.Limit
--- a/internal/directory/service.go
+++ b/internal/directory/service.go
@@ -45,8 +45,8 @@
 // confirmLease reports whether this host is still the leader with a valid read
 // lease, and sets answer to an error if not. It is called after the state was
 // read, so that the reply is not stale.
-func (l *leadership) confirmLease(answer *controlrpc.Answer) bool {
-	if l.ctx.Err() != nil || !l.log.LeaseValid() {
+func (s *Service) confirmLease(l *leadership, answer *controlrpc.Answer) bool {
+	if !s.d.leads(l) {
 		*answer = controlrpc.Answer{Kind: errkind.NotLeader, Detail: "the read lease has run out"}
 		return false
 	}
@@ -77,14 +77,14 @@
 	// The grant is recorded before the read lease of the leader is checked: a
 	// grant that is recorded but not sent only delays a switchover.
 	l.sessions.recordGrant(args.Host)
-	if !l.confirmLease(&reply.Answer) {
+	if !s.confirmLease(l, &reply.Answer) {
 		return nil
 	}
 	reply.TTL, reply.HostCount = l.opts.TTL, l.hostCount()
 	s.fillState(args, reply)
 	reply.Control = s.d.opts.Control()
 	reply.AsksReports = true
-	reply.Allowances = len(l.opts.Limits(s.d.machine.State())) > 0
+	reply.Allowances = len(l.opts.Limits(s.d.machine.Config())) > 0
 	reply.Suspected, _ = l.sessions.askedGroups()
 	return nil
 }
@@ -102,7 +102,7 @@
 		reply.Answer = controlrpc.Answer{Kind: errkind.Overloaded, Detail: "the ledger has not begun"}
 	default:
 		granted := l.allowances.process(args)
-		if l.confirmLease(&granted.Answer) {
+		if s.confirmLease(l, &granted.Answer) {
 			*reply = granted
 		} else {
 			reply.Answer = granted.Answer
@@ -123,11 +123,17 @@
 	old, known := s.d.machine.Server(srv.ID)
 	departed := s.d.machine.Departed(srv.ID, srv.Born)
 	switch {
+	case !args.Gone && !l.declares(srv.Group):
+		// It would replace the server that has this id.
+		reply.Answer = controlrpc.Answer{Kind: errkind.BadRequest, Detail: "the configuration in force does not declare the group"}
+		return nil
 	case departed, args.Gone && !known && srv.Born == 0, !args.Gone && known && (srv.Same(old) || !srv.Newer(old)):
-		l.confirmLease(&reply.Answer)
+		s.confirmLease(l, &reply.Answer)
 		return nil
 	case args.Gone:
 		s.proposeAndReply(l, &reply.Answer, Command{Remove: &RemoveServer{ID: srv.ID, Born: srv.Born}})
+	case known && srv.Contradicts(old):
+		reply.Answer = controlrpc.Answer{Kind: errkind.BadRequest, Detail: "the server announced another group or address since its start"}
 	default:
 		s.proposeAndReply(l, &reply.Answer, Command{Announce: &PutServer{Server: srv}})
 	}
@@ -137,6 +143,11 @@
 	return nil
 }
 
+// declares reports whether the configuration in force declares a group.
+func (l *leadership) declares(group string) bool {
+	return l.opts.Declares == nil || l.opts.Declares(l.machine.Config(), group)
+}
+
 // Register stores the data centre of a control host.
 func (s *Service) Register(args *directoryrpc.RegisterArgs, reply *directoryrpc.RegisterReply) error {
 	defer s.recoverCall(&reply.Answer)
@@ -154,7 +165,7 @@
 		return nil
 	}
 	if inForce := s.d.machine.ConfigVersion(); args.Version <= inForce {
-		if l.confirmLease(&reply.Answer) {
+		if s.confirmLease(l, &reply.Answer) {
 			reply.Version = inForce
 		}
 		return nil
@@ -174,7 +185,7 @@
 		return nil
 	}
 	state := s.d.machine.State()
-	if l.confirmLease(&reply.Answer) {
+	if s.confirmLease(l, &reply.Answer) {
 		reply.Version, reply.Document = state.ConfigVersion, state.Document
 	}
 	return nil
