schedule: a customer above its share is refused at once, not after a wait

Cause: the expected wait counted what was queued, but later requests of other customers are served before those of a customer above its share. Of 1598 refusals of the large customer in TestFairnessUnderOverload, 1507 came after a wait of up to 300 ms.

Change: with several customers, the expected wait is at least the number of requests of the customer times the recent time between two of its grants.

The test fails on the code before.

--- a/internal/schedule/fairness_test.go
+++ b/internal/schedule/fairness_test.go
@@ -106,6 +106,10 @@
 	if limit := p99Alone + 30_000; p99Fair > limit || p99Shared < 2*limit {
 		t.Errorf("p99 wait is %d us, must be at most %d us; without customers it is %d us", p99Fair, limit, p99Shared)
 	}
+	// The large customer is refused at once what can't start in time.
+	if l := fair[true]; l.late*4 > l.refused {
+		t.Errorf("%d of %d requests of the large customer were refused after a wait", l.late, l.refused)
+	}
 	// Work conserving: the slots that the others leave go to the large customer.
 	if total := fair[true].served + fair[false].served; total < 7600 {
 		t.Errorf("%d requests were served in 10 s, the capacity is 8000", total)
--- a/internal/schedule/flow.go
+++ b/internal/schedule/flow.go
@@ -13,7 +13,9 @@
 	length     int
 	running    int
 	start      time.Duration
-	heapIndex  int // in rankQueue.waiting; -1 if no request waits
+	grantedAt  time.Time     // when a waiting request last got a slot; zero if none has waited since
+	interval   time.Duration // smoothed time between two such grants
+	heapIndex  int           // in rankQueue.waiting; -1 if no request waits
 }
 
 func (f *flow) push(w *waiter) {
@@ -43,6 +45,17 @@
 	f.length--
 }
 
+// recordGrant records that a waiting request got a slot.
+func (f *flow) recordGrant(now time.Time) {
+	if !f.grantedAt.IsZero() {
+		smooth(&f.interval, now.Sub(f.grantedAt))
+	}
+	f.grantedAt = now
+	if f.length == 0 {
+		f.grantedAt = time.Time{}
+	}
+}
+
 // requestsBefore returns how many of the waiting requests are due at virtual time
 // due or earlier, if each takes cost.
 func (f *flow) requestsBefore(due, cost time.Duration) int {
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -248,6 +248,7 @@
 			continue
 		}
 		w.charged = s.grant(r, w.flow)
+		w.flow.recordGrant(s.chargedUntil)
 		w.ready <- nil
 	}
 }
@@ -291,9 +292,10 @@
 }
 
 // estimateWait returns the expected wait of a request that joins the queue of f in
-// r. Of r it includes the requests that are served before. It includes the queues of higher ranks, and assumes that these continue to use
-// their share of slot time in the window, but leave r at least its floor and 5%
-// of the slots, so that the estimate stays finite.
+// r. Of r it includes the requests that are served before, also later ones of other
+// customers, at the pace of late. It includes the queues of higher ranks, and
+// assumes that these continue to use their share of slot time in the window, but
+// leave r at least its floor and 5% of the slots, so that the estimate stays finite.
 func (s *Scheduler) estimateWait(r *rankQueue, f *flow) time.Duration {
 	slots := float64(s.slots)
 	var workAhead, higherShare float64
@@ -312,6 +314,11 @@
 	if floor := r.spec.Floor * slots; floor > 0 {
 		wait = min(wait, ownWork/floor)
 	}
+	if len(r.flows) > 1 && f.length > 0 {
+		// Later requests of other customers may be due earlier than this one. A
+		// customer above its share waits as long as its requests did of late.
+		wait = max(wait, float64(f.length+1)*float64(f.interval))
+	}
 	return time.Duration(wait)
 }
 
