allowance: a token whose operation was not sent is returned while its use is unreported

Cause: a connection that fails before anything was written cost a token for each attempt.

Change: Refund takes back a use that no call has reported yet; the ledger then never knew of it, so the bound holds. After that the token stays lost.

Result: TestRefundAfterUse; before the change the second Acquire got no token.

--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -202,6 +202,28 @@
 	is.Equal(len(s.sent["c"]), 1)
 }
 
+// TestRefundAfterUse guards against a token that is lost although its operation was not
+// sent, and against one that is used again after the ledger was told of its use.
+func TestRefundAfterUse(t *testing.T) {
+	is := is.New(t)
+	runSim(t, allowance.Params{Window: 5 * time.Second}, 1, map[string]allowance.Limit{"c": {Rate: 0.01, Burst: 1}}, func(s *sim) {
+		stock := s.hosts[0].stock
+		first, err := stock.Acquire(s.ctx, "c")
+		is.NoErr(err)
+		is.True(first.Use())
+		first.Refund() // the connection failed
+		first.Refund()
+		is.True(!first.Valid())
+		second, err := stock.Acquire(s.ctx, "c")
+		is.NoErr(err)
+		is.True(second.Use())
+		time.Sleep(time.Second) // the use is reported
+		second.Refund()
+		_, err = stock.Acquire(s.ctx, "c")
+		is.True(err != nil)
+	})
+}
+
 // TestNotEnforced guards against refusals under a leader that does not know allowances.
 func TestNotEnforced(t *testing.T) {
 	is := is.New(t)
--- a/internal/allowance/stock.go
+++ b/internal/allowance/stock.go
@@ -195,7 +195,7 @@
 	if !s.validLocked(t) {
 		return false
 	}
-	t.done = true
+	t.done, t.usedAt = true, s.sequence
 	t.account.taken--
 	t.account.used++
 	return true
@@ -204,13 +204,21 @@
 func (s *Stock) refund(t *Token) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if t.done || t.generation != t.account.generation {
+	s.expire(s.now())
+	a := t.account
+	switch {
+	case t.generation != a.generation:
+		return
+	case !t.done:
+		a.taken--
+	case t.usedAt > 0 && t.usedAt == s.sequence: // no call has reported the use
+		a.used--
+	default:
 		return
 	}
-	t.done = true
-	t.account.taken--
-	t.account.free++
-	t.account.serve(s)
+	t.done, t.usedAt = true, 0
+	a.free++
+	a.serve(s)
 }
 
 // expire removes all tokens if they are no longer valid. The caller holds mu.
--- a/internal/allowance/token.go
+++ b/internal/allowance/token.go
@@ -6,7 +6,8 @@
 	stock      *Stock
 	account    *stockAccount
 	generation uint64
-	done       bool // used or returned; guarded by Stock.mu
+	done       bool   // used or returned; guarded by Stock.mu
+	usedAt     uint64 // sequence number of the last call before it was used; 0 if it was not
 }
 
 // Valid reports whether Use would return true now.
@@ -15,8 +16,7 @@
 // Use uses the token. It must be called immediately before the operation is sent to a
 // server, which the operation must not be if Use returns false: the stock has become
 // invalid since, for instance because the host was suspended, or the token was used.
-// If nothing was sent after all, the token is lost: the ledger may have been told
-// that it was used, so a later send needs another one.
+// If nothing was sent after all, a later send needs another token.
 func (t *Token) Use() bool {
 	if t == nil {
 		return true
@@ -24,7 +24,8 @@
 	return t.stock.use(t)
 }
 
-// Refund returns the token of an operation that was not sent, unless it was used.
+// Refund returns the token of an operation that was not sent. A token that was used is
+// lost if the ledger has been told so.
 func (t *Token) Refund() {
 	if t != nil {
 		t.stock.refund(t)
