--- a/internal/directory/service.go
+++ b/internal/directory/service.go
@@ -85,7 +85,7 @@
 	l.fillHosts(args, reply)
 	reply.Control = s.d.opts.Control()
 	reply.AsksReports = true
-	reply.Allowances = len(l.opts.Limits(s.d.machine.State())) > 0
+	reply.Allowances = len(l.opts.Limits(s.d.machine.Config())) > 0
 	reply.Suspected, _ = l.sessions.askedGroups()
 	return nil
 }
