entry, owner: a panic ends one cycle and is logged with its request

Cause: a panic in an attempt of a hedge, or in a cycle at the owner, ended the process; one in a session of an entry was logged without the request.

Change: attempts of hedges and exchanges of the owner are guarded. A panic in an exchange is handled like a lost server, so that the slot and the connection are released. Entries log session and request number, owners the request id (event cycle_panicked).

Result: TestPanic runs 20 cycles that panic and then a write.

--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/arbutusring/arbutusring/internal/ownerrpc"
+	"github.com/arbutusring/arbutusring/internal/workpool"
+	"github.com/arbutusring/arbutusring/pkg/errkind"
 	"github.com/arbutusring/arbutusring/pkg/logpos"
 )
 
@@ -79,7 +81,11 @@
 
 func (h *hedge) run(ctx context.Context, a attempt, args *ownerrpc.ExecArgs) {
 	res := attemptResult{target: a.target, id: a.id}
-	res.reply, res.delivery, res.err = h.session.call(ctx, h.request, a.target, args)
+	if !workpool.Guard(h.session.entry.opts.Logger, func() {
+		res.reply, res.delivery, res.err = h.session.call(ctx, h.request, a.target, args)
+	}) {
+		res.delivery, res.err = NoAnswer, errkind.New(errkind.Internal, "a panic ended attempt %v", a.id)
+	}
 	h.results <- res
 }
 
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -13,6 +13,19 @@
 
 // run executes one cycle of the session and returns its answer.
 func (s *session) run(ctx context.Context, c caller.Cycle) caller.Answer {
+	returned := false
+	defer func() {
+		if !returned {
+			s.entry.opts.Logger.Error().Str("event", "cycle_panicked").Uint64("session", s.number).Uint64("request", s.lastRequestNumber).
+				Str("group", s.group.name).Msg("a panic ended the cycle and its session")
+		}
+	}()
+	a := s.runCycle(ctx, c)
+	returned = true
+	return a
+}
+
+func (s *session) runCycle(ctx context.Context, c caller.Cycle) caller.Answer {
 	e := s.entry
 	p, err := s.newPlan(c)
 	if err != nil {
--- a/internal/owner/exec.go
+++ b/internal/owner/exec.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/arbutusring/arbutusring/internal/ownerrpc"
+	"github.com/arbutusring/arbutusring/internal/workpool"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
 )
 
@@ -32,9 +33,11 @@
 	case !first:
 		*reply = o.outcomes.wait(ctx, rec)
 	default:
-		o.execute(ctx, &execution{
-			owner: o, server: srv, args: args, reply: reply, record: rec, deadline: deadline,
-		})
+		x := &execution{owner: o, server: srv, args: args, reply: reply, record: rec, deadline: deadline}
+		if !workpool.Guard(o.opts.Logger, func() { o.execute(ctx, x) }) {
+			o.logPanic(args)
+			replyError(reply, errkind.New(errkind.OutcomeUnknown, "internal error"))
+		}
 	}
 	if reply.Load.Server == "" && srv != nil {
 		reply.Load = srv.load()
@@ -52,6 +55,10 @@
 	o.countResult(srv, reply.Kind)
 }
 
+func (o *Owner) logPanic(args *ownerrpc.ExecArgs) {
+	o.opts.Logger.Error().Str("event", "cycle_panicked").Interface("request", args.ID).Str("server", args.Server).Msg("a panic ended the cycle")
+}
+
 const (
 	// smallAnswerBytes is the size up to which answers are not counted.
 	smallAnswerBytes = 64 << 10
--- a/internal/owner/exec_test.go
+++ b/internal/owner/exec_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/arbutusring/arbutusring/internal/limit"
 	"github.com/arbutusring/arbutusring/internal/owner"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
 	"github.com/arbutusring/arbutusring/pkg/logpos"
@@ -37,6 +38,37 @@
 	})
 }
 
+// TestPanic guards against a panic in one cycle that ends the process, or that keeps the
+// slots and connections of its server.
+func TestPanic(t *testing.T) {
+	runTest(t, owner.Options{}, func(t *testing.T, r *harness) {
+		is := is.New(t)
+		for i := range uint64(20) {
+			is.Equal(r.exec(r.writeArgs(i, "PANIC")).Kind, errkind.OutcomeUnknown)
+		}
+		r.begin(t, 100)
+		is.True(r.execInTx(100, "PANIC").Kind != errkind.OK)
+		is.Equal(r.exec(r.writeArgs(1, "INSERT a")).Kind, errkind.OK)
+	})
+}
+
+// TestAnswerMemory guards against answers that wait for the entry host without limit, and
+// against memory that is counted after an answer was sent.
+func TestAnswerMemory(t *testing.T) {
+	memory := limit.NewBudget(limit.BudgetOptions{MemoryMB: 4}) // 1 MiB
+	runTest(t, owner.Options{Memory: memory}, func(t *testing.T, r *harness) {
+		is := is.New(t)
+		long := "SELECT " + strings.Repeat("x", 200<<10)
+		first := r.exec(r.readArgs(1, long))
+		is.Equal(first.Kind, errkind.OK)
+		is.Equal(r.exec(r.readArgs(2, long)).Kind, errkind.AnswerTooLarge)
+		is.Equal(r.exec(r.readArgs(2, "SELECT a")).Kind, errkind.OK)
+		first.Sent()
+		is.Equal(memory.Used(), int64(0))
+		is.Equal(r.exec(r.readArgs(2, long)).Kind, errkind.OK)
+	})
+}
+
 // TestExecReadsWritesAndTransactions checks execution without faults: complete
 // answers, positions only for writes, and a transaction on one connection.
 func TestExecReadsWritesAndTransactions(t *testing.T) {
--- a/internal/owner/execution.go
+++ b/internal/owner/execution.go
@@ -7,6 +7,7 @@
 	"github.com/arbutusring/arbutusring/internal/controlrpc"
 	"github.com/arbutusring/arbutusring/internal/ownerrpc"
 	"github.com/arbutusring/arbutusring/internal/schedule"
+	"github.com/arbutusring/arbutusring/internal/workpool"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
 	"github.com/arbutusring/arbutusring/pkg/logpos"
 )
@@ -268,7 +269,13 @@
 func (x *execution) relay(ctx context.Context, c *pooledConn, commit bool) result {
 	start := time.Now()
 	res := result{commit: commit}
-	res.answer, res.position, res.err = c.relay(ctx, x.args.Messages, x.owner.opts.MaxAnswerBytes, commit)
+	if !workpool.Guard(x.owner.opts.Logger, func() {
+		res.answer, res.position, res.err = c.relay(ctx, x.args.Messages, x.owner.opts.MaxAnswerBytes, commit)
+	}) {
+		// Handled like a lost server, so that the slot and the connection are released.
+		x.owner.logPanic(x.args)
+		res.err = errkind.New(errkind.ServerLost, "a panic ended the exchange with server %s", x.server.id)
+	}
 	observeSince(x.owner.metrics.serviceTime, start)
 	if res.err == nil {
 		x.server.monitor.recordTraffic()
--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -1,6 +1,7 @@
 package owner_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/binary"
 	"errors"
@@ -179,6 +180,9 @@
 	if c.Closed() {
 		return backend.Answer{}, logpos.Position{}, errkind.New(errkind.ConnectFailed, "closed")
 	}
+	if bytes.Contains(cycle, []byte("PANIC")) {
+		panic("test")
+	}
 	f := c.server
 	f.mu.Lock()
 	service := f.serviceTime
