limit: closed connections return their memory at once; less memory by idle caller

Connections that were being closed still counted, and a large message that was accepted in calm left nothing of the reserve for small ones.

Change: an evicted connection returns its bytes when it is chosen; the reserve for small messages is half of the budget. The fields of connections and sessions are smaller; the list of unused sessions is kept from 3/4 of the limit of connections on.

--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -162,7 +162,7 @@
 // refuse answers a connection that is not served, and closes it.
 func (s *Server) refuse(sock net.Conn, reason limit.Reason) {
 	_ = sock.SetWriteDeadline(time.Now().Add(refuseTimeout))
-	_, _ = sock.Write(AppendError(nil, SeverityFatal, &SQLState{Code: "53300", Detail: "the host is at its limit of " + string(reason)})) // the caller may be gone
+	_, _ = sock.Write(AppendError(nil, SeverityFatal, &SQLState{Code: "53300", Detail: "the host is at its limit of " + reason.String()})) // the caller may be gone
 	_ = sock.Close()
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -372,7 +372,6 @@
 		}
 	}
 	s := &Session{gateway: g, name: name, settings: make(map[string]string), prepared: make(map[string]*preparedStatement)}
-	s.meter.Budget, s.meter.Max = g.opts.Memory, g.opts.MaxAnswerBytes
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.sessions[s] = struct{}{}
--- a/internal/gateway/operation.go
+++ b/internal/gateway/operation.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/arbutusring/arbutusring/internal/clock"
+	"github.com/arbutusring/arbutusring/internal/limit"
 	"github.com/arbutusring/arbutusring/internal/schedule"
 	"github.com/arbutusring/arbutusring/internal/statement"
 	"github.com/arbutusring/arbutusring/pkg/database"
@@ -35,6 +36,7 @@
 
 // operation is the execution of one statement over all its attempts.
 type operation struct {
+	meter        limit.Meter // counts the answer while it is read
 	session      *Session
 	gateway      *Gateway
 	ctx          context.Context
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -25,8 +25,8 @@
 	token    logpos.Position // newest position of the session's own commits
 	tx       *transaction    // nil outside of a transaction
 	closed   bool
-	kept     limit.State // what settings and prepared take
-	meter    limit.Meter // counts the answer in progress
+	kept     limit.State  // what settings and prepared take
+	meter    *limit.Meter // counts the last answer; nil once that was encoded
 }
 
 // Execute runs one statement and returns its answer. ctx ends when the caller
@@ -130,8 +130,10 @@
 // refuses it. The database configuration of a transaction stays as it was when
 // the transaction was begun at a server.
 func (s *Session) newOperation(ctx context.Context, r statement.Request) (*operation, *statement.Answer) {
-	r.Meter = &s.meter
 	o := &operation{session: s, gateway: s.gateway, request: r, ctx: ctx, started: clock.Now(), tried: make(map[*member]bool)}
+	o.meter = limit.Meter{Budget: s.gateway.opts.Memory, Max: s.gateway.opts.MaxAnswerBytes}
+	s.meter.Release() // an answer that was not encoded
+	s.meter, o.request.Meter = &o.meter, &o.meter
 	fail := func(err error) (*operation, *statement.Answer) {
 		if s.tx != nil {
 			s.tx.fail()
--- a/internal/gateway/sessionstate.go
+++ b/internal/gateway/sessionstate.go
@@ -55,7 +55,7 @@
 	}
 	clear(s.prepared)
 	s.kept.Release(s.gateway.opts.Memory)
-	s.meter.Release()
+	s.releaseAnswer()
 }
 
 func (s *Session) replaceState(before, after *limit.Size) error {
@@ -75,5 +75,10 @@
 func (s *Session) ReleaseAnswer() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.releaseAnswer()
+}
+
+func (s *Session) releaseAnswer() {
 	s.meter.Release()
+	s.meter = nil
 }
--- a/internal/limit/budget.go
+++ b/internal/limit/budget.go
@@ -14,7 +14,7 @@
 	budgetFraction = 0.25
 	// reserveFraction is the fraction of a budget that only small messages may use
 	// beyond it.
-	reserveFraction = 0.25
+	reserveFraction = 0.5
 	// smallBytes is the greatest size of a small message. A statement in calm has
 	// about 500 bytes.
 	smallBytes = 64 << 10
--- a/internal/limit/guard.go
+++ b/internal/limit/guard.go
@@ -73,8 +73,8 @@
 		opts: opts, conns: make(map[C]struct{}), perAddress: make(map[netip.Addr]int),
 		counters: make(map[Reason]metrics.Counter), stop: make(chan struct{}),
 	}
-	for _, r := range reasons {
-		g.counters[r] = metrics.GetOrRegisterCounter(opts.Name+".refused."+string(r), opts.Registry)
+	for r := TooManyConnections; r <= TooLarge; r++ {
+		g.counters[r] = metrics.GetOrRegisterCounter(opts.Name+".refused."+r.String(), opts.Registry)
 	}
 	registerGauge(opts.Registry, opts.Name+".connections", func() int64 { return int64(g.Len()) })
 	return g
@@ -138,7 +138,7 @@
 	if evict {
 		g.abort(victim, Unused)
 	}
-	return "", true
+	return None, true
 }
 
 // Remove removes a connection that has been closed, and returns what it holds.
@@ -176,7 +176,7 @@
 func (g *Guard[C]) Start(c C) {
 	m := g.opts.Member(c)
 	m.progress.Store(now())
-	m.started.Store(true)
+	m.flags.Or(flagStarted)
 	m.begun.Store(0)
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -210,10 +210,13 @@
 // listUnused adds the sessions to the unused ones that have become old enough. The caller
 // holds mu.
 func (g *Guard[C]) listUnused(at int64) {
+	if 4*len(g.conns) < 3*g.opts.Limits.MaxConnections || g.opts.Limits.MaxConnections == 0 {
+		return // an element of the list takes memory
+	}
 	var found []C
 	for c := range g.conns {
 		m := g.opts.Member(c)
-		if m.started.Load() && !m.used && !m.listed && at-m.progress.Load() >= int64(unusedAge) {
+		if m.Started() && !m.used && !m.listed && at-m.progress.Load() >= int64(unusedAge) {
 			found = append(found, c)
 		}
 	}
@@ -233,7 +236,7 @@
 }
 
 func (g *Guard[C]) abort(c C, r Reason) {
-	if !g.opts.Member(c).closing.Swap(true) {
+	if g.opts.Member(c).flags.Or(flagClosing)&flagClosing == 0 {
 		g.Count(r)
 		g.opts.Abort(c, r)
 	}
@@ -244,20 +247,25 @@
 func (g *Guard[C]) Take(c C, n int64) bool {
 	m := g.opts.Member(c)
 	if !g.opts.Budget.Take(n, m.held.Load()) {
-		if !g.reclaim(c, n) {
+		g.reclaim(c, n)
+		if !g.opts.Budget.Take(n, m.held.Load()) {
 			return false
 		}
-		g.opts.Budget.Force(n) // the closed connections return at least as much
 	}
 	m.held.Add(n)
 	return true
 }
 
-// Give returns n bytes of a connection.
+// Give returns n bytes of a connection, or all if it holds less, because the guard is
+// closing it.
 func (g *Guard[C]) Give(c C, n int64) {
-	if n != 0 {
-		g.opts.Member(c).held.Add(-n)
-		g.opts.Budget.Give(n)
+	held := &g.opts.Member(c).held
+	for n > 0 {
+		h := held.Load()
+		if held.CompareAndSwap(h, h-min(n, h)) {
+			g.opts.Budget.Give(min(n, h))
+			return
+		}
 	}
 }
 
@@ -273,15 +281,15 @@
 
 // reclaim closes connections that hold memory without being able to use it, other than
 // asker, the largest first and the newest first among those of about the same size, all
-// larger than n. It reports whether they hold at least n bytes.
-func (g *Guard[C]) reclaim(asker C, n int64) bool {
+// larger than n. What they hold is returned at once; nbio frees it within a moment.
+func (g *Guard[C]) reclaim(asker C, n int64) {
 	g.reclaimMu.Lock()
 	defer g.reclaimMu.Unlock()
-	if at := time.Now(); at.Before(g.nextReclaim) {
-		return false
-	} else {
-		g.nextReclaim = at.Add(reclaimPause)
+	at := time.Now()
+	if at.Before(g.nextReclaim) {
+		return
 	}
+	g.nextReclaim = at.Add(reclaimPause)
 	own := g.opts.Member(asker).held.Load() + n
 	var list []candidate[C]
 	for _, c := range g.All() {
@@ -304,8 +312,8 @@
 		}
 		freed += v.held
 		g.abort(v.conn, Evicted)
+		g.GiveAll(v.conn)
 	}
-	return freed >= n
 }
 
 // loop checks the time limits until Close.
@@ -351,7 +359,7 @@
 func (g *Guard[C]) report(reported map[Reason]int64) bool {
 	var total int64
 	delta := make(map[Reason]int64)
-	for _, r := range reasons {
+	for r := TooManyConnections; r <= TooLarge; r++ {
 		count := g.counters[r].Count()
 		delta[r] = count - reported[r]
 		total += delta[r]
@@ -361,9 +369,9 @@
 		return false
 	}
 	e := g.opts.Logger.Warn().Str("event", g.opts.Name+"_refused").Int("connections", g.Len()).Int64("memory_bytes", g.opts.Budget.Used())
-	for _, r := range reasons {
+	for r := TooManyConnections; r <= TooLarge; r++ {
 		if delta[r] > 0 {
-			e = e.Int64(string(r), delta[r])
+			e = e.Int64(r.String(), delta[r])
 		}
 	}
 	e.Msg("connections were refused or closed, by limit")
--- a/internal/limit/limits.go
+++ b/internal/limit/limits.go
@@ -12,19 +12,23 @@
 }
 
 // Reason is the reason why a connection is refused or closed.
-type Reason string
+type Reason uint8
 
 // The reasons.
 const (
-	TooManyConnections Reason = "connections"
-	TooManyPerAddress  Reason = "address"
-	Unused             Reason = "unused"  // made room for a new connection
-	Memory             Reason = "memory"  // the budget is used up
-	Evicted            Reason = "evicted" // held much without use while the budget was used up
-	StartupTimeout     Reason = "startup_timeout"
-	MessageTimeout     Reason = "message_timeout"
-	WriteTimeout       Reason = "write_timeout"
-	TooLarge           Reason = "too_large"
+	None Reason = iota
+	TooManyConnections
+	TooManyPerAddress
+	Unused  // made room for a new connection
+	Memory  // the budget is used up
+	Evicted // held much without use while the budget was used up
+	StartupTimeout
+	MessageTimeout
+	WriteTimeout
+	TooLarge
 )
 
-var reasons = []Reason{TooManyConnections, TooManyPerAddress, Unused, Memory, Evicted, StartupTimeout, MessageTimeout, WriteTimeout, TooLarge}
+var reasonNames = [...]string{"", "connections", "address", "unused", "memory", "evicted", "startup_timeout", "message_timeout", "write_timeout", "too_large"}
+
+// String returns the name that metrics and logs use.
+func (r Reason) String() string { return reasonNames[r] }
--- a/internal/lineserver/conn.go
+++ b/internal/lineserver/conn.go
@@ -39,14 +39,14 @@
 	// is set while the next line waits until the answer is sent.
 	answerHeld   atomic.Int64
 	writeBlocked atomic.Bool
+	queuedBytes  int32 // bytes of queued; guarded by mu, placed here for its size
 
 	mu          sync.Mutex   // guards the fields below
 	partialLine []byte       // incomplete line at the end of the input
 	queued      [][]byte     // complete lines that wait to be run
-	queuedBytes int          // bytes of queued
-	runningCost int64        // cost of the running line
-	inputHeld   int64        // what the input has taken from the budget, with the running line
-	refused     limit.Reason // why the input after the queued lines is refused; empty if it is not
+	runningCost int32        // cost of the running line
+	inputHeld   int32        // what the input has taken from the budget, with the running line
+	refused     limit.Reason // why the input after the queued lines is refused; None if it is not
 	running     bool         // a worker serves the connection
 	paused      bool         // not read, because the queue is full
 	closed      bool         // the socket is closed
@@ -96,7 +96,7 @@
 // splitLines splits received bytes into queued lines. The caller holds mu.
 func (c *conn) splitLines(b []byte) {
 	known := len(c.queued)
-	for len(b) > 0 && c.refused == "" {
+	for len(b) > 0 && c.refused == limit.None {
 		i := bytes.IndexByte(b, '\n')
 		if i < 0 {
 			c.partialLine = append(c.partialLine, b...)
@@ -113,15 +113,15 @@
 		}
 		line = bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
 		c.queued = append(c.queued, line)
-		c.queuedBytes += len(line)
+		c.queuedBytes += int32(len(line))
 	}
 	if !c.holdInput() {
 		c.dropFrom(known)
 		c.refuseInput(limit.Memory)
 		_ = c.holdInput() // never fails: less is held than before
 	}
-	c.paused = len(c.queued) >= maxQueuedLines || c.srv.opts.MaxQueuedBytes > 0 && c.queuedBytes >= c.srv.opts.MaxQueuedBytes
-	if !c.running && (len(c.queued) > 0 || c.refused != "") {
+	c.paused = len(c.queued) >= maxQueuedLines || c.srv.opts.MaxQueuedBytes > 0 && int(c.queuedBytes) >= c.srv.opts.MaxQueuedBytes
+	if !c.running && (len(c.queued) > 0 || c.refused != limit.None) {
 		c.srv.workers.Submit(c)
 	}
 }
@@ -135,7 +135,7 @@
 // dropFrom removes the queued lines from index i on. The caller holds mu.
 func (c *conn) dropFrom(i int) {
 	for _, line := range c.queued[i:] {
-		c.queuedBytes -= len(line)
+		c.queuedBytes -= int32(len(line))
 	}
 	clear(c.queued[i:])
 	c.queued = c.queued[:i]
@@ -144,8 +144,8 @@
 // holdInput takes from the budget what the input of the connection occupies, or returns
 // what it no longer does. It reports whether there was room. The caller holds mu.
 func (c *conn) holdInput() bool {
-	want := int64(cap(c.partialLine)) + lineCopies*int64(c.queuedBytes) + lineOverhead*int64(len(c.queued)) + c.runningCost
-	switch more := want - c.inputHeld; {
+	want := int64(cap(c.partialLine)) + lineCopies*int64(c.queuedBytes) + lineOverhead*int64(len(c.queued)) + int64(c.runningCost)
+	switch more := want - int64(c.inputHeld); {
 	case more > 0:
 		if !c.srv.guard.Take(c, more) {
 			return false
@@ -153,7 +153,7 @@
 	case more < 0:
 		c.srv.guard.Give(c, -more)
 	}
-	c.inputHeld = want
+	c.inputHeld = int32(want)
 	return true
 }
 
@@ -190,7 +190,7 @@
 	case len(c.queued) > 0:
 		c.runNext()
 		return true
-	case c.refused != "":
+	case c.refused != limit.None:
 		c.write(c.srv.opts.Handler.Refuse(c.refused))
 		c.end()
 	}
@@ -204,8 +204,8 @@
 	if c.queued = c.queued[1:]; len(c.queued) == 0 {
 		c.queued = nil
 	}
-	c.queuedBytes -= len(line)
-	c.runningCost = lineCopies*int64(len(line)) + lineOverhead
+	c.queuedBytes -= int32(len(line))
+	c.runningCost = lineCopies*int32(len(line)) + lineOverhead
 	if c.paused {
 		c.paused = false
 		c.read()
@@ -341,7 +341,7 @@
 // hasWork reports whether a line is queued, running or incomplete. The caller
 // holds mu.
 func (c *conn) hasWork() bool {
-	return c.running || len(c.queued) > 0 || len(c.partialLine) > 0 || c.refused != "" && !c.ending || c.member.Unsent() > 0
+	return c.running || len(c.queued) > 0 || len(c.partialLine) > 0 || c.refused != limit.None && !c.ending || c.member.Unsent() > 0
 }
 
 // closeSession calls Handler.Close if it was not called yet. The caller holds mu.
--- a/internal/lineserver/server.go
+++ b/internal/lineserver/server.go
@@ -61,7 +61,7 @@
 	Address      string // ip:port to listen on
 	Handler      Handler
 	Logger       zerolog.Logger
-	MaxLineBytes int // maximum bytes of one line with its line ending
+	MaxLineBytes int // maximum bytes of one line with its line ending, at most 64 MiB
 	Pollers      int // number of nbio event loops; default 1
 
 	Limits         limit.Limits
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/arbutusring/arbutusring/internal/limit"
+	"github.com/arbutusring/arbutusring/internal/workpool"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 	"github.com/zeebo/errs"
@@ -115,7 +116,7 @@
 func (s *Server) run(conn net.Conn) {
 	c := &serverConn{batchConn: newBatchConn(&timeoutConn{Conn: conn, idleTimeout: s.opts.IdleTimeout, writeTimeout: s.opts.WriteTimeout}), net: conn}
 	if !s.addConn(c) {
-		c.abort("")
+		c.abort(limit.None)
 		return
 	}
 	defer s.removeConn(c)
@@ -124,7 +125,7 @@
 		s.guard.Start(c)
 		s.guard.Use(c)
 	})
-	s.rpc.ServeCodec(in)
+	workpool.Guard(s.opts.Logger, func() { s.rpc.ServeCodec(in) })
 }
 
 // Shutdown stops accepting connections, waits until every running call has been
