--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -416,7 +416,6 @@
 		return nil, err
 	}
 	s := &Session{gateway: g, name: name, identity: id, settings: make(map[string]string), prepared: make(map[string]*preparedStatement)}
-	s.meter.Budget, s.meter.Max = g.opts.Memory, g.opts.MaxAnswerBytes
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.sessions[s] = struct{}{}
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -28,8 +28,8 @@
 	token    logpos.Position // newest position of the session's own commits
 	tx       *transaction    // nil outside of a transaction
 	closed   bool
-	kept     limit.State // what settings and prepared take
-	meter    limit.Meter // counts the answer in progress
+	kept     limit.State  // what settings and prepared take
+	meter    *limit.Meter // counts the last answer; nil once that was encoded
 }
 
 // Customer returns the name of the customer of the session; empty if it has none.
@@ -148,8 +148,10 @@
 // refuses it. The database configuration of a transaction stays as it was when
 // the transaction was begun at a server.
 func (s *Session) newOperation(ctx context.Context, r statement.Request, begun time.Time) (*operation, *statement.Answer) {
-	r.Meter = &s.meter
 	o := s.operation(ctx, r, begun)
+	o.meter = limit.Meter{Budget: s.gateway.opts.Memory, Max: s.gateway.opts.MaxAnswerBytes}
+	s.meter.Release() // an answer that was not encoded
+	s.meter, o.request.Meter = &o.meter, &o.meter
 	fail := func(err error) (*operation, *statement.Answer) {
 		if s.tx != nil {
 			s.tx.fail()
