relay: a statement waits 100 ms at a connector if there is another one

With 47 connections, 23 connectors have two each. Two open transactions at one connector blocked the statements of all its senders until they were refused, while others had free connections. The sender now says how long a statement may wait at all connectors but the last.

TestBusyConnector fails without the limit: the write is answered after 1.1 s.

--- a/internal/gateway/loan.go
+++ b/internal/gateway/loan.go
@@ -18,7 +18,7 @@
 	Customer string
 	Rank     int
 	Begin    bool      // the statement begins a transaction
-	Start    time.Time // latest time to send it to the server, on clock.Now
+	Start    time.Time // latest time to get a connection, on clock.Now
 	Deadline time.Time // for the answer, on clock.Now
 }
 
@@ -76,6 +76,9 @@
 	ctx, cancel := context.WithDeadline(ctx, startBy)
 	defer cancel()
 	slot, err := m.sched.Acquire(ctx, g.view.Load().ranks.Name(args.Rank), args.Customer, startBy)
+	if errkind.Of(err) == errkind.DeadlineExceeded && clock.Now().Before(args.Deadline) {
+		err = errkind.Wrap(errkind.Overloaded, err, "the connector has no slot in time") // another one may have
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -20,6 +20,9 @@
 	// maxOverloaded bounds how many of them may refuse it because of their queues. In
 	// an overload, more attempts would add load.
 	maxOverloaded = 2
+	// patience is how long a statement waits for a connection of one connector if
+	// another one may have one free: each has few, and open transactions hold them.
+	patience = 100 * time.Millisecond
 	// probeNextAfter is how long a probe waits for one connector before it also asks
 	// the next. It is longer than two round trips between regions.
 	probeNextAfter = 150 * time.Millisecond
@@ -95,7 +98,7 @@
 	s, id := c.stream, c.id
 	c.mu.Unlock()
 	if s != nil {
-		a, err := c.exchange(s, id, deadline, r, nil)
+		a, err := c.exchange(s, id, deadline, 0, r, nil)
 		if err == nil && a.State == statement.Idle {
 			c.leave(s)
 		}
@@ -107,11 +110,16 @@
 	}
 	lastErr := error(errkind.New(errkind.NoMember, "no connector of server %s is known", c.target.Server))
 	overloaded := 0
-	for i, address := range c.client.bySuspicion(c.order()) {
+	order := c.client.bySuspicion(c.order())
+	for i, address := range order {
 		if i == maxConnectors || overloaded == maxOverloaded || !time.Now().Before(deadline) || c.isClosed() {
 			break
 		}
-		a, err := c.tryConnector(address, deadline, r)
+		wait := patience
+		if i == len(order)-1 || i == maxConnectors-1 || overloaded == maxOverloaded-1 {
+			wait = 0 // the last one
+		}
+		a, err := c.tryConnector(address, deadline, wait, r)
 		if err == nil || !c.mayTryNext(err) {
 			return a, err
 		}
@@ -146,7 +154,7 @@
 }
 
 // tryConnector sends a statement outside of a transaction to one connector.
-func (c *Conn) tryConnector(address string, deadline time.Time, r gateway.RelayedStatement) (statement.Answer, error) {
+func (c *Conn) tryConnector(address string, deadline time.Time, wait time.Duration, r gateway.RelayedStatement) (statement.Answer, error) {
 	s, err := c.client.streamTo(address, deadline)
 	if err != nil {
 		return statement.Answer{}, err
@@ -156,7 +164,7 @@
 	c.stream, c.id = s, id
 	c.mu.Unlock()
 	s.use(1)
-	a, err := c.exchange(s, id, deadline, r, &c.target)
+	a, err := c.exchange(s, id, deadline, wait, r, &c.target)
 	if err == nil && a.State != statement.Idle || err != nil && errkind.Of(err).Info().Outcome != errkind.NotRun {
 		return a, err // a transaction is open, or the call may still be in progress
 	}
@@ -176,10 +184,10 @@
 }
 
 // exchange sends a statement to a connector and waits for its answer.
-func (c *Conn) exchange(s *outStream, id uint32, deadline time.Time, r gateway.RelayedStatement, t *target) (statement.Answer, error) {
+func (c *Conn) exchange(s *outStream, id uint32, deadline time.Time, wait time.Duration, r gateway.RelayedStatement, t *target) (statement.Answer, error) {
 	m := &call{Conn: id, Target: t, Sent: s.sentAt(), Remaining: time.Until(deadline).Milliseconds(), HasState: r.HasState}
 	if t != nil {
-		m.Rank = r.Rank
+		m.Rank, m.Patience = r.Rank, wait.Milliseconds()
 	}
 	if r.HasState && len(r.Settings) > 0 {
 		m.Settings = r.Settings
--- a/internal/relay/instream.go
+++ b/internal/relay/instream.go
@@ -32,8 +32,9 @@
 	maxStartDelay = 1500 * time.Millisecond
 )
 
-// limits are the latest start and end of a statement, on clock.Now.
-type limits struct{ start, end time.Time }
+// limits are the latest times for a statement to get a connection, to be sent to the
+// server and to be answered, on clock.Now.
+type limits struct{ borrow, start, end time.Time }
 
 // inStream is a stream from a sender, at the connector.
 type inStream struct {
@@ -165,7 +166,10 @@
 		return err
 	}
 	sent := clock.Now().Add(-in.delay(m.Sent))
-	until := limits{start: sent.Add(maxStartDelay), end: sent.Add(remaining(m.Remaining))}
+	until := limits{borrow: sent.Add(maxStartDelay), start: sent.Add(maxStartDelay), end: sent.Add(remaining(m.Remaining))}
+	if m.Patience > 0 {
+		until.borrow = sent.Add(min(remaining(m.Patience), maxStartDelay))
+	}
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	c := in.conns[m.Conn]
@@ -244,7 +248,7 @@
 	if loan == nil {
 		args := gateway.LoanArgs{
 			Server: m.Target.Server, Born: m.Target.Born, Customer: m.Target.Customer,
-			Rank: m.Rank, Begin: m.Kind == statement.Begin, Start: until.start, Deadline: until.end,
+			Rank: m.Rank, Begin: m.Kind == statement.Begin, Start: until.borrow, Deadline: until.end,
 		}
 		var err error
 		if loan, err = in.service.opts.Gateway.Borrow(c.ctx, args, r); err != nil {
--- a/internal/relay/messages.go
+++ b/internal/relay/messages.go
@@ -41,6 +41,7 @@
 	Sent      int64 // as in hello
 	Remaining int64 // time for the answer after Sent, in ms
 	Rank      int
+	Patience  int64 // longest wait for a connection, in ms; 0 for no limit of its own
 
 	HasState bool              // the session state below is required
 	Settings map[string]string // session values; nil for none
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -307,3 +307,22 @@
 	is.Equal(kindOf(c.do(statement.Read, "r3")), errkind.OK)
 	is.Equal(metrics.GetOrRegisterCounter("relay.connector_failures", sender.registry).Count(), int64(0))
 }
+
+// TestBusyConnector guards against a statement that waits for a connector whose
+// connections are held by transactions while another one has some free.
+func TestBusyConnector(t *testing.T) {
+	is := is.New(t)
+	in := install(t, 6, 4)
+	connectors, sender := in.roles()
+	for i := range 2 {
+		tx := in.open(sender)
+		tx.do(statement.Begin, "begin")
+		is.Equal(kindOf(tx.do(statement.Write, fmt.Sprint("t", i))), errkind.OK)
+	}
+	is.Equal(in.backend.connections(connectors[0].id), 2)
+	c := in.open(sender)
+	begun := time.Now()
+	is.Equal(kindOf(c.do(statement.Write, "w1")), errkind.OK)
+	is.True(time.Since(begun) < 500*time.Millisecond)
+	is.Equal(in.backend.count(connectors[1].id+"/ write w1"), 1)
+}
