--- a/internal/allowance/account.go
+++ b/internal/allowance/account.go
@@ -83,12 +83,12 @@
 
 // spareLimit returns the number of tokens held up to which hosts get tokens for
 // operations to come: what the capacity exceeds the burst by, so that idle tokens
-// cause no refusals, but at least half of the stock limit and at most so many
+// cause no refusals, but at least a quarter of the stock limit and at most so many
 // that waiting operations of other hosts still get some.
 func (a *account) spareLimit() int {
 	limit := stockLimit(a.capacity)
-	spare := max(int(a.capacity-a.limit.Burst), limit/2)
-	return min(spare, limit-max(minStockReserve, limit/4))
+	spare := max(int(a.capacity-a.limit.Burst), limit/4)
+	return min(spare, limit-max(minStockReserve, limit/8))
 }
 
 // untilToken returns the time until the bucket has a token, if hosts return those that
--- a/internal/allowance/doc.go
+++ b/internal/allowance/doc.go
@@ -37,7 +37,7 @@
 //     that is sent again gets the reply of the first one; one that is older than
 //     the last one processed has no effect.
 //   - A new ledger does not know the tokens that an earlier one granted. All ledgers
-//     keep the tokens held at or below a stock limit of about half of the capacity. A new
+//     keep the tokens held at or below a stock limit, a fraction of the capacity. A new
 //     ledger starts with empty buckets and, until the stocks of the earlier one must
 //     have run out, counts as many unknown tokens as the stock limit. Hosts name their
 //     tokens to it; it then counts these as held in place of unknown ones, and renews
@@ -57,7 +57,7 @@
 // also get tokens for operations to come: for 0.6 s of their recent demand, at
 // least one after an operation in the last 10 s. Such tokens are granted while the
 // tokens held are at most what the capacity exceeds the burst by, so that tokens that
-// lie idle cause no refusals, and three quarters of the stock limit. Each grant of them
+// lie idle cause no refusals, and seven eighths of the stock limit. Each grant of them
 // is at most a quarter of the bucket. While an operation of a customer was refused within
 // the last second, none are granted, and hosts that hold some are asked to return them:
 // a token that lies idle at one host reaches another that asks again after the retry
--- a/internal/allowance/params.go
+++ b/internal/allowance/params.go
@@ -55,7 +55,11 @@
 // used up by operations that were not reported yet.
 const smallStockLimit = 8
 
+// maxStockFraction is the fraction of the capacity that hosts may hold together. Tokens at
+// hosts bridge the loss of a leader; a new one counts this fraction as unknown at first.
+const maxStockFraction = 0.85
+
 // stockLimit returns the number of tokens that hosts may hold together.
 func stockLimit(capacity float64) int {
-	return int(max(math.Floor(capacity/2), min(math.Floor(capacity), smallStockLimit)))
+	return int(max(math.Floor(capacity*maxStockFraction), min(math.Floor(capacity), smallStockLimit)))
 }
