--- a/internal/directory/hostlist_test.go
+++ b/internal/directory/hostlist_test.go
@@ -76,3 +76,26 @@
 		is.Equal(reply.Hosts, nil) // the version is the same at every leader
 	})
 }
+
+// TestHostListOfReturningHosts guards against hosts that return all at once and wait for
+// the leases of the earlier leader to run out before they learn of each other: until
+// then they can't reach the servers that they share.
+func TestHostListOfReturningHosts(t *testing.T) {
+	runWithCluster(t, func(is *is.I, c *testCluster, _ *testHost) {
+		a, b := directoryrpc.Host{ID: "a", PeerAddress: "a:1"}, directoryrpc.Host{ID: "b", PeerAddress: "b:1"}
+		syncHost(c, a, 0)
+		syncHost(c, b, 0)
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(c.d.State().HostCount, 3) // with the host of the cluster
+		c.d.OnLeader(false, 7)
+		c.d.OnLeader(true, 8)
+		time.Sleep(10 * time.Millisecond)
+		reply := syncHost(c, a, 0)
+		is.True(reply.HostsPending) // the leader knows one host of three
+		syncHost(c, b, 0)
+		time.Sleep(600 * time.Millisecond) // the host of the cluster renews its lease, too
+		reply = syncHost(c, a, 0)
+		is.True(!reply.HostsPending)
+		is.Equal(len(reply.Hosts.Put), 3)
+	})
+}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -257,6 +257,33 @@
 	is.Equal(in.backend.count("w3"), 0)
 }
 
+// TestConnectorsBecomeKnown guards against statements that are refused while the list of
+// hosts is on its way, as after a loss of all hosts: they wait for it, and a host connects
+// by itself if the server has a connection for each host.
+func TestConnectorsBecomeKnown(t *testing.T) {
+	is := is.New(t)
+	in := install(t, 3, 2)
+	_, sender := in.roles()
+	c := in.open(sender)
+	sender.g.SetHosts(nil, true)
+	answered := make(chan errkind.Kind, 1)
+	go func() { answered <- kindOf(c.do(statement.Write, "w1")) }()
+	time.Sleep(100 * time.Millisecond)
+	is.Equal(in.backend.count("w1"), 0)
+	in.apply(sender)
+	is.Equal(<-answered, errkind.OK)
+
+	in.cfg.Customers = map[string]database.Customer{"c": {Name: "c"}} // connectors apply with any number of connections
+	in.cfg.Databases["db"] = database.Database{
+		Name: "db", Group: "g", Consistency: database.Primary, StatementTimeout: 1200 * time.Millisecond, LatencyTarget: time.Second, Public: true,
+	}
+	in.cfg.Groups["g"] = database.Group{Name: "g", MaxConnections: 22}
+	in.apply(sender)
+	sender.g.SetHosts(nil, true)
+	is.Equal(kindOf(c.do(statement.Write, "w2")), errkind.OK)
+	is.Equal(in.backend.count(sender.id+"/ write w2"), 1)
+}
+
 // TestOverload guards against a connector that queues what can't start in time: the
 // refusal must reach the sender before its deadline, so that a write is not unknown.
 func TestOverload(t *testing.T) {
