--- a/internal/allowance/doc.go
+++ b/internal/allowance/doc.go
@@ -55,7 +55,7 @@
 //
 // Waiting operations get tokens as long as the bucket and the stock limit allow. Hosts
 // also get tokens for operations to come: for 0.6 s of their recent demand, at
-// least one after an operation in the last 10 s. Such tokens are granted while the
+// least one after an operation or the start of a session in the last 10 s. Such tokens are granted while the
 // tokens held are at most what the capacity exceeds the burst by, so that tokens that
 // lie idle cause no refusals, and seven eighths of the stock limit. Each grant of them
 // is at most a quarter of the bucket. While an operation of a customer was refused within
--- a/internal/allowance/ledger_test.go
+++ b/internal/allowance/ledger_test.go
@@ -1,14 +1,19 @@
 package allowance_test
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/arbutusring/arbutusring/internal/allowance"
 	"github.com/arbutusring/arbutusring/internal/directoryrpc"
+	"github.com/arbutusring/arbutusring/pkg/errkind"
+	"github.com/matryer/is"
 )
 
 // hoarder is a host that keeps the protocol of calls, asks for as many tokens as it gets
@@ -181,3 +186,33 @@
 	}
 	t.Logf("at most %.2f of the bound in one window", worst)
 }
+
+// TestSessionStarts guards against a first operation of a session that waits for a token,
+// or is refused because the leader is lost just then.
+func TestSessionStarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		limits := map[string]allowance.Limit{"c": {Rate: 10, Burst: 10}}
+		ledger := allowance.NewLedger(allowance.LedgerOptions{ID: 1, Params: platform, TTL: testTTL, Hold: testHold, Now: time.Now()})
+		ledger.SetLimits(time.Now(), limits)
+		stock := allowance.NewStock(directoryrpc.Host{ID: "h", Incarnation: "1"}, time.Now)
+		stock.SetLimits(limits)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		var lost atomic.Bool
+		go stock.Loop(ctx, func(_ context.Context, args *directoryrpc.AllowanceArgs) (*directoryrpc.AllowanceReply, error) {
+			if lost.Load() {
+				return nil, errkind.New(errkind.NotLeader, "lost")
+			}
+			return ledger.Process(time.Now(), args), nil
+		})
+		stock.Expect("c")
+		time.Sleep(200 * time.Millisecond)
+		lost.Store(true)
+		begun := time.Now()
+		token, err := stock.Acquire(ctx, "c")
+		is.NoErr(err)
+		is.True(token.Use())
+		is.Equal(time.Since(begun), time.Duration(0))
+	})
+}
--- a/internal/allowance/stock.go
+++ b/internal/allowance/stock.go
@@ -139,6 +139,27 @@
 	}
 }
 
+// Expect tells that a session of a customer has started, so that the host asks for a
+// token before its first operation.
+func (s *Stock) Expect(customer string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.limited(customer) {
+		return
+	}
+	now := s.now()
+	a := s.accounts[customer]
+	if a == nil {
+		a = &stockAccount{generation: s.generation}
+		s.accounts[customer] = a
+	}
+	if a.target(now) > 0 {
+		return
+	}
+	a.lastDemand = now
+	s.signal()
+}
+
 // cancelWait ends the wait of an operation with cause, or because the ledger did not
 // answer in time if that is nil. A token that it got in the meantime is kept in the
 // second case.
--- a/internal/allowance/stockaccount.go
+++ b/internal/allowance/stockaccount.go
@@ -26,7 +26,7 @@
 	waiters    []*waiter
 
 	demand     meter
-	lastDemand time.Time // of the last operation
+	lastDemand time.Time // of the last operation, or start of a session after idleTime without one
 	spareAfter time.Time // no tokens for operations to come are asked for until then
 	askAfter   time.Time // no call is made for waiting operations until then
 	recalled   bool      // the ledger needs the free tokens
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -415,6 +415,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if g.opts.Expect != nil && id.customer != "" {
+		g.opts.Expect(id.customer)
+	}
 	s := &Session{gateway: g, name: name, identity: id, settings: make(map[string]string), prepared: make(map[string]*preparedStatement)}
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -23,6 +23,8 @@
 	// with a customer: before a statement outside of a transaction is first sent, and
 	// before BEGIN is sent. It may wait until ctx ends. nil: no operation is refused.
 	Admit func(ctx context.Context, customer string) (Admission, error)
+	// Expect is called when a session of a customer has started; nil for no call.
+	Expect func(customer string)
 	// Relay opens a logical connection through connectors. order returns their
 	// addresses in the order in which they are tried. nil: this host and its servers are
 	// always connected directly.
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -87,6 +87,7 @@
 	gatewayOpts := gateway.Options{
 		Connect:  opts.Adapter.Connect,
 		Admit:    p.allowance.admit,
+		Expect:   p.allowance.stock.Expect,
 		Place:    gateway.Place{DataCentre: cfg.Host.DataCentre, Regions: cfg.Host.Regions},
 		Events:   opts.Events,
 		Registry: p.registry,
