--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -20,9 +20,9 @@
 	// maxOverloaded bounds how many of them may refuse it because of their queues. In
 	// an overload, more attempts would add load.
 	maxOverloaded = 2
-	// patience is how long a statement waits for a connection of one connector if
+	// connectorWait is how long a statement waits for a connection of one connector if
 	// another one may have one free: each has few, and open transactions hold them.
-	patience = 100 * time.Millisecond
+	connectorWait = 100 * time.Millisecond
 	// probeNextAfter is how long a probe waits for one connector before it also asks
 	// the next. It is longer than two round trips between regions.
 	probeNextAfter = 150 * time.Millisecond
@@ -115,7 +115,7 @@
 		if i == maxConnectors || overloaded == maxOverloaded || !time.Now().Before(deadline) || c.isClosed() {
 			break
 		}
-		wait := patience
+		wait := connectorWait
 		if i == len(order)-1 || i == maxConnectors-1 || overloaded == maxOverloaded-1 {
 			wait = 0 // the last one
 		}
@@ -187,7 +187,7 @@
 func (c *Conn) exchange(s *outStream, id uint32, deadline time.Time, wait time.Duration, r gateway.RelayedStatement, t *target) (statement.Answer, error) {
 	m := &call{Conn: id, Target: t, Sent: s.sentAt(), Remaining: time.Until(deadline).Milliseconds(), HasState: r.HasState}
 	if t != nil {
-		m.Rank, m.Patience = r.Rank, wait.Milliseconds()
+		m.Rank, m.ConnectWait = r.Rank, wait.Milliseconds()
 	}
 	if r.HasState && len(r.Settings) > 0 {
 		m.Settings = r.Settings
--- a/internal/relay/instream.go
+++ b/internal/relay/instream.go
@@ -167,8 +167,8 @@
 	}
 	sent := clock.Now().Add(-in.delay(m.Sent))
 	until := limits{borrow: sent.Add(maxStartDelay), start: sent.Add(maxStartDelay), end: sent.Add(remaining(m.Remaining))}
-	if m.Patience > 0 {
-		until.borrow = sent.Add(min(remaining(m.Patience), maxStartDelay))
+	if m.ConnectWait > 0 {
+		until.borrow = sent.Add(min(remaining(m.ConnectWait), maxStartDelay))
 	}
 	in.mu.Lock()
 	defer in.mu.Unlock()
--- a/internal/relay/messages.go
+++ b/internal/relay/messages.go
@@ -35,13 +35,13 @@
 // call is one statement. Within a transaction Target is empty: the logical connection
 // has a connection to the server.
 type call struct {
-	ID        uint32
-	Conn      uint32 // the logical connection
-	Target    *target
-	Sent      int64 // as in hello
-	Remaining int64 // time for the answer after Sent, in ms
-	Rank      int
-	Patience  int64 // longest wait for a connection, in ms; 0 for no limit of its own
+	ID          uint32
+	Conn        uint32 // the logical connection
+	Target      *target
+	Sent        int64 // as in hello
+	Remaining   int64 // time for the answer after Sent, in ms
+	Rank        int
+	ConnectWait int64 // longest wait for a connection, in ms; 0 for no limit of its own
 
 	HasState bool              // the session state below is required
 	Settings map[string]string // session values; nil for none
