--- a/internal/allowance/ledger_test.go
+++ b/internal/allowance/ledger_test.go
@@ -16,9 +16,9 @@
 	"github.com/matryer/is"
 )
 
-// hoarder is a host that keeps the protocol of calls, asks for as many tokens as it gets
+// greedyHost is a host that keeps the protocol of calls, asks for as many tokens as it gets
 // and uses them all at once at a time of its choice.
-type hoarder struct {
+type greedyHost struct {
 	host       directoryrpc.Host
 	free       int
 	used       uint64
@@ -33,17 +33,17 @@
 // message is a request or reply that arrives at a time.
 type message struct {
 	at    time.Time
-	to    *hoarder
+	to    *greedyHost
 	args  *directoryrpc.AllowanceArgs
 	reply *directoryrpc.AllowanceReply // nil for a request
 }
 
-// hoarders plays hosts against ledgers, with messages that are delayed, doubled, lost and
+// greedyHosts plays hosts against ledgers, with messages that are delayed, doubled, lost and
 // reordered.
-type hoarders struct {
+type greedyHosts struct {
 	rnd      *rand.Rand
 	now      time.Time
-	hosts    []*hoarder
+	hosts    []*greedyHost
 	messages []message
 	ledger   *allowance.Ledger
 	term     uint64
@@ -55,13 +55,13 @@
 	useEvery, killEvery, electEvery int
 }
 
-func (p *hoarders) elect(earlier allowance.Earlier) {
+func (p *greedyHosts) elect(earlier allowance.Earlier) {
 	p.term++
 	p.ledger = allowance.NewLedger(allowance.LedgerOptions{ID: p.term, Params: p.params, TTL: testTTL, Hold: testHold, Earlier: earlier, Now: p.now})
 	p.ledger.SetLimits(p.now, p.limits)
 }
 
-func (p *hoarders) post(m message) {
+func (p *greedyHosts) post(m message) {
 	for range 1 + p.rnd.IntN(2) {
 		m.at = p.now.Add(time.Duration(p.rnd.ExpFloat64() * float64(60*time.Millisecond)))
 		if p.rnd.IntN(8) > 0 {
@@ -70,7 +70,7 @@
 	}
 }
 
-func (p *hoarders) call(h *hoarder) {
+func (p *greedyHosts) call(h *greedyHost) {
 	if !p.now.Before(h.validUntil) {
 		h.free = 0
 	}
@@ -81,7 +81,7 @@
 	p.post(message{to: h, args: h.inFlight})
 }
 
-func (p *hoarders) receive(m message) {
+func (p *greedyHosts) receive(m message) {
 	h := m.to
 	switch {
 	case m.reply == nil && p.ledger != nil:
@@ -102,7 +102,7 @@
 }
 
 // use sends an operation for each token of the host.
-func (p *hoarders) use(h *hoarder) {
+func (p *greedyHosts) use(h *greedyHost) {
 	if p.now.Before(h.validUntil) {
 		for range h.free {
 			p.sent = append(p.sent, p.now)
@@ -114,7 +114,7 @@
 
 // step advances the time and does something at random. Hosts save up tokens for some
 // seconds, and then all use them.
-func (p *hoarders) step(i int) {
+func (p *greedyHosts) step(i int) {
 	p.now = p.now.Add(5 * time.Millisecond)
 	var due []message
 	p.messages = slices.DeleteFunc(p.messages, func(m message) bool {
@@ -141,7 +141,7 @@
 	if p.rnd.IntN(p.killEvery) == 0 {
 		n := p.rnd.IntN(len(p.hosts))
 		p.use(p.hosts[n]) // killed after it has used what it had
-		p.hosts[n] = &hoarder{host: directoryrpc.Host{ID: fmt.Sprint(n), Incarnation: fmt.Sprint(i)}, full: true}
+		p.hosts[n] = &greedyHost{host: directoryrpc.Host{ID: fmt.Sprint(n), Incarnation: fmt.Sprint(i)}, full: true}
 	}
 	switch {
 	case p.ledger == nil && p.rnd.IntN(100) == 0:
@@ -155,20 +155,20 @@
 	}
 }
 
-// TestHoarders guards against a ledger that lets more operations pass than the bound in
+// TestGreedyHosts guards against a ledger that lets more operations pass than the bound in
 // any window, whatever hosts, messages and leaders do: tokens of silent hosts or of
 // repeated calls that return to the bucket, and tokens of earlier leaders that a new
 // one does not count.
-func TestHoarders(t *testing.T) {
+func TestGreedyHosts(t *testing.T) {
 	worst := 0.0
 	limits := []allowance.Limit{{Rate: 10, Burst: 100}, {Rate: 100, Burst: 10}, {Rate: 40, Burst: 40}}
 	for seed := range uint64(360) {
 		limit := limits[seed%3]
-		p := &hoarders{rnd: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1, 0), params: platform, limits: map[string]allowance.Limit{"c": limit}}
+		p := &greedyHosts{rnd: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1, 0), params: platform, limits: map[string]allowance.Limit{"c": limit}}
 		p.useEvery, p.killEvery, p.electEvery = 400<<(seed/3%5), 150<<(seed/3%4), 600<<(seed/3%3)
 		p.elect(allowance.EarlierNone)
 		for n := range 6 {
-			p.hosts = append(p.hosts, &hoarder{host: directoryrpc.Host{ID: fmt.Sprint(n)}, full: true})
+			p.hosts = append(p.hosts, &greedyHost{host: directoryrpc.Host{ID: fmt.Sprint(n)}, full: true})
 		}
 		for i := range 6000 {
 			p.step(i)
