--- a/internal/directory/demotion_test.go
+++ b/internal/directory/demotion_test.go
@@ -53,3 +53,21 @@
 		})
 	}
 }
+
+// TestOnlyServer guards against a group that takes no statements any more because its
+// only server was silent for a while: no other one can be promoted.
+func TestOnlyServer(t *testing.T) {
+	runWithCluster(t, func(is *is.I, c *testCluster, h *testHost) {
+		for _, id := range []string{"s2", "s3"} {
+			is.NoErr(c.d.Service().Announce(&directoryrpc.AnnounceArgs{Server: directoryrpc.Server{ID: id, Born: 1}, Gone: true}, new(directoryrpc.AnnounceReply)))
+		}
+		c.withLock(func() { c.down["s1"] = true })
+		h.setReport(directoryrpc.Report{FailingFor: 500 * time.Millisecond})
+		time.Sleep(2 * time.Second)
+		c.withLock(func() { c.down["s1"] = false })
+		h.setReport(directoryrpc.Report{})
+		time.Sleep(time.Second)
+		is.Equal(c.group().Primary, "s1")
+		is.True(!c.group().Switching)
+	})
+}
--- a/internal/directory/primary_monitor.go
+++ b/internal/directory/primary_monitor.go
@@ -78,6 +78,9 @@
 	} else {
 		m.demotedSince = time.Time{}
 	}
+	if len(servers) == 1 {
+		return causeNone // no other server can take over, and the group would take no statements
+	}
 	return m.causeFromReports(l, g, primary)
 }
 
