gateway: idle connections are closed where a server has fewer than two for each host

After a loss of power on all machines the servers count those of the lost processes for 3 s more, and hosts that return find no connection and no position of the primary.

Change: the rule for servers with fewer connections than hosts holds below two for each host.

--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -154,7 +154,9 @@
 		m.sched.Configure(maxInFlight(m.server.Slots, hosts), specs)
 		usable := max(1, group.MaxConnections-reservedConnections)
 		share := max(1, usable/max(1, hosts))
-		m.pool.setLimits(min(usable, connectionOvercommit*share), share, usable < hosts)
+		// With one connection for each host, idle ones of lost hosts, which servers keep
+		// for seconds, would leave none for those that return.
+		m.pool.setLimits(min(usable, connectionOvercommit*share), share, share < 2)
 	}
 	return !before.sameRoute(c)
 }
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -20,7 +20,7 @@
 	// surplusIdleTime is how long an idle connection beyond the fair share of this
 	// host is kept.
 	surplusIdleTime = 2 * time.Second
-	// scarceIdleTime is the same if there are fewer connections than hosts. Then no
+	// scarceIdleTime is the same if there are fewer than two connections for each host. Then no
 	// host may keep one, or the others never get any.
 	scarceIdleTime = time.Second
 	// fullBackoff is how long this host opens no connections beyond its fair share
@@ -39,7 +39,7 @@
 	mu        sync.Mutex
 	limit     int    // maximum of open
 	fairShare int    // this host's equal part of the server's connections, at least 1
-	scarce    bool   // there are fewer connections than hosts; otherwise trim keeps fairShare open
+	scarce    bool   // there are fewer than two connections for each host; otherwise trim keeps fairShare open
 	exact     bool   // no connection above limit is kept
 	epoch     uint64 // grows with empty
 	open      int
@@ -271,7 +271,7 @@
 }
 
 // setLimits sets the maximum of open connections and the fair share of this host.
-// scarce reports whether there are fewer connections than hosts.
+// scarce reports whether there are fewer than two connections for each host.
 func (p *pool) setLimits(limit, share int, scarce bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
