--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -98,7 +98,7 @@
 	MaxAnswerBytes int                 `toml:"max_answer_bytes"`
 	StopTimeout    tomlstrict.Duration `toml:"stop_timeout"` // longest duration of a planned stop
 
-	// Limits on callers; docs/design/limits.md tells how they were chosen.
+	// Limits on callers; docs/design/limits.md has the reasons.
 	MaxConnectionsPerAddress int                 `toml:"max_connections_per_address"` // 0 for no limit
 	MaxQueuedBytes           int                 `toml:"max_queued_bytes"`
 	MaxSessionNames          int                 `toml:"max_session_names"`
