gateway: logs say where a message began and ended, and which answer was believed why

The users' two reports can't be told from each other, or from a mix-up in the pool, by the logs of: a line of a statement names its server, but not its bytes, its connection or its receipt. No behaviour changes: the lines of lineserver's handler carry offsets.

--- a/internal/gateway/loan.go
+++ b/internal/gateway/loan.go
@@ -164,6 +164,8 @@
 		return statement.Answer{}, err
 	}
 	l.gateway.metrics.lent.Inc(1)
+	l.gateway.opts.Events.Sample("statement_lent").Str("request", r.ID).Str("server", m.server.ID).Str("connection", a.Source.Connection).
+		Uint64("answer", a.Source.Number).Str("basis", string(a.Source.Basis)).Str("receipt", a.Receipt).Msg("ran a statement of another host")
 	m.recordAnswer(time.Since(begun), a.Position)
 	return a, nil
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -26,6 +26,7 @@
 	connections          metrics.Gauge   // of this host to all servers
 	logicalConnections   metrics.Gauge   // through connectors, in use
 	lent                 metrics.Counter // statements of other hosts that were sent to a server
+	messagesRefused      metrics.Counter // messages of callers that are malformed
 }
 
 func newMetrics(r metrics.Registry) *gatewayMetrics {
@@ -49,6 +50,7 @@
 		connections:          metrics.GetOrRegisterGauge("gateway.connections", r),
 		logicalConnections:   metrics.GetOrRegisterGauge("gateway.connections_logical", r),
 		connectorChanges:     metrics.GetOrRegisterCounter("gateway.connector_changes", r),
+		messagesRefused:      metrics.GetOrRegisterCounter("gateway.messages_refused", r),
 		lent:                 metrics.GetOrRegisterCounter("gateway.statements_of_other_hosts", r),
 	}
 }
--- a/internal/gateway/operationanswer.go
+++ b/internal/gateway/operationanswer.go
@@ -150,6 +150,10 @@
 		open, idle := o.member.pool.size()
 		e = e.Str("server", o.member.server.ID).Int("connections", open).Int("idle", idle).Dur("server_answered_ago_ms", o.member.sinceLastAnswer(clock.Now()))
 	}
+	e = withOrigin(e, o.request.Origin)
+	if src := a.Source; src.Connection != "" {
+		e = e.Str("connection", src.Connection).Uint64("answer", src.Number).Str("basis", string(src.Basis)).Str("receipt", a.Receipt)
+	}
 	if customer := o.session.identity.customer; customer != "" {
 		e = e.Str("customer", customer)
 	}
--- a/internal/lineserver/bench_test.go
+++ b/internal/lineserver/bench_test.go
@@ -75,7 +75,7 @@
 		Memory: limit.NewBudget(limit.BudgetOptions{MemoryMB: 464}), Limits: limit.Limits{MaxConnections: 10000}, MaxQueuedBytes: 1 << 20,
 		Handler: lineserver.Handler{
 			Open: func(string) any { return new(int) },
-			Line: func(context.Context, any, []byte) ([]byte, bool) {
+			Line: func(context.Context, any, lineserver.Line) ([]byte, bool) {
 				return []byte("ROW 0123456789\r\nCOMPLETE r\r\nREADY I 1.100\r\n"), true
 			},
 			Refuse: func(limit.Reason) []byte { return nil },
--- a/internal/lineserver/conn.go
+++ b/internal/lineserver/conn.go
@@ -43,7 +43,8 @@
 
 	mu          sync.Mutex   // guards the fields below
 	partialLine []byte       // incomplete line at the end of the input
-	queued      [][]byte     // complete lines that wait to be run
+	received    int64        // bytes of all lines so far
+	queued      []Line       // complete lines that wait to be run
 	runningCost int32        // cost of the running line
 	inputHeld   int32        // what the input has taken from the budget, with the running line
 	refused     limit.Reason // why the input after the queued lines is refused; None if it is not
@@ -111,8 +112,10 @@
 			c.refuseInput(limit.TooLarge)
 			break
 		}
+		begin := c.received
+		c.received += int64(len(line))
 		line = bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
-		c.queued = append(c.queued, line)
+		c.queued = append(c.queued, Line{Text: line, Begin: begin, End: c.received})
 		c.queuedBytes += int32(len(line))
 	}
 	if !c.holdInput() {
@@ -135,7 +138,7 @@
 // dropFrom removes the queued lines from index i on. The caller holds mu.
 func (c *conn) dropFrom(i int) {
 	for _, line := range c.queued[i:] {
-		c.queuedBytes -= int32(len(line))
+		c.queuedBytes -= int32(len(line.Text))
 	}
 	clear(c.queued[i:])
 	c.queued = c.queued[:i]
@@ -200,12 +203,12 @@
 // runNext runs the first queued line. The caller holds mu.
 func (c *conn) runNext() {
 	line := c.queued[0]
-	c.queued[0] = nil
+	c.queued[0] = Line{}
 	if c.queued = c.queued[1:]; len(c.queued) == 0 {
 		c.queued = nil
 	}
-	c.queuedBytes -= int32(len(line))
-	c.runningCost = lineCopies*int32(len(line)) + lineOverhead
+	c.queuedBytes -= int32(len(line.Text))
+	c.runningCost = lineCopies*int32(len(line.Text)) + lineOverhead
 	if c.paused {
 		c.paused = false
 		c.read()
--- a/internal/lineserver/export_test.go
+++ b/internal/lineserver/export_test.go
@@ -16,7 +16,7 @@
 		}
 	}
 	for _, line := range c.queued {
-		lines = append(lines, string(line))
+		lines = append(lines, string(line.Text))
 	}
 	return lines, string(c.partialLine), c.refused
 }
--- a/internal/lineserver/server.go
+++ b/internal/lineserver/server.go
@@ -41,11 +41,11 @@
 type Handler struct {
 	// Open starts a session for a new connection.
 	Open func(remote string) any
-	// Line runs one line, which is passed without its line ending. ctx is
+	// Line runs one line. ctx is
 	// cancelled when the connection is closed, and by Server.CancelLines. The
 	// connection is closed after the answer unless keep is true. A panic of Line
 	// ends the connection without an answer.
-	Line func(ctx context.Context, session any, line []byte) (answer []byte, keep bool)
+	Line func(ctx context.Context, session any, line Line) (answer []byte, keep bool)
 	// Refuse returns the answer to a line that is not run, or to a new connection
 	// that is not served; the connection is closed after it.
 	Refuse func(reason limit.Reason) []byte
@@ -56,6 +56,12 @@
 	Close func(session any)
 }
 
+// Line is one line of a caller.
+type Line struct {
+	Text       []byte // without the line ending
+	Begin, End int64  // offsets in the input of the connection, with the line ending
+}
+
 // Options configures a Server.
 type Options struct {
 	Address      string // ip:port to listen on
--- a/internal/lineserver/server_test.go
+++ b/internal/lineserver/server_test.go
@@ -33,8 +33,8 @@
 			opened <- e
 			return e
 		},
-		Line: func(ctx context.Context, session any, line []byte) ([]byte, bool) {
-			e := session.(*echoSession)
+		Line: func(ctx context.Context, session any, l lineserver.Line) ([]byte, bool) {
+			e, line := session.(*echoSession), l.Text
 			e.mu.Lock()
 			e.busy = string(line) == "busy"
 			e.mu.Unlock()
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -61,10 +61,31 @@
 	// of a read.
 	After logpos.Position
 
+	Origin Origin // zero for statements of the proxy itself
+
 	// Meter counts the answer while it is read; nil for no limit.
 	Meter *limit.Meter
 }
 
+// Origin is where a request stands in the bytes that were received from its caller.
+type Origin struct {
+	Caller     string // address
+	Begin, End int64  // offsets in the stream of the connection, with the line ending
+}
+
+// Source is where an answer comes from.
+type Source struct {
+	Connection string // local address of the connection to the backend server
+	Number     uint64 // of the answer on this connection, from 1
+	Basis      Basis
+}
+
+// Basis is why an answer counts as the answer to its statement.
+type Basis string
+
+// ByOrder: the answer is the next one that arrived after the statement was sent.
+const ByOrder Basis = "order"
+
 // State is the transaction state of a session after a statement.
 type State byte
 
@@ -89,6 +110,7 @@
 	Failure  *Failure // nil on success
 	State    State
 	Position logpos.Position // of the server's log when it answered; zero if unknown
+	Source   Source          // zero if the proxy answered itself, or another host sent the statement
 }
 
 // Fail returns the answer to a statement that the proxy refuses with err.
