lineserver: a line ends at CR LF and nowhere else

Callers saw: a server ran 'EXECUTE p1 x tauutwpllsugoalkur' of 'EXECUTE s1 x tauutwpllsugoalkur\nneufngzsc', and the rest of the text ended their connection, or ran as a statement of its own if it read like one.

Cause: the listener ended a line at the first LF and took a CR before it away, so the text of a message decided where the message ended. The protocol says CR LF.

The tests of lineserver sent lines that ended with LF alone, which the protocol does not have; they send CR LF now. TestLineSplitting and FuzzSplitLines check in addition that an LF or CR alone stays in the text.

--- a/internal/lineserver/conn.go
+++ b/internal/lineserver/conn.go
@@ -1,7 +1,6 @@
 package lineserver
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"net/netip"
@@ -11,6 +10,7 @@
 	"time"
 
 	"github.com/arbutusring/arbutusring/internal/limit"
+	"github.com/arbutusring/arbutusring/internal/lineframe"
 	"github.com/arbutusring/arbutusring/internal/nbconn"
 	"github.com/arbutusring/arbutusring/internal/workpool"
 	"github.com/lesismal/nbio"
@@ -41,8 +41,8 @@
 	writeBlocked atomic.Bool
 	queuedBytes  int32 // bytes of queued; guarded by mu, placed here for its size
 
-	mu          sync.Mutex   // guards the fields below
-	partialLine []byte       // incomplete line at the end of the input
+	mu          sync.Mutex // guards the fields below
+	input       lineframe.Splitter
 	received    int64        // bytes of all lines so far
 	queued      []Line       // complete lines that wait to be run
 	runningCost int32        // cost of the running line
@@ -68,7 +68,7 @@
 // The caller holds mu.
 func (c *conn) read() {
 	c.readSocket()
-	c.member.Incomplete(len(c.partialLine) > 0 && !c.paused)
+	c.member.Incomplete(c.hasPartialLine() && !c.paused)
 }
 
 func (c *conn) readSocket() {
@@ -98,25 +98,18 @@
 func (c *conn) splitLines(b []byte) {
 	known := len(c.queued)
 	for len(b) > 0 && c.refused == limit.None {
-		i := bytes.IndexByte(b, '\n')
-		if i < 0 {
-			c.partialLine = append(c.partialLine, b...)
-			if len(c.partialLine) >= c.srv.opts.MaxLineBytes {
-				c.refuseInput(limit.TooLarge)
-			}
-			break
-		}
-		line := append(c.partialLine, b[:i+1]...)
-		c.partialLine, b = nil, b[i+1:]
-		if len(line) > c.srv.opts.MaxLineBytes {
+		text, rest, ok, err := c.input.Next(b)
+		if err != nil {
 			c.refuseInput(limit.TooLarge)
 			break
 		}
-		begin := c.received
-		c.received += int64(len(line))
-		line = bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
-		c.queued = append(c.queued, Line{Text: line, Begin: begin, End: c.received})
-		c.queuedBytes += int32(len(line))
+		if ok {
+			begin := c.received
+			c.received += int64(len(text) + len(lineframe.Ending))
+			c.queued = append(c.queued, Line{Text: text, Begin: begin, End: c.received})
+			c.queuedBytes += int32(len(text))
+		}
+		b = rest
 	}
 	if !c.holdInput() {
 		c.dropFrom(known)
@@ -129,9 +122,13 @@
 	}
 }
 
+// hasPartialLine reports whether an incomplete line was received. The caller holds mu.
+func (c *conn) hasPartialLine() bool { return len(c.input.Partial()) > 0 }
+
 // refuseInput refuses all input after the queued lines. The caller holds mu.
 func (c *conn) refuseInput(r limit.Reason) {
-	c.refused, c.partialLine = r, nil
+	c.refused = r
+	c.input.Drop()
 	c.srv.guard.Count(r)
 }
 
@@ -147,7 +144,7 @@
 // holdInput takes from the budget what the input of the connection occupies, or returns
 // what it no longer does. It reports whether there was room. The caller holds mu.
 func (c *conn) holdInput() bool {
-	want := int64(cap(c.partialLine)) + lineCopies*int64(c.queuedBytes) + lineOverhead*int64(len(c.queued)) + int64(c.runningCost)
+	want := int64(cap(c.input.Partial())) + lineCopies*int64(c.queuedBytes) + lineOverhead*int64(len(c.queued)) + int64(c.runningCost)
 	switch more := want - int64(c.inputHeld); {
 	case more > 0:
 		if !c.srv.guard.Take(c, more) {
@@ -234,7 +231,7 @@
 		c.end()
 	case !c.member.Started():
 		c.srv.guard.Start(c)
-		c.member.Incomplete(len(c.partialLine) > 0 && !c.paused)
+		c.member.Incomplete(c.hasPartialLine() && !c.paused)
 	}
 }
 
@@ -313,7 +310,8 @@
 
 // dropInput discards the input. The caller holds mu.
 func (c *conn) dropInput() {
-	c.queued, c.queuedBytes, c.partialLine, c.paused = nil, 0, nil, false
+	c.queued, c.queuedBytes, c.paused = nil, 0, false
+	c.input.Drop()
 	if !c.closed {
 		_ = c.holdInput() // never fails: less is held than before
 	}
@@ -344,7 +342,7 @@
 // hasWork reports whether a line is queued, running or incomplete. The caller
 // holds mu.
 func (c *conn) hasWork() bool {
-	return c.running || len(c.queued) > 0 || len(c.partialLine) > 0 || c.refused != limit.None && !c.ending || c.member.Unsent() > 0
+	return c.running || len(c.queued) > 0 || c.hasPartialLine() || c.refused != limit.None && !c.ending || c.member.Unsent() > 0
 }
 
 // closeSession calls Handler.Close if it was not called yet. The caller holds mu.
--- a/internal/lineserver/doc.go
+++ b/internal/lineserver/doc.go
@@ -1,5 +1,6 @@
 // Package lineserver serves callers whose protocol consists of lines of text. It
-// passes each line to a Handler and does not interpret it.
+// passes each line to a Handler and does not interpret it. A line ends at CR LF, and
+// nowhere else: a CR or an LF alone is a part of its text.
 //
 // # Connections
 //
--- a/internal/lineserver/export_test.go
+++ b/internal/lineserver/export_test.go
@@ -10,6 +10,7 @@
 	s := New(Options{MaxLineBytes: maxLineBytes})
 	defer s.workers.Close()
 	c := &conn{srv: s, running: true}
+	c.input.MaxBytes = maxLineBytes
 	for _, p := range pieces {
 		if c.refused == limit.None {
 			c.splitLines(p)
@@ -18,5 +19,5 @@
 	for _, line := range c.queued {
 		lines = append(lines, string(line.Text))
 	}
-	return lines, string(c.partialLine), c.refused
+	return lines, string(c.input.Partial()), c.refused
 }
--- a/internal/lineserver/fuzz_test.go
+++ b/internal/lineserver/fuzz_test.go
@@ -13,9 +13,9 @@
 // against an incomplete line that is taken for a whole one, and against kept input above
 // the limit.
 func FuzzSplitLines(f *testing.F) {
-	f.Add([]byte("CONNECT a b\r\nQUERY 1 FETCH k\n\nrest"), 7)
-	f.Add([]byte(strings.Repeat("x", 70)+"\n"), 64)
-	f.Add([]byte(strings.Repeat("x", 63)+"\n\r\n"), 10)
+	f.Add([]byte("CONNECT a b\r\nQUERY 1 FETCH k\n\nrest\r\n\r"), 7)
+	f.Add([]byte(strings.Repeat("x", 70)+"\r\n"), 64)
+	f.Add([]byte(strings.Repeat("x", 62)+"\r\n\n\r\n"), 10)
 	f.Fuzz(func(t *testing.T, input []byte, at int) {
 		const maxLineBytes = 64
 		lines, partial, refused := lineserver.SplitLines(maxLineBytes, input)
@@ -29,8 +29,8 @@
 		}
 		rest := string(input)
 		for _, line := range lines {
-			got, after, ok := strings.Cut(rest, "\n")
-			if !ok || strings.TrimSuffix(got, "\r") != line || len(got)+1 > maxLineBytes {
+			got, after, ok := strings.Cut(rest, "\r\n")
+			if !ok || got != line || len(got)+2 > maxLineBytes {
 				t.Fatalf("line %q of %q", line, got)
 			}
 			rest = after
--- a/internal/lineserver/server.go
+++ b/internal/lineserver/server.go
@@ -58,7 +58,7 @@
 
 // Line is one line of a caller.
 type Line struct {
-	Text       []byte // without the line ending
+	Text       []byte // without the CR LF that ends it
 	Begin, End int64  // offsets in the input of the connection, with the line ending
 }
 
@@ -177,6 +177,7 @@
 	c := new(conn)
 	c.mu.Lock()
 	c.srv = s
+	c.input.MaxBytes = s.opts.MaxLineBytes
 	if reason, ok := s.guard.Add(c, addressOf(sock.RemoteAddr())); !ok {
 		c.mu.Unlock()
 		s.refuse(sock, reason)
--- a/internal/lineserver/server_test.go
+++ b/internal/lineserver/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"strings"
 	"sync"
@@ -76,20 +77,21 @@
 	return c, bufio.NewReader(c)
 }
 
-// TestLineSplitting guards against lines that are lost, run out of order or are
-// split wrongly when the network segments the stream differently.
+// TestLineSplitting guards against lines that are lost, run out of order, end at a CR or
+// LF alone, or are split wrongly when the network segments the stream differently.
 func TestLineSplitting(t *testing.T) {
 	is := is.New(t)
 	s, _ := startServer(t)
 	c, r := dial(t, s)
-	for _, part := range []string{"on", "e\r\ntw", "o\nthree\r\n", strings.Repeat("x\r\n", 50)} {
+	for _, part := range []string{"on", "e\r\ntw", "o\nthree\r", "\n", "f\rour\r", "\r\n", strings.Repeat("x\r\n", 50)} {
 		_, err := c.Write([]byte(part))
 		is.NoErr(err)
 	}
-	for _, want := range append([]string{"ONE", "TWO", "THREE"}, strings.Fields(strings.Repeat("X ", 50))...) {
-		got, err := r.ReadString('\n')
+	for _, want := range append([]string{"ONE", "TWO\nTHREE", "F\rOUR\r"}, strings.Fields(strings.Repeat("X ", 50))...) {
+		got := make([]byte, len(want)+1)
+		_, err := io.ReadFull(r, got)
 		is.NoErr(err)
-		is.Equal(got, want+"\n")
+		is.Equal(string(got), want+"\n")
 	}
 }
 
@@ -113,7 +115,7 @@
 	is := is.New(t)
 	s, opened := startServer(t)
 	c, _ := dial(t, s)
-	_, err := c.Write([]byte("wait\n"))
+	_, err := c.Write([]byte("wait\r\n"))
 	is.NoErr(err)
 	e := <-opened
 	time.Sleep(20 * time.Millisecond)
@@ -133,9 +135,9 @@
 	idle, idleReader := dial(t, s)
 	busy, busyReader := dial(t, s)
 	for c, r := range map[net.Conn]*bufio.Reader{idle: idleReader, busy: busyReader} {
-		line := "one\n"
+		line := "one\r\n"
 		if c == busy {
-			line = "busy\n"
+			line = "busy\r\n"
 		}
 		_, err := c.Write([]byte(line))
 		is.NoErr(err)
@@ -148,7 +150,7 @@
 	is.Equal(s.Connections(), 1)
 	_, err := idleReader.ReadString('\n')
 	is.True(err != nil) // closed
-	_, err = busy.Write([]byte("bye\n"))
+	_, err = busy.Write([]byte("bye\r\n"))
 	is.NoErr(err)
 	got, err := busyReader.ReadString('\n')
 	is.NoErr(err)
@@ -165,7 +167,7 @@
 	e.mu.Lock()
 	e.onIdle = func() {
 		e.onIdle = nil
-		_, err := c.Write([]byte("late\n"))
+		_, err := c.Write([]byte("late\r\n"))
 		is.NoErr(err)
 		time.Sleep(20 * time.Millisecond) // the line is in the socket of the server
 	}
@@ -183,7 +185,7 @@
 	s, opened := startServer(t)
 	c, r := dial(t, s)
 	e := <-opened
-	_, err := c.Write([]byte("panic\nnext\n"))
+	_, err := c.Write([]byte("panic\r\nnext\r\n"))
 	is.NoErr(err)
 	_, err = r.ReadString('\n')
 	is.True(err != nil) // closed without an answer
@@ -194,7 +196,7 @@
 		t.Fatal("the session is not closed")
 	}
 	other, otherReader := dial(t, s)
-	_, err = other.Write([]byte("one\n"))
+	_, err = other.Write([]byte("one\r\n"))
 	is.NoErr(err)
 	got, err := otherReader.ReadString('\n')
 	is.NoErr(err)
@@ -207,7 +209,7 @@
 	is := is.New(t)
 	s, _ := startServer(t)
 	c, r := dial(t, s)
-	_, err := c.Write([]byte("wait\n"))
+	_, err := c.Write([]byte("wait\r\n"))
 	is.NoErr(err)
 	time.Sleep(20 * time.Millisecond)
 	s.CancelLines()
