platform: no field ends its message

What could happen: a name, id, text or row that contains CR LF, or an id that contains a blank, ended its message or field on the wire, and what stood behind it counted as another message. Callers can't send such a text, but announcements, configurations and other hosts can: a group or customer name with CR LF put a statement in front of CONNECT's answer. Not seen at the users'; found by looking for the cause of the cut texts elsewhere.

--- a/internal/gateway/loan.go
+++ b/internal/gateway/loan.go
@@ -156,9 +156,10 @@
 	begun := time.Now()
 	m.startStatement()
 	a, err := l.conn.do(deadline, r)
-	m.endStatement(err == nil)
+	refused := l.conn.refusedRequest(err)
+	m.endStatement(err == nil || refused)
 	if err != nil {
-		if !l.conn.aborted.Load() {
+		if !refused && !l.conn.aborted.Load() {
 			l.gateway.recordFailure(m, r.ID, err)
 		}
 		return statement.Answer{}, err
--- a/internal/gateway/operation.go
+++ b/internal/gateway/operation.go
@@ -348,10 +348,15 @@
 	rt.member.startStatement()
 	a, err = pc.do(o.answerDeadline(rt), r)
 	o.recordSend(pc, err)
-	rt.member.endStatement(err == nil || pc.refusedAnswer(err))
+	rt.member.endStatement(err == nil || pc.refusedAnswer(err) || pc.refusedRequest(err))
 	took := time.Since(begun)
 	valid := err == nil && o.finishUse(u, sent, a)
 	rt.member.release(slot, pc)
+	if pc.refusedRequest(err) {
+		u.abandon()
+		rt.member.pool.put(pc)
+		return o.session.failureAnswer(err), false
+	}
 	if err != nil {
 		u.abandon()
 		rt.member.pool.drop(pc)
--- a/internal/gateway/operationadmission.go
+++ b/internal/gateway/operationadmission.go
@@ -42,5 +42,5 @@
 // recordSend records an attempt to send the statement, or BEGIN, on a connection,
 // which ended with err.
 func (o *operation) recordSend(pc *pooledConn, err error) {
-	o.sent = o.sent || errkind.Of(err) != errkind.ConnectFailed && !pc.refusedByConnector(err)
+	o.sent = o.sent || errkind.Of(err) != errkind.ConnectFailed && !pc.refusedByConnector(err) && !pc.refusedRequest(err)
 }
--- a/internal/gateway/pooledconn.go
+++ b/internal/gateway/pooledconn.go
@@ -114,6 +114,12 @@
 	return pc.relayed == nil && (kind == errkind.AnswerTooLarge || kind == errkind.Overloaded)
 }
 
+// refusedRequest reports whether a statement can't be sent on any connection, because a
+// field of it would end the message. Nothing was sent.
+func (pc *pooledConn) refusedRequest(err error) bool {
+	return pc.relayed == nil && errkind.Of(err) == errkind.BadRequest
+}
+
 // do sends one statement and returns its answer.
 func (pc *pooledConn) do(deadline time.Time, r statement.Request) (statement.Answer, error) {
 	r.Meter.Release() // of an earlier attempt
--- a/internal/lineframe/doc.go
+++ b/internal/lineframe/doc.go
@@ -41,5 +41,7 @@
 }
 
 // IsWord reports whether a text can be a field before the last one: it is not empty, and
-// has neither a blank nor a CR or LF.
-func IsWord(text string) bool { return text != "" && !strings.ContainsAny(text, " \r\n") }
+// has neither a blank nor CR LF.
+func IsWord(text string) bool {
+	return text != "" && !strings.Contains(text, " ") && !strings.Contains(text, Ending)
+}
