gateway: an answer is attributed by its receipt, not by its order

Callers saw: a FETCH got the rows of another statement ('FETCH #fe' got other rows than i-# sent), and from then on every answer on that connection was one behind. With a server that repeats a refusal, a write that took effect could be answered BUSY (REFUSED), and one that failed could be acknowledged.

Cause: answers carry no id, and the gateway took the next answer that arrived for the one to the statement in progress. A server that answers twice, the second time late, put its copy in front of the real answer. An idle connection with unread bytes was not used again, but nothing saw a copy that arrived during the next statement or between two statements of a transaction.

Change: internal/correlation judges every answer. Reads, writes and commits need a receipt that no earlier answer on the connection had; an answer with an earlier receipt is a copy and is skipped. Statements without a receipt must have the state and rows that they lead to. An error has no receipt, so it counts once for each connection, and a connection is closed after one instead of going back to the pool.

Ruled out: resending or probing to find out whether a copy follows (nothing that the proxy may send has an answer of its own), and closing connections after every answer without a receipt (each transaction would open one).

--- /dev/null
+++ b/internal/correlation/tracker.go
@@ -0,0 +1,124 @@
+package correlation
+
+import (
+	"fmt"
+
+	"github.com/arbutusring/arbutusring/internal/statement"
+)
+
+// Verdict is what happens to an answer.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Accept Verdict = iota // it is the answer to the statement
+	Skip                  // it is a copy of an earlier answer; the next one is to be read
+	Reject                // it can't be attributed; the connection must be closed
+)
+
+// Error is the reason why an answer can't be attributed to its statement.
+type Error struct{ Reason string }
+
+// Error returns the reason.
+func (e *Error) Error() string { return "the answer can't be attributed: " + e.Reason }
+
+func reject(format string, args ...any) (Verdict, statement.Basis, error) {
+	return Reject, "", &Error{Reason: fmt.Sprintf(format, args...)}
+}
+
+// Tracker follows the answers on one connection. It is not safe for concurrent use.
+type Tracker struct {
+	state    statement.State // after the last accepted answer
+	receipts receipts
+	errors   map[string]struct{} // code and text of the accepted errors
+	bare     bool                // an answer without a receipt was accepted
+	unproven bool                // since the last receipt, one was accepted that may be a copy of an earlier one
+}
+
+// NewTracker returns the tracker of a new connection.
+func NewTracker() *Tracker { return &Tracker{state: statement.Idle, receipts: newReceipts()} }
+
+// Judge decides on the next answer that was received after a statement was sent. It must
+// be called for every answer, in the order of arrival.
+func (t *Tracker) Judge(r statement.Request, a statement.Answer) (Verdict, statement.Basis, error) {
+	switch {
+	case a.Failure != nil:
+		return t.judgeError(r, a)
+	case a.Receipt != "" && t.receipts.contains(a.Receipt):
+		return Skip, "", nil
+	case hasReceipt(r.Kind):
+		return t.judgeResult(r, a)
+	}
+	return t.judgeBare(r, a)
+}
+
+// hasReceipt reports whether the result of a statement comes with a receipt.
+func hasReceipt(k statement.Kind) bool {
+	switch k {
+	case statement.Read, statement.Write, statement.Execute, statement.Commit:
+		return true
+	}
+	return false
+}
+
+// stateAfter returns the state that a successful statement leads to.
+func (t *Tracker) stateAfter(k statement.Kind) statement.State {
+	switch k {
+	case statement.Begin:
+		return statement.Open
+	case statement.Commit, statement.Rollback:
+		return statement.Idle
+	}
+	return t.state
+}
+
+// judgeResult judges a success of a statement that has a receipt.
+func (t *Tracker) judgeResult(r statement.Request, a statement.Answer) (Verdict, statement.Basis, error) {
+	switch want := t.stateAfter(r.Kind); {
+	case a.Receipt == "" && t.bare:
+		return Skip, "", nil
+	case a.Receipt == "":
+		return reject("a %s was answered without a receipt", r.Kind)
+	case a.State != want:
+		return reject("a %s was answered in state %c, not %c", r.Kind, a.State, want)
+	}
+	t.receipts.add(a.Receipt)
+	t.state, t.unproven = a.State, false
+	return Accept, statement.ByReceipt, nil
+}
+
+// judgeBare judges a success of a statement that has no receipt.
+func (t *Tracker) judgeBare(r statement.Request, a statement.Answer) (Verdict, statement.Basis, error) {
+	rows := 0
+	if r.Kind == statement.Status || r.Kind == statement.Demote {
+		rows = 1
+	}
+	want := t.stateAfter(r.Kind)
+	switch fits := a.Receipt == "" && len(a.Rows) == rows && a.State == want; {
+	case fits:
+		t.unproven = t.unproven || t.bare
+		t.bare, t.state = true, a.State
+		return Accept, statement.ByState, nil
+	case a.Receipt == "" && t.bare:
+		return Skip, "", nil
+	}
+	return reject("a %s was answered with receipt %q, %d rows and state %c", r.Kind, a.Receipt, len(a.Rows), a.State)
+}
+
+// judgeError judges an error.
+func (t *Tracker) judgeError(r statement.Request, a statement.Answer) (Verdict, statement.Basis, error) {
+	key := a.Failure.Code + " " + a.Failure.Detail
+	if _, repeated := t.errors[key]; repeated {
+		return reject("error %s has been received before", a.Failure.Code)
+	}
+	// Within a transaction nothing is lost by believing it: only the commit has an effect.
+	if single := t.state == statement.Idle && a.State != statement.Open; t.unproven && single && hasReceipt(r.Kind) && r.Kind != statement.Read {
+		return reject("error %s may be that of an earlier statement", a.Failure.Code)
+	}
+	if t.errors == nil {
+		t.errors = make(map[string]struct{})
+	}
+	t.errors[key] = struct{}{}
+	t.state = a.State
+	return Accept, statement.ByError, nil
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,6 +10,7 @@
 
 	"github.com/arbutusring/arbutusring/internal/clock"
 	"github.com/arbutusring/arbutusring/internal/directoryrpc"
+	"github.com/arbutusring/arbutusring/internal/statement"
 	"github.com/arbutusring/arbutusring/pkg/database"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
 	"github.com/rcrowley/go-metrics"
@@ -149,7 +150,7 @@
 	for id, s := range v.state.Servers {
 		m := g.members[id]
 		if m == nil {
-			m = newMember(g.opts, s, g.metrics.recordOpened)
+			m = newMember(g.opts, s, poolHooks{opened: g.metrics.recordOpened, skipped: func(src statement.Source) { g.recordSkipped(s, src) }})
 			g.members[id] = m
 			g.opts.Events.Event("server_joined").Str("server", id).Str("group", s.Group).Str("address", s.Address).Int64("born", s.Born).Msg("backend server added")
 		}
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -95,13 +95,12 @@
 	orders              map[string][]string // addresses of the connectors by customer, in the order of use; cleared when connections change
 }
 
-// newMember returns a member without connections. opened is called for each connection
-// that is opened.
-func newMember(opts Options, s directoryrpc.Server, opened func(customer string, exchanged bool)) *member {
+// newMember returns a member without connections.
+func newMember(opts Options, s directoryrpc.Server, hooks poolHooks) *member {
 	m := &member{server: s, self: opts.Host}
 	m.setDraining(s.Draining)
 	m.assumedRTT, m.regionPenalty = opts.Place.distance(s.DataCentre)
-	m.pool = newPool(func(ctx context.Context, customer string) (Conn, error) { return opts.Connect(ctx, s, customer) }, opened)
+	m.pool = newPool(func(ctx context.Context, customer string) (Conn, error) { return opts.Connect(ctx, s, customer) }, hooks)
 	if opts.Relay != nil {
 		m.relay = func(customer string) RelayedConn {
 			return opts.Relay(s, customer, func() []string { return m.connectors(customer) })
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -1,6 +1,10 @@
 package gateway
 
 import (
+	"errors"
+
+	"github.com/arbutusring/arbutusring/internal/correlation"
+	"github.com/arbutusring/arbutusring/internal/directoryrpc"
 	"github.com/arbutusring/arbutusring/internal/statement"
 	"github.com/rs/zerolog"
 )
@@ -19,3 +23,17 @@
 	}
 	return e.Str("caller", origin.Caller).Int64("begin", origin.Begin).Int64("end", origin.End)
 }
+
+// recordSkipped logs and counts copies of earlier answers of a server that were skipped.
+func (g *Gateway) recordSkipped(s directoryrpc.Server, src statement.Source) {
+	g.metrics.answersSkipped.Inc(int64(src.Skipped))
+	g.opts.Events.Event("answer_repeated").Str("server", s.ID).Str("connection", src.Connection).Uint64("answer", src.Number).
+		Int("copies", src.Skipped).Msg("a backend server repeated an earlier answer")
+}
+
+// unattributed reports whether err says that an answer could not be attributed. The
+// server has answered then.
+func unattributed(err error) bool {
+	var e *correlation.Error
+	return errors.As(err, &e)
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -27,6 +27,8 @@
 	logicalConnections   metrics.Gauge   // through connectors, in use
 	lent                 metrics.Counter // statements of other hosts that were sent to a server
 	messagesRefused      metrics.Counter // messages of callers that are malformed
+	answersSkipped       metrics.Counter // copies of earlier answers
+	answersRejected      metrics.Counter // answers that could not be attributed
 }
 
 func newMetrics(r metrics.Registry) *gatewayMetrics {
@@ -50,6 +52,8 @@
 		connections:          metrics.GetOrRegisterGauge("gateway.connections", r),
 		logicalConnections:   metrics.GetOrRegisterGauge("gateway.connections_logical", r),
 		connectorChanges:     metrics.GetOrRegisterCounter("gateway.connector_changes", r),
+		answersSkipped:       metrics.GetOrRegisterCounter("gateway.answers_skipped", r),
+		answersRejected:      metrics.GetOrRegisterCounter("gateway.answers_rejected", r),
 		messagesRefused:      metrics.GetOrRegisterCounter("gateway.messages_refused", r),
 		lent:                 metrics.GetOrRegisterCounter("gateway.statements_of_other_hosts", r),
 	}
--- a/internal/gateway/operation.go
+++ b/internal/gateway/operation.go
@@ -290,6 +290,11 @@
 
 // recordFailure is operation.recordFailure for a server.
 func (g *Gateway) recordFailure(m *member, request string, err error) {
+	if unattributed(err) {
+		g.metrics.answersRejected.Inc(1)
+		g.opts.Events.Event("answer_rejected").Str("server", m.server.ID).Str("request", request).Err(err).Msg("an answer can't be attributed to its statement")
+		return
+	}
 	first, unresponsive := m.recordFailure(err)
 	if !unresponsive {
 		// Keep the other connections: each that is reopened would occupy a slot
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/arbutusring/arbutusring/internal/statement"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
 )
 
@@ -34,7 +35,7 @@
 // closed and one is opened in its place: an exchange.
 type pool struct {
 	connect func(ctx context.Context, customer string) (Conn, error)
-	opened  func(customer string, exchanged bool) // called for each connection that was opened
+	hooks   poolHooks
 
 	mu        sync.Mutex
 	limit     int    // maximum of open
@@ -57,8 +58,14 @@
 	return errkind.New(errkind.ConnectFailed, "the connection pool of the server is closed")
 }
 
-func newPool(connect func(ctx context.Context, customer string) (Conn, error), opened func(customer string, exchanged bool)) *pool {
-	return &pool{connect: connect, opened: opened, limit: 1, fairShare: 1, inUse: make(map[*pooledConn]struct{})}
+// poolHooks are called for what happens to the connections of a pool.
+type poolHooks struct {
+	opened  func(customer string, exchanged bool)
+	skipped func(statement.Source) // copies of earlier answers were skipped
+}
+
+func newPool(connect func(ctx context.Context, customer string) (Conn, error), hooks poolHooks) *pool {
+	return &pool{connect: connect, hooks: hooks, limit: 1, fairShare: 1, inUse: make(map[*pooledConn]struct{})}
 }
 
 // get returns the idle connection of the customer that is cheapest to adapt to the
@@ -192,8 +199,9 @@
 		}
 		return nil, errkind.Wrap(errkind.ConnectFailed, err, "opening a connection")
 	}
-	p.opened(customer, exchanged)
+	p.hooks.opened(customer, exchanged)
 	pc := newPooledConn(conn, customer)
+	pc.skipped = p.hooks.skipped
 	p.mu.Lock()
 	pc.epoch = epoch
 	p.use(pc, time.Now())
@@ -216,10 +224,11 @@
 	p.wakeWaiters()
 }
 
-// put returns a connection without an open transaction to the pool.
+// put returns a connection without an open transaction to the pool. One on which an error
+// was received is closed.
 func (p *pool) put(pc *pooledConn) {
 	p.mu.Lock()
-	if p.closed || pc.relayed != nil || pc.aborted.Load() || pc.epoch != p.epoch || p.exact && p.open > p.limit {
+	if p.closed || pc.relayed != nil || pc.aborted.Load() || pc.refused || pc.epoch != p.epoch || p.exact && p.open > p.limit {
 		p.mu.Unlock()
 		p.drop(pc)
 		return
--- a/internal/gateway/pooledconn.go
+++ b/internal/gateway/pooledconn.go
@@ -20,11 +20,13 @@
 	conn      Conn
 	customer  string // under whose name it was opened; never serves another
 	settings  map[string]string
-	prepared  map[string]bool // keyed by the name at the server
-	idleSince time.Time       // when it was returned to the pool
-	usedSince time.Time       // when it was taken from the pool
-	aborted   atomic.Bool     // the connection was closed by abort
-	epoch     uint64          // of the pool when the connection was opened
+	prepared  map[string]bool        // keyed by the name at the server
+	idleSince time.Time              // when it was returned to the pool
+	usedSince time.Time              // when it was taken from the pool
+	aborted   atomic.Bool            // the connection was closed by abort
+	refused   bool                   // an error was received, a copy of which can't be told from the next one
+	epoch     uint64                 // of the pool when the connection was opened
+	skipped   func(statement.Source) // called for an answer before which copies were skipped; may be nil
 
 	relayed  RelayedConn   // conn, if it is a logical connection; settings and prepared are not used then
 	required *sessionState // relayed: state that the next statement needs
@@ -100,6 +102,7 @@
 		return errkind.Wrap(errkind.ConnectFailed, err, "applying the session state to the connection")
 	}
 	for i, a := range answers {
+		pc.observe(a)
 		if a.Failure != nil {
 			return errkind.New(errkind.ConnectFailed, "the server refused %s: %s", requests[i].Kind, a.Failure.Detail)
 		}
@@ -130,9 +133,18 @@
 	if err != nil {
 		return statement.Answer{}, err
 	}
+	pc.observe(answers[0])
 	return answers[0], nil
 }
 
+// observe records what an answer says about its connection.
+func (pc *pooledConn) observe(a statement.Answer) {
+	pc.refused = pc.refused || a.Failure != nil
+	if a.Source.Skipped > 0 && pc.skipped != nil {
+		pc.skipped(a.Source)
+	}
+}
+
 // abort closes the connection while a statement may be using it.
 func (pc *pooledConn) abort() {
 	pc.aborted.Store(true)
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -77,14 +77,19 @@
 type Source struct {
 	Connection string // local address of the connection to the backend server
 	Number     uint64 // of the answer on this connection, from 1
+	Skipped    int    // copies of earlier answers that were skipped before it
 	Basis      Basis
 }
 
 // Basis is why an answer counts as the answer to its statement.
 type Basis string
 
-// ByOrder: the answer is the next one that arrived after the statement was sent.
-const ByOrder Basis = "order"
+// The bases.
+const (
+	ByReceipt Basis = "receipt" // no earlier answer on the connection had its receipt
+	ByState   Basis = "state"   // no receipt is due; the state and the number of rows fit
+	ByError   Basis = "error"   // no earlier answer on the connection reported this error
+)
 
 // State is the transaction state of a session after a statement.
 type State byte
