gateway: a connection is closed after 1,024 answers

Cause: the receipts of the last 1,024 answers of a connection are remembered, so a copy that came later than that would have been believed.

Change: a connection is spent after so many answers, as after an error, and is closed instead of going back to the pool. It costs one opened connection for 1,024 statements.

--- a/internal/correlation/doc.go
+++ b/internal/correlation/doc.go
@@ -18,6 +18,8 @@
 //     received on the connection, and no earlier statement can have caused it. After an
 //     error a connection must not be used for another transaction or statement: a copy
 //     could be taken for the answer to it.
+//   - Only the receipts of the last MaxAnswers answers are remembered, so a connection must
+//     not be used for another transaction or statement after that many.
 //
 // An answer that can't be attributed is rejected; the outcome of its statement is unknown
 // then, and the connection must be closed.
--- a/internal/correlation/receipts.go
+++ b/internal/correlation/receipts.go
@@ -5,9 +5,10 @@
 	"slices"
 )
 
-// maxReceipts is how many receipts of a connection are remembered, in 8 bytes each. A copy
-// that comes after more statements than that is not recognized.
-const maxReceipts = 1024
+// MaxAnswers is the number of answers after which a connection must not be used for
+// another transaction or statement: so many receipts are remembered, in 8 bytes each, and a
+// copy of an older answer would not be recognized.
+const MaxAnswers = 1024
 
 // receipts is a set of the last receipts of one connection, as hashes.
 type receipts struct {
@@ -26,10 +27,10 @@
 // add adds a receipt, in place of the oldest one if there are too many.
 func (s *receipts) add(receipt string) {
 	h := maphash.String(s.seed, receipt)
-	if len(s.hashes) < maxReceipts {
+	if len(s.hashes) < MaxAnswers {
 		s.hashes = append(s.hashes, h)
 		return
 	}
 	s.hashes[s.next] = h
-	s.next = (s.next + 1) % maxReceipts
+	s.next = (s.next + 1) % MaxAnswers
 }
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/arbutusring/arbutusring/internal/clock"
+	"github.com/arbutusring/arbutusring/internal/correlation"
 	"github.com/arbutusring/arbutusring/internal/directoryrpc"
 	"github.com/arbutusring/arbutusring/internal/gateway"
 	"github.com/arbutusring/arbutusring/internal/statement"
@@ -33,6 +34,7 @@
 	adapting    func() // called once, when the state of a session is applied to a connection
 	adapted     int    // number of SET executed
 	begun       int    // number of BEGIN executed
+	spent       int    // number of statements on connections that must not be used for them
 
 	admitted, refunded int  // admissions
 	invalid            int  // number of next checks of an admission that fail
@@ -198,6 +200,8 @@
 	staged        []string
 	once          sync.Once
 	closed        chan struct{}
+	answers       uint64
+	failed        bool // an error was answered
 }
 
 func (c *fakeConn) Usable() bool {
@@ -263,8 +267,14 @@
 	if !c.Usable() {
 		return statement.Answer{}, false
 	}
+	if r.ID != "" && !c.inTransaction && (c.failed || c.answers >= correlation.MaxAnswers) {
+		c.group.spent++
+	}
 	a := c.execute(r)
 	a.Position = s.position()
+	c.answers++
+	c.failed = c.failed || a.Failure != nil
+	a.Source.Number = c.answers
 	a.State = statement.Idle
 	if c.inTransaction {
 		a.State = statement.Open
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -224,11 +224,11 @@
 	p.wakeWaiters()
 }
 
-// put returns a connection without an open transaction to the pool. One on which an error
-// was received is closed.
+// put returns a connection without an open transaction to the pool. One that is spent is
+// closed.
 func (p *pool) put(pc *pooledConn) {
 	p.mu.Lock()
-	if p.closed || pc.relayed != nil || pc.aborted.Load() || pc.refused || pc.epoch != p.epoch || p.exact && p.open > p.limit {
+	if p.closed || pc.relayed != nil || pc.aborted.Load() || pc.spent || pc.epoch != p.epoch || p.exact && p.open > p.limit {
 		p.mu.Unlock()
 		p.drop(pc)
 		return
--- a/internal/gateway/pooledconn.go
+++ b/internal/gateway/pooledconn.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/arbutusring/arbutusring/internal/correlation"
 	"github.com/arbutusring/arbutusring/internal/statement"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
 )
@@ -24,7 +25,7 @@
 	idleSince time.Time              // when it was returned to the pool
 	usedSince time.Time              // when it was taken from the pool
 	aborted   atomic.Bool            // the connection was closed by abort
-	refused   bool                   // an error was received, a copy of which can't be told from the next one
+	spent     bool                   // a copy of an answer on it could be taken for a later one
 	epoch     uint64                 // of the pool when the connection was opened
 	skipped   func(statement.Source) // called for an answer before which copies were skipped; may be nil
 
@@ -139,7 +140,7 @@
 
 // observe records what an answer says about its connection.
 func (pc *pooledConn) observe(a statement.Answer) {
-	pc.refused = pc.refused || a.Failure != nil
+	pc.spent = pc.spent || a.Failure != nil || a.Source.Number >= correlation.MaxAnswers
 	if a.Source.Skipped > 0 && pc.skipped != nil {
 		pc.skipped(a.Source)
 	}
