operator: requests that can be read in more than one way are refused

Cause: as in the platform's calls, encoding/json took the last of two equal names, "ID" for "id", and U+FFFD for bytes that aren't UTF-8: {"id":"s1","Id":"s2"} drained s2.

Change: bodies are decoded by internal/jsonstrict, with unknown names refused as before.

--- a/internal/jsonstrict/jsonstrict.go
+++ b/internal/jsonstrict/jsonstrict.go
@@ -10,7 +10,7 @@
 //   - has an object in which a name occurs twice, also one that is unknown or escaped.
 //
 // A name that differs from that of a field in its case is unknown. No error contains text
-// of the document, which may hold keys.
+// of the document, which may hold keys, except that UnmarshalKnown names an unknown field.
 //
 // # Usage
 //
@@ -19,6 +19,7 @@
 package jsonstrict
 
 import (
+	"bytes"
 	"encoding/json"
 	"reflect"
 	"unicode/utf8"
@@ -40,6 +41,9 @@
 	case !utf8.Valid(document):
 		return Error.New("the document is not UTF-8")
 	case !json.Valid(document):
+		if json.NewDecoder(bytes.NewReader(document)).Decode(new(json.RawMessage)) == nil {
+			return Error.New("there is more than one JSON value")
+		}
 		// The error of json.Unmarshal says where, and names one character at most.
 		return Error.Wrap(json.Unmarshal(document, new(any)))
 	case hasUnpairedSurrogate(document):
--- a/internal/jsonstrict/walker.go
+++ b/internal/jsonstrict/walker.go
@@ -104,7 +104,7 @@
 		if fields != nil {
 			var known bool
 			if value, known = fields[string(name)]; !known && w.onlyKnown {
-				return Error.New("unknown field at byte %d", start)
+				return Error.New("unknown field %q", name)
 			} else if !known {
 				w.hide(start, w.at-1)
 			}
--- a/internal/operator/body.go
+++ b/internal/operator/body.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
 	"net/http"
 
 	"github.com/arbutusring/arbutusring/internal/controlrpc"
+	"github.com/arbutusring/arbutusring/internal/jsonstrict"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
 )
 
@@ -39,20 +39,17 @@
 }
 
 // readJSON decodes the body of r, which must be a single JSON value without
-// unknown keys, into v. If that fails, it writes the error answer and returns
-// false.
+// unknown keys, into v; see package jsonstrict. If that fails, it writes the error answer
+// and returns false.
 func readJSON(w http.ResponseWriter, r *http.Request, v any) bool {
-	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	dec.DisallowUnknownFields()
-	err := dec.Decode(v)
-	if err == nil && dec.Decode(new(struct{})) != io.EOF {
-		err = errors.New("there is more than one JSON value")
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err == nil {
+		err = jsonstrict.UnmarshalKnown(body, v)
 	}
 	if err != nil {
 		writeError(w, errkind.Wrap(errkind.BadRequest, err, "cannot parse the request body"))
-		return false
 	}
-	return true
+	return err == nil
 }
 
 func writeError(w http.ResponseWriter, err error) {
