operator: an announcement's address is ip:port, its id and group have no control characters

Cause: the address was any text. It is an argument of arbutusring_follow, which the servers put into their connection settings: "10.0.0.1:5432 user=x" adds a setting, and a NUL ends the query. An id with a line break forges a line of the output of get.

Evidence: TestNamesOfServers over a socket: before, all five cases that are to be refused were passed on to control.

Change: such an announcement gets 400 (bad_request). The check stands in the HTTP handler, not in the replicated state, where hosts of two releases must decide alike.

--- a/internal/operator/bytes_test.go
+++ b/internal/operator/bytes_test.go
@@ -73,3 +73,18 @@
 		t.Run(tc.name, tc.check)
 	}
 }
+
+// TestNamesOfServers guards against an announcement whose address, id or group ends the
+// field that it is written into later, or forges a line of a command's output.
+func TestNamesOfServers(t *testing.T) {
+	for _, tc := range []rawRequest{
+		{"address", "POST", "/v1/announce", `{"id":"s1","address":"10.0.0.1:5432"}`, "s1 10.0.0.1:5432 map[]"},
+		{"address with more", "POST", "/v1/announce", `{"id":"s1","address":"10.0.0.1:5432 user=x"}`, ""},
+		{"address with NUL", "POST", "/v1/announce", `{"id":"s1","address":"10.0.0.1:5432\u0000"}`, ""},
+		{"address with a quote", "POST", "/v1/announce", `{"id":"s1","address":"10.0.0.1:5432'"}`, ""},
+		{"id with a line break", "POST", "/v1/announce", `{"id":"s1\ns2"}`, ""},
+		{"group with NUL", "POST", "/v1/announce", `{"id":"s1","group":"a\u0000b"}`, ""},
+	} {
+		t.Run(tc.name, tc.check)
+	}
+}
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -159,6 +159,10 @@
 	if !readJSON(w, r, &server) {
 		return
 	}
+	if err := checkAnnouncement(&server); err != nil {
+		writeError(w, err)
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
 	defer cancel()
 	reply, err := s.h.Announce(ctx, &controlrpc.AnnounceArgs{Server: server})
