operator: a malformed health query is refused

Cause: net/http's FormValue drops parameters that it can't read and takes the first of two. An empty selector matches everything, so ?selector=%zz asked about the whole installation.

Evidence: TestMalformedQuestions over a socket: before, all five malformed questions were answered with 200.

Change: a parameter that can't be read, is unknown, comes twice or isn't UTF-8 gets 400.

--- a/internal/operator/bytes_test.go
+++ b/internal/operator/bytes_test.go
@@ -88,3 +88,18 @@
 		t.Run(tc.name, tc.check)
 	}
 }
+
+// TestMalformedQuestions guards against a malformed question that is taken for a wider one.
+func TestMalformedQuestions(t *testing.T) {
+	for _, tc := range []rawRequest{
+		{"question", "GET", "/v1/health?selector=a%3Db&kind=host", "", "host a=b"},
+		{"no question", "GET", "/v1/health", "", " "},
+		{"selector twice", "GET", "/v1/health?selector=a%3Db&selector=c", "", ""},
+		{"bad escape in the selector", "GET", "/v1/health?selector=%zz", "", ""},
+		{"semicolon", "GET", "/v1/health?kind=host;selector=a", "", ""},
+		{"other parameter", "GET", "/v1/health?Selector=a", "", ""},
+		{"question not in UTF-8", "GET", "/v1/health?selector=%ff", "", ""},
+	} {
+		t.Run(tc.name, tc.check)
+	}
+}
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -90,9 +90,14 @@
 		http.NotFound(w, r)
 		return
 	}
+	query, err := parseQuestion(r.URL.RawQuery)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
 	defer cancel()
-	answer, err := s.h.Health(ctx, r.FormValue("kind"), r.FormValue("selector"))
+	answer, err := s.h.Health(ctx, query.Get("kind"), query.Get("selector"))
 	if err != nil {
 		writeError(w, err)
 		return
