operator: the client opens a connection for each request

Cause: connections were kept open and shared. A process, or what stands in its place, that answers a request twice, the second time late, had the copy taken for the answer to the next request: an answer has no id.

Evidence: TestRepeatedAnswer: a server in bytes repeats the first answer of a connection. Before, a drain that was refused for want of a leader was reported as accepted.

Change: no keep-alive.

Measured: go test -race ./internal/operator passes.

--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -119,10 +119,20 @@
 	return errkind.New(answer.Kind, "%s", answer.Detail)
 }
 
+// httpClient opens a connection for each request: an answer has no id, and one that a
+// process sends twice would be taken for the answer to the next request.
+var httpClient = newHTTPClient()
+
+func newHTTPClient() *http.Client {
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.DisableKeepAlives = true
+	return &http.Client{Transport: t}
+}
+
 // do sends the request and decodes the answer. lostKind is the kind of the error
 // if no complete answer arrives.
 func do(r *http.Request, lostKind errkind.Kind, reply any) error {
-	resp, err := http.DefaultClient.Do(r)
+	resp, err := httpClient.Do(r)
 	if err != nil {
 		if notSent(err) {
 			lostKind = errkind.ConnectFailed
--- /dev/null
+++ b/internal/operator/client_bytes_test.go
@@ -0,0 +1,86 @@
+package operator_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/arbutusring/arbutusring/internal/controlrpc"
+	"github.com/arbutusring/arbutusring/internal/operator"
+	"github.com/arbutusring/arbutusring/pkg/errkind"
+	"github.com/matryer/is"
+)
+
+// serveBytes calls answer for each request, with its first line and the number of the
+// request on its connection, and writes what it returns. It reads without net/http.
+func serveBytes(t *testing.T, answer func(line string, n int) string) string {
+	ln := listen(t)
+	var conns sync.WaitGroup
+	var open sync.Map // of net.Conn
+	t.Cleanup(func() {
+		_ = ln.Close()
+		open.Range(func(c, _ any) bool { _ = c.(net.Conn).Close(); return true })
+		conns.Wait()
+	})
+	conns.Go(func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			open.Store(c, nil)
+			conns.Go(func() {
+				r := bufio.NewReader(c)
+				for n := 0; ; n++ {
+					line, err := r.ReadString('\n')
+					length := 0
+					for next := line; err == nil && next != "\r\n"; {
+						next, err = r.ReadString('\n')
+						_, _ = fmt.Sscanf(next, "Content-Length: %d", &length) // other lines don't match
+					}
+					if err != nil {
+						return
+					}
+					_, _ = io.CopyN(io.Discard, r, int64(length)) // an error shows at the next read
+					_, _ = io.WriteString(c, answer(line, n))
+				}
+			})
+		}
+	})
+	return ln.Addr().String()
+}
+
+func answerOf(status, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
+}
+
+// TestRepeatedAnswer guards against an answer that a process sends twice, the second time
+// late, and that is taken for the answer to the next request: a change that was refused
+// would count as accepted.
+func TestRepeatedAnswer(t *testing.T) {
+	is := is.New(t)
+	const applied, refused = `{"version":3}`, `{"kind":"not_leader","detail":"no leader"}`
+	address := serveBytes(t, func(line string, n int) string {
+		switch {
+		case n > 0:
+			return answerOf("200 OK", applied) // the first answer of this connection again
+		case strings.HasPrefix(line, "POST /v1/apply "):
+			return answerOf("200 OK", applied)
+		}
+		return answerOf("503 Service Unavailable", refused)
+	})
+	c := operator.Client{Address: address}
+	reply, err := c.Apply(t.Context(), &controlrpc.ApplyArgs{ChangeID: "a"})
+	is.NoErr(err)
+	is.Equal(reply.Version, uint64(3))
+	for range 3 {
+		_, err = c.Drain(t.Context(), &controlrpc.DrainArgs{ID: "s1"})
+		is.Equal(errkind.Of(err), errkind.NotLeader)
+		_, err = c.Failover(t.Context(), &controlrpc.FailoverArgs{Group: "g"})
+		is.Equal(errkind.Of(err), errkind.NotLeader)
+	}
+}
