operator: a redirect is no answer to a change

Cause: the client followed redirects. After a 302 it sent GET to the new path and took the answer to that for the answer to the change.

Evidence: TestAnswersOfOthers: before, both redirects of an apply counted as accepted.

Change: redirects are not followed; the outcome of the change is unknown.

Measured: go test -race ./internal/operator passes.

--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -103,8 +103,9 @@
 	return errors.As(err, &opErr) && opErr.Op == "dial"
 }
 
-// statusError returns the error for an answer with an error status. An internal
-// error of the process means that a change may have been accepted.
+// statusError returns the error for an answer with another status than 200. An internal
+// error of the process, or an answer that no process gives, such as a redirect, means that
+// a change may have been accepted.
 func statusError(r *http.Request, resp *http.Response, data []byte, lostKind errkind.Kind) error {
 	var answer controlrpc.Answer
 	if json.Unmarshal(data, &answer) != nil || answer.Kind == errkind.OK {
@@ -113,20 +114,24 @@
 	switch {
 	case resp.StatusCode == http.StatusNotFound:
 		answer = controlrpc.Answer{Kind: errkind.Unsupported, Detail: r.URL.Host + " does not offer " + r.URL.Path}
-	case answer.Kind == errkind.Internal && resp.StatusCode >= http.StatusInternalServerError && lostKind == errkind.OutcomeUnknown:
+	case answer.Kind == errkind.Internal && (resp.StatusCode >= http.StatusInternalServerError || resp.StatusCode < http.StatusBadRequest) && lostKind == errkind.OutcomeUnknown:
 		answer.Kind = errkind.OutcomeUnknown
 	}
 	return errkind.New(answer.Kind, "%s", answer.Detail)
 }
 
 // httpClient opens a connection for each request: an answer has no id, and one that a
-// process sends twice would be taken for the answer to the next request.
+// process sends twice would be taken for the answer to the next request. Redirects are not
+// followed: a change would become a read, whose answer is none to the change.
 var httpClient = newHTTPClient()
 
 func newHTTPClient() *http.Client {
 	t := http.DefaultTransport.(*http.Transport).Clone()
 	t.DisableKeepAlives = true
-	return &http.Client{Transport: t}
+	return &http.Client{
+		Transport:     t,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
 }
 
 // do sends the request and decodes the answer. lostKind is the kind of the error
--- a/internal/operator/client_bytes_test.go
+++ b/internal/operator/client_bytes_test.go
@@ -84,3 +84,25 @@
 		is.Equal(errkind.Of(err), errkind.NotLeader)
 	}
 }
+
+// TestAnswersOfOthers guards against an answer that isn't that of the process, and counts
+// as an accepted change.
+func TestAnswersOfOthers(t *testing.T) {
+	for _, tc := range []struct{ name, answer string }{
+		{"redirect that makes it a read", "HTTP/1.1 302 Found\r\nLocation: /v1/state\r\nContent-Length: 0\r\n\r\n"},
+		{"redirect that repeats it", "HTTP/1.1 307 Temporary Redirect\r\nLocation: /v1/state\r\nContent-Length: 0\r\n\r\n"},
+		{"two documents", answerOf("200 OK", `{"version":3}{"version":4}`)},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			address := serveBytes(t, func(line string, _ int) string {
+				if strings.HasPrefix(line, "POST /v1/apply ") {
+					return tc.answer
+				}
+				return answerOf("200 OK", `{"version":3}`)
+			})
+			_, err := operator.Client{Address: address}.Apply(t.Context(), &controlrpc.ApplyArgs{ChangeID: "a"})
+			is.Equal(errkind.Of(err), errkind.OutcomeUnknown)
+		})
+	}
+}
