operator: an answer to apply without a version is none

Cause: the kind of an accepted change is the empty text, so every JSON object, also {} or null of something else at the address, counted as "version 0 accepted".

Evidence: TestAnswersOfOthers/no_version and /null: before, apply returned no error.

Change: the outcome of a change whose answer has no version is unknown. The answers to drain, failover and announce have no field that is always set, so {} is still a success there.

Measured: go test -race ./internal/operator passes.

--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -33,7 +33,12 @@
 
 // Apply asks for a new configuration.
 func (c Client) Apply(ctx context.Context, args *controlrpc.ApplyArgs) (*controlrpc.ApplyReply, error) {
-	return post[controlrpc.ApplyReply](ctx, c, "apply", args)
+	reply, err := post[controlrpc.ApplyReply](ctx, c, "apply", args)
+	if err == nil && reply.Kind == errkind.OK && reply.Version == 0 {
+		// Every accepted configuration has a version: this is the answer of something else.
+		err = errkind.New(errkind.OutcomeUnknown, "the answer of %s has no version", c.Address)
+	}
+	return reply, err
 }
 
 // Drain takes a host or backend server out of service, or back in.
--- a/internal/operator/client_bytes_test.go
+++ b/internal/operator/client_bytes_test.go
@@ -91,6 +91,8 @@
 	for _, tc := range []struct{ name, answer string }{
 		{"redirect that makes it a read", "HTTP/1.1 302 Found\r\nLocation: /v1/state\r\nContent-Length: 0\r\n\r\n"},
 		{"redirect that repeats it", "HTTP/1.1 307 Temporary Redirect\r\nLocation: /v1/state\r\nContent-Length: 0\r\n\r\n"},
+		{"no version", answerOf("200 OK", `{}`)},
+		{"null", answerOf("200 OK", `null`)},
 		{"two documents", answerOf("200 OK", `{"version":3}{"version":4}`)},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
