operator: the client refuses text that JSON would change

Cause: encoding/json writes bytes that aren't UTF-8 as U+FFFD, so a drain of "s\xff" named "s\ufffd".

Evidence: TestTextIsSentUnchanged: before, the first such drain was sent and reported as accepted.

Change: such arguments are a bad request and nothing is sent. U+FFFD itself is sent.

Measured: go test -race ./internal/operator passes.

--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -88,8 +88,8 @@
 	return do(r, errkind.ConnectFailed, reply)
 }
 
-func post[R any](ctx context.Context, c Client, path string, args any) (*R, error) {
-	body, err := json.Marshal(args)
+func post[R, A any](ctx context.Context, c Client, path string, args *A) (*R, error) {
+	body, err := encode(args)
 	if err != nil {
 		return nil, errkind.Wrap(errkind.BadRequest, err, "cannot encode the arguments of %s", path)
 	}
@@ -101,6 +101,24 @@
 	return reply, do(r, errkind.OutcomeUnknown, reply)
 }
 
+// encode encodes arguments. Bytes that aren't UTF-8 are an error: they would be sent as
+// U+FFFD, and might name something else.
+func encode[A any](args *A) ([]byte, error) {
+	body, err := json.Marshal(args)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	decoded := new(A)
+	if err := json.Unmarshal(body, decoded); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	// Such bytes are escaped the first time, and characters the second time.
+	if again, err := json.Marshal(decoded); err != nil || !bytes.Equal(again, body) {
+		return nil, Error.New("a text is not UTF-8")
+	}
+	return body, nil
+}
+
 // notSent reports whether err means that no connection was made, so that the
 // request was certainly not sent.
 func notSent(err error) bool {
--- a/internal/operator/client_bytes_test.go
+++ b/internal/operator/client_bytes_test.go
@@ -108,3 +108,27 @@
 		})
 	}
 }
+
+// TestTextIsSentUnchanged guards against a change of something else than was named: JSON
+// has no form for bytes that aren't UTF-8.
+func TestTextIsSentUnchanged(t *testing.T) {
+	is := is.New(t)
+	sent := make(chan string, 10)
+	address := serveBytes(t, func(line string, _ int) string {
+		sent <- line
+		return answerOf("200 OK", `{"version":3}`)
+	})
+	c := operator.Client{Address: address}
+	for _, text := range []string{"s\xff", "\xed\xa0\x80", "s\xc3"} {
+		_, err := c.Drain(t.Context(), &controlrpc.DrainArgs{ID: text})
+		is.Equal(errkind.Of(err), errkind.BadRequest)
+		_, err = c.Apply(t.Context(), &controlrpc.ApplyArgs{Text: text})
+		is.Equal(errkind.Of(err), errkind.BadRequest)
+	}
+	is.Equal(len(sent), 0)
+	for _, text := range []string{"s\ufffd", `s\ufffd`, "<é\u2028&>\x00"} {
+		_, err := c.Drain(t.Context(), &controlrpc.DrainArgs{ID: text})
+		is.NoErr(err)
+	}
+	is.Equal(len(sent), 3)
+}
