policy: a new configuration with keys in two cases, or control characters in names, is refused

Cause: the TOML decoder matches keys in any case and takes the last of two, while keys of TOML that differ in case are different ones. A name may have any character; commands write names into lines, and callers can't send NUL.

Evidence: TestParseNew and TestAmbiguousConfiguration: policy.Parse accepts all texts of the tables, so `name = "a"` with `Name = "b"` was put into force as group "b".

Change: policy.ParseNew checks what is to be put into force, in the commands and at the operator address of entry and control hosts. policy.Parse, which reads the replicated state, is unchanged: hosts of two releases must read the same configuration alike.

Ruled out by a trial of the decoder: duplicate keys, bytes that aren't UTF-8, surrogates, a byte order mark, bare CR and bytes after the end are refused by Parse already.

--- a/cmd/arbutusring/run_operator.go
+++ b/cmd/arbutusring/run_operator.go
@@ -70,7 +70,7 @@
 	if err != nil {
 		return usageError{err}
 	}
-	if _, err := policy.Parse(c.positionalValue, string(text)); err != nil {
+	if _, err := policy.ParseNew(c.positionalValue, string(text)); err != nil {
 		return usageError{err}
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
--- a/cmd/arbutusring/run_validate.go
+++ b/cmd/arbutusring/run_validate.go
@@ -89,7 +89,7 @@
 	}
 	var s sections
 	if err := toml.Unmarshal(text, &s); err != nil || s.Host == nil {
-		_, err := policy.Parse(file, string(text))
+		_, err := policy.ParseNew(file, string(text))
 		return "configuration", err
 	}
 	role := s.role()
--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -85,7 +85,7 @@
 	client := &controlrpc.Client{Addresses: p.addresses(), Call: p.pool.Call}
 	p.serve(operator.Handlers{
 		Announce: client.Announce,
-		Apply:    client.Apply,
+		Apply:    checkedApply(client.Apply),
 		Get:      client.Get,
 		Drain:    client.Drain,
 		Failover: client.Failover,
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -142,7 +142,7 @@
 func (p *Entry) handlers() operator.Handlers {
 	return operator.Handlers{
 		Announce: p.control.Announce,
-		Apply:    p.control.Apply,
+		Apply:    checkedApply(p.control.Apply),
 		Get:      p.control.Get,
 		Drain:    p.control.Drain,
 		Failover: p.control.Failover,
--- a/internal/process/export_test.go
+++ b/internal/process/export_test.go
@@ -36,3 +36,6 @@
 	s := newSender(start)
 	return s.send, s.close
 }
+
+// CheckedApply exports checkedApply.
+func CheckedApply(apply applyFunc) applyFunc { return checkedApply(apply) }
--- a/pkg/policy/policy_test.go
+++ b/pkg/policy/policy_test.go
@@ -231,3 +231,29 @@
 	is.True(ok)
 	is.Equal(r.Name, "middle")
 }
+
+// TestParseNew guards against a new configuration with two meanings: the decoder takes the
+// last of two keys that differ in case. It also guards against one in force that can't be
+// read any more.
+func TestParseNew(t *testing.T) {
+	const group = "[[database_group]]\nname = \"a\"\nmembers = 1\n"
+	for _, tc := range []struct{ name, text, want string }{ // want is part of the error; empty if there is none
+		{"plain", group, ""},
+		{"labels in two cases", group + "[database_group.labels]\nName = \"x\"\nB = \"y\"\nb = \"z\"\n", ""},
+		{"a key in two cases", group + "Name = \"b\"\n", "F:4: database_group[0].Name: unknown key"},
+		{"a key in another case", strings.Replace(group, "members", "Members", 1), "F:3: database_group[0].Members: unknown key"},
+		{"a table in another case", "[[Database_group]]\nname = \"a\"\nmembers = 1\n", "unknown key"},
+		{"a table in two cases", group + strings.ReplaceAll(group, "[d", "[D"), "unknown key"},
+		{"line break in a name", strings.Replace(group, `"a"`, `"a\nb"`, 1), `F:2: database_group "a\nb": name: contains a control character`},
+		{"NUL in a name", group + "[[policy]]\nname = \"\\u0000\"\n", "contains a control character"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := policy.Parse("F", tc.text)
+			is.NoErr(err) // as by earlier releases
+			_, err = policy.ParseNew("F", tc.text)
+			is.Equal(err != nil, tc.want != "")
+			is.True(err == nil || strings.Contains(err.Error(), tc.want)) // err
+		})
+	}
+}
