--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -33,7 +33,12 @@
 
 // Apply asks for a new configuration.
 func (c Client) Apply(ctx context.Context, args *controlrpc.ApplyArgs) (*controlrpc.ApplyReply, error) {
-	return post[controlrpc.ApplyReply](ctx, c, "apply", args)
+	reply, err := post[controlrpc.ApplyReply](ctx, c, "apply", args)
+	if err == nil && reply.Kind == errkind.OK && reply.Version == 0 {
+		// Every accepted configuration has a version: this is the answer of something else.
+		err = errkind.New(errkind.OutcomeUnknown, "the answer of %s has no version", c.Address)
+	}
+	return reply, err
 }
 
 // Drain takes a host or backend server out of service, or back in.
@@ -83,8 +88,8 @@
 	return do(r, errkind.ConnectFailed, reply)
 }
 
-func post[R any](ctx context.Context, c Client, path string, args any) (*R, error) {
-	body, err := json.Marshal(args)
+func post[R, A any](ctx context.Context, c Client, path string, args *A) (*R, error) {
+	body, err := encode(args)
 	if err != nil {
 		return nil, errkind.Wrap(errkind.BadRequest, err, "cannot encode the arguments of %s", path)
 	}
@@ -96,6 +101,24 @@
 	return reply, do(r, errkind.OutcomeUnknown, reply)
 }
 
+// encode encodes arguments. Bytes that aren't UTF-8 are an error: they would be sent as
+// U+FFFD, and might name something else.
+func encode[A any](args *A) ([]byte, error) {
+	body, err := json.Marshal(args)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	decoded := new(A)
+	if err := json.Unmarshal(body, decoded); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	// Such bytes are escaped the first time, and characters the second time.
+	if again, err := json.Marshal(decoded); err != nil || !bytes.Equal(again, body) {
+		return nil, Error.New("a text is not UTF-8")
+	}
+	return body, nil
+}
+
 // notSent reports whether err means that no connection was made, so that the
 // request was certainly not sent.
 func notSent(err error) bool {
@@ -103,8 +126,9 @@
 	return errors.As(err, &opErr) && opErr.Op == "dial"
 }
 
-// statusError returns the error for an answer with an error status. An internal
-// error of the process means that a change may have been accepted.
+// statusError returns the error for an answer with another status than 200. An internal
+// error of the process, or an answer that no process gives, such as a redirect, means that
+// a change may have been accepted.
 func statusError(r *http.Request, resp *http.Response, data []byte, lostKind errkind.Kind) error {
 	var answer controlrpc.Answer
 	if json.Unmarshal(data, &answer) != nil || answer.Kind == errkind.OK {
@@ -113,16 +137,30 @@
 	switch {
 	case resp.StatusCode == http.StatusNotFound:
 		answer = controlrpc.Answer{Kind: errkind.Unsupported, Detail: r.URL.Host + " does not offer " + r.URL.Path}
-	case answer.Kind == errkind.Internal && resp.StatusCode >= http.StatusInternalServerError && lostKind == errkind.OutcomeUnknown:
+	case answer.Kind == errkind.Internal && (resp.StatusCode >= http.StatusInternalServerError || resp.StatusCode < http.StatusBadRequest) && lostKind == errkind.OutcomeUnknown:
 		answer.Kind = errkind.OutcomeUnknown
 	}
 	return errkind.New(answer.Kind, "%s", answer.Detail)
 }
 
+// httpClient opens a connection for each request: an answer has no id, and one that a
+// process sends twice would be taken for the answer to the next request. Redirects are not
+// followed: a change would become a read, whose answer is none to the change.
+var httpClient = newHTTPClient()
+
+func newHTTPClient() *http.Client {
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.DisableKeepAlives = true
+	return &http.Client{
+		Transport:     t,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
 // do sends the request and decodes the answer. lostKind is the kind of the error
 // if no complete answer arrives.
 func do(r *http.Request, lostKind errkind.Kind, reply any) error {
-	resp, err := http.DefaultClient.Do(r)
+	resp, err := httpClient.Do(r)
 	if err != nil {
 		if notSent(err) {
 			lostKind = errkind.ConnectFailed
