peer: end a connection after a malformed request

Cause: after a request whose arguments can't be decoded, net/rpc answers with an error and reads the next header from where the decoder stopped, which is the middle of the malformed message. What a field of that message holds could be run as a request of its own.

Evidence: a raw connection sends a request with arguments of a wrong type, with a request behind the wrong value. The server ran the inner request once in each of four cases (wrong type, number for bytes, not a map, malformed arguments of an unknown method) and kept the connection. The bytes of the test come from an encoder of its own.

Change: the codec remembers that a body was malformed and fails the next header, so that net/rpc sends the error and then closes the connection. The cause is logged as protocol_violation.

Result: TestRequestInsideMalformedRequest failed in all four cases before ("1 != 0" calls), and passes now; go test -race ./internal/peer passes.

--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -45,6 +45,7 @@
 	in           *messageReader
 	seq          uint64 // of the request that is being read
 	onRequest    func() // called for each request that was read; nil for none
+	malformed    error  // of a body; where the next message begins is not known then
 
 	mu   sync.Mutex
 	held map[uint64]int64 // memory of the arguments of running calls, by sequence number
@@ -59,8 +60,12 @@
 	}
 }
 
-// ReadRequestHeader counts a call as running once its header has been read.
+// ReadRequestHeader counts a call as running once its header has been read. It fails
+// after a malformed body: the caller, net/rpc, would go on reading in the middle of it.
 func (c *countingCodec) ReadRequestHeader(r *rpc.Request) error {
+	if c.malformed != nil {
+		return c.malformed
+	}
 	c.in.begin()
 	err := c.in.decode(r)
 	if err != nil {
@@ -79,6 +84,7 @@
 // answered.
 func (c *countingCodec) ReadRequestBody(body any) error {
 	err := c.in.decode(body)
+	c.malformed = err
 	if held := c.in.takeHeld(); held > 0 {
 		c.mu.Lock()
 		c.held[c.seq] += held
--- a/internal/peer/message_reader.go
+++ b/internal/peer/message_reader.go
@@ -22,12 +22,14 @@
 // them: without that, the decoder (v1.3.2) keeps the bytes of all strings of a connection
 // for ever, which took 262 MB after 400,000 messages of 200 bytes.
 type messageReader struct {
-	conn   io.Reader
-	memory *limit.Budget // nil for no limit
-	dec    *codec.Decoder
-	handle *codec.MsgpackHandle
-	read   int   // bytes of the message so far
-	held   int64 // bytes taken from the budget for the message
+	conn    io.Reader
+	memory  *limit.Budget // nil for no limit
+	dec     *codec.Decoder
+	handle  *codec.MsgpackHandle
+	read    int   // bytes of the message so far
+	held    int64 // bytes taken from the budget for the message
+	readErr error // of the connection
+	invalid error // first error that isn't one of the connection
 }
 
 func newMessageReader(conn io.Reader, memory *limit.Budget) *messageReader {
@@ -46,6 +48,9 @@
 	}
 	r.dec.Reset(r)
 	err := r.dec.Decode(v)
+	if err != nil && r.readErr == nil && r.invalid == nil {
+		r.invalid = err
+	}
 	if r.read > smallMessageBytes {
 		r.dec = codec.NewDecoder(r, r.handle)
 	}
@@ -57,6 +62,9 @@
 func (r *messageReader) Read(p []byte) (int, error) {
 	n, err := r.conn.Read(p)
 	r.read += n
+	if err != nil {
+		r.readErr = err
+	}
 	switch {
 	case r.read > maxMessageBytes:
 		return 0, Error.New("the message exceeds %d bytes", maxMessageBytes)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -126,6 +126,10 @@
 		s.guard.Use(c)
 	})
 	workpool.Guard(s.opts.Logger, func() { s.rpc.ServeCodec(in) })
+	if in.in.invalid != nil {
+		s.opts.Logger.Warn().Str("event", "protocol_violation").Stringer("remote", conn.RemoteAddr()).Err(in.in.invalid).
+			Msg("a connection of another host ended because of what it sent")
+	}
 }
 
 // Shutdown stops accepting connections, waits until every running call has been
