peer: refuse messages without a sequence number, method or body

Cause: the decoder fills what a message lacks with zero values. A response without a sequence number was taken for the answer to call 0, a nil body for an answer whose fields are zero, of which an empty error kind means success, and nil or a list as arguments ran the call with zero or shifted arguments.

Evidence: raw connections with an encoder of the test's own. All seven malformed responses were believed and five of six malformed requests were run; one without a method was answered with an error. The connection stayed open in each case.

Change: both parts of a message must be maps. A header must have the sequence number, that of a request the method, that of a response the error. Releases so far always send these fields; fields that are not known are still ignored.

--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -30,9 +30,19 @@
 	return &clientCodec{ClientCodec: codec.GoRpc.ClientCodec(conn, newHandle()), in: newMessageReader(conn, nil)}
 }
 
+// ReadResponseHeader refuses a response without a sequence number, which would be taken
+// for the answer to call 0.
 func (c *clientCodec) ReadResponseHeader(r *rpc.Response) error {
 	c.in.begin()
-	return c.in.decode(r)
+	var h header
+	if err := c.in.decode(&h); err != nil {
+		return err
+	}
+	if h.Seq == nil || h.Error == nil {
+		return c.in.reject(Error.New("the header of a response is not complete"))
+	}
+	r.ServiceMethod, r.Seq, r.Error = h.ServiceMethod, *h.Seq, *h.Error
+	return nil
 }
 
 func (c *clientCodec) ReadResponseBody(body any) error { return c.in.decode(body) }
@@ -67,8 +77,7 @@
 		return c.malformed
 	}
 	c.in.begin()
-	err := c.in.decode(r)
-	if err != nil {
+	if err := c.readHeader(r); err != nil {
 		c.in.release()
 		return err
 	}
@@ -80,6 +89,18 @@
 	return nil
 }
 
+func (c *countingCodec) readHeader(r *rpc.Request) error {
+	var h header
+	if err := c.in.decode(&h); err != nil {
+		return err
+	}
+	if h.Seq == nil || h.ServiceMethod == "" {
+		return c.in.reject(Error.New("the header of a request is not complete"))
+	}
+	r.ServiceMethod, r.Seq = h.ServiceMethod, *h.Seq
+	return nil
+}
+
 // ReadRequestBody keeps what the arguments take from the budget until the call is
 // answered.
 func (c *countingCodec) ReadRequestBody(body any) error {
--- a/internal/peer/message_reader.go
+++ b/internal/peer/message_reader.go
@@ -28,6 +28,8 @@
 	handle  *codec.MsgpackHandle
 	read    int   // bytes of the message so far
 	held    int64 // bytes taken from the budget for the message
+	started bool  // the first byte of a part has been read
+	isMap   bool  // that byte begins a map
 	readErr error // of the connection
 	invalid error // first error that isn't one of the connection
 }
@@ -41,15 +43,21 @@
 // begin begins a message, which consists of a header and a body.
 func (r *messageReader) begin() { r.read = 0 }
 
-// decode decodes the next part of a message into v; nil discards it.
+// decode decodes the next part of a message, which must be a map, into v; nil discards
+// the part. The decoder alone would take nil for a struct of zero values.
 func (r *messageReader) decode(v any) error {
-	if v == nil {
+	discard := v == nil
+	if discard {
 		v = new(any)
 	}
+	r.started = false
 	r.dec.Reset(r)
 	err := r.dec.Decode(v)
-	if err != nil && r.readErr == nil && r.invalid == nil {
-		r.invalid = err
+	if err == nil && !r.isMap && !discard {
+		err = Error.New("a part of a message is not a map")
+	}
+	if err != nil {
+		r.reject(err)
 	}
 	if r.read > smallMessageBytes {
 		r.dec = codec.NewDecoder(r, r.handle)
@@ -57,6 +65,14 @@
 	return err
 }
 
+// reject records an error that isn't one of the connection, and returns it.
+func (r *messageReader) reject(err error) error {
+	if r.readErr == nil && r.invalid == nil {
+		r.invalid = err
+	}
+	return err
+}
+
 // Read reads from the connection for the decoder. It fails when the message exceeds a
 // limit; the connection cannot be used after that.
 func (r *messageReader) Read(p []byte) (int, error) {
@@ -65,6 +81,9 @@
 	if err != nil {
 		r.readErr = err
 	}
+	if n > 0 && !r.started {
+		r.started, r.isMap = true, beginsMap(p[0])
+	}
 	switch {
 	case r.read > maxMessageBytes:
 		return 0, Error.New("the message exceeds %d bytes", maxMessageBytes)
@@ -87,3 +106,6 @@
 
 // release returns the bytes taken from the budget.
 func (r *messageReader) release() { r.memory.Give(r.takeHeld()) }
+
+// beginsMap reports whether a MessagePack value that begins with c is a map.
+func beginsMap(c byte) bool { return c&0xf0 == 0x80 || c == 0xde || c == 0xdf }
