--- a/internal/directoryrpc/document.go
+++ b/internal/directoryrpc/document.go
@@ -41,12 +41,16 @@
 // Decompress returns the configuration document that Compress was given. A document
 // of more than 32 MiB is an error.
 func Decompress(compressed []byte) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(compressed)), maxDocumentBytes+1))
+	in := bytes.NewReader(compressed)
+	data, err := io.ReadAll(io.LimitReader(flate.NewReader(in), maxDocumentBytes+1))
 	if err != nil {
 		return nil, errkind.Wrap(errkind.Internal, err, "decompressing a configuration")
 	}
 	if len(data) > maxDocumentBytes {
 		return nil, errkind.New(errkind.BadRequest, "the configuration is larger than %d bytes", maxDocumentBytes)
 	}
+	if in.Len() > 0 {
+		return nil, errkind.New(errkind.BadRequest, "%d bytes follow a compressed configuration", in.Len())
+	}
 	return data, nil
 }
--- a/internal/directoryrpc/document_test.go
+++ b/internal/directoryrpc/document_test.go
@@ -30,3 +30,14 @@
 		})
 	}
 }
+
+// TestBytesAfterDocument guards against compressed changes of which only the beginning is
+// read.
+func TestBytesAfterDocument(t *testing.T) {
+	is := is.New(t)
+	compressed := directoryrpc.Compress([]byte("document"))
+	_, err := directoryrpc.Decompress(append(compressed, directoryrpc.Compress([]byte("other"))...))
+	is.True(err != nil)
+	_, err = directoryrpc.Decompress(compressed[:len(compressed)-1])
+	is.True(err != nil)
+}
--- a/internal/msgpack/msgpack.go
+++ b/internal/msgpack/msgpack.go
@@ -30,11 +30,21 @@
 	return out
 }
 
-// Decode decodes the output of Encode into v. what describes the data in error
-// messages.
+// nilValue is the encoding of nil, which the codec decodes as the zero value.
+const nilValue = 0xc0
+
+// Decode decodes the output of Encode into v. The data must be one whole value and not
+// nil. what describes the data in error messages.
 func Decode(data []byte, v any, what string) error {
-	if err := codec.NewDecoderBytes(data, handle()).Decode(v); err != nil {
+	if len(data) > 0 && data[0] == nilValue {
+		return errkind.New(errkind.Internal, "decoding %s: it is nil", what)
+	}
+	d := codec.NewDecoderBytes(data, handle())
+	if err := d.Decode(v); err != nil {
 		return errkind.Wrap(errkind.Internal, err, "decoding %s", what)
 	}
+	if n := len(data) - d.NumBytesRead(); n != 0 {
+		return errkind.New(errkind.Internal, "decoding %s: %d bytes follow it", what, n)
+	}
 	return nil
 }
