relay: refuse answers that aren't whole

Cause: elements that a message lacks are decoded as zero values. An answer with an id only was a success without a receipt, a position that isn't two numbers was no position, and a map was taken for an array.

Evidence: a connector that writes bytes of its own encoder.

Change: a message must be an array, a position none or two numbers, the state one of the three. The stream ends otherwise, and the outcome of its calls is unknown. A success of a statement other than BEGIN and ROLLBACK without a receipt ends only its call. Elements that are not known are still ignored.

--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -72,6 +72,9 @@
 			err = errkind.New(errkind.BadRequest, "decoding a message: %v", v)
 		}
 	}()
+	if len(body) == 0 || !beginsArray(body[0]) {
+		return errkind.New(errkind.BadRequest, "a message is not an array")
+	}
 	d.ResetBytes(body)
 	if err := d.Decode(message); err != nil {
 		return errkind.Wrap(errkind.BadRequest, err, "decoding a message")
@@ -82,3 +85,6 @@
 	frameDecoders.Put(d)
 	return nil
 }
+
+// beginsArray reports whether a MessagePack value that begins with c is an array.
+func beginsArray(c byte) bool { return c&0xf0 == 0x90 || c == 0xdc || c == 0xdd }
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -219,7 +219,7 @@
 	if p.answer.Err != "" {
 		return statement.Answer{}, p.answer.error(s.address)
 	}
-	return p.answer.statementAnswer(), nil
+	return p.result, nil
 }
 
 // wait waits for the answer to a call. An error means that the call may have run,
--- a/internal/relay/instream.go
+++ b/internal/relay/instream.go
@@ -200,9 +200,10 @@
 // relayedStatement returns the statement of a call, with the prepared text that was
 // sent with it or with an earlier one.
 func (in *inStream) relayedStatement(m *call) (gateway.RelayedStatement, error) {
-	r := gateway.RelayedStatement{Request: m.request(), Rank: m.Rank, HasState: m.HasState, Settings: m.Settings}
-	if m.Kind != statement.Execute {
-		return r, nil
+	request, err := m.request()
+	r := gateway.RelayedStatement{Request: request, Rank: m.Rank, HasState: m.HasState, Settings: m.Settings}
+	if err != nil || m.Kind != statement.Execute {
+		return r, err
 	}
 	if m.PreparedText == "" && m.PreparedID != 0 {
 		text, ok := in.texts[m.PreparedID]
--- a/internal/relay/messages.go
+++ b/internal/relay/messages.go
@@ -72,11 +72,16 @@
 	return position{p.Term, p.LSN}
 }
 
-func (p position) decode() logpos.Position {
-	if len(p) != 2 {
-		return logpos.Position{}
+// decode returns the position. One of another length must not be taken for none: a read
+// would run at a server that lacks what it requires.
+func (p position) decode() (logpos.Position, error) {
+	switch len(p) {
+	case 0:
+		return logpos.Position{}, nil
+	case 2:
+		return logpos.Position{Term: p[0], LSN: p[1]}, nil
 	}
-	return logpos.Position{Term: p[0], LSN: p[1]}
+	return logpos.Position{}, errkind.New(errkind.BadRequest, "a position of %d numbers", len(p))
 }
 
 // setRequest sets the fields of a statement.
@@ -85,8 +90,9 @@
 }
 
 // request returns the statement.
-func (c *call) request() statement.Request {
-	return statement.Request{Kind: c.Kind, ID: c.Caller, Text: c.Text, ReadOnly: c.ReadOnly, Name: c.Name, Value: c.Value, After: c.After.decode()}
+func (c *call) request() (statement.Request, error) {
+	after, err := c.After.decode()
+	return statement.Request{Kind: c.Kind, ID: c.Caller, Text: c.Text, ReadOnly: c.ReadOnly, Name: c.Name, Value: c.Value, After: after}, err
 }
 
 // valid reports whether a peer may send the statement: only those of callers are
@@ -131,11 +137,21 @@
 	}
 }
 
-// statementAnswer returns the answer of the server.
-func (a *answer) statementAnswer() statement.Answer {
-	s := statement.Answer{State: statement.State(a.State), Receipt: a.Receipt, Rows: a.Rows, Position: a.Position.decode()}
+// statementAnswer returns the answer of the server. An error means that the message is
+// not a whole answer.
+func (a *answer) statementAnswer() (statement.Answer, error) {
+	s := statement.Answer{State: statement.State(a.State), Receipt: a.Receipt, Rows: a.Rows}
+	switch s.State {
+	case statement.Idle, statement.Open, statement.Failed:
+	default:
+		return s, errkind.New(errkind.BadRequest, "an answer with the state %d", a.State)
+	}
+	var err error
+	if s.Position, err = a.Position.decode(); err != nil {
+		return s, err
+	}
 	if a.FailKind != "" {
 		s.Failure = &statement.Failure{Kind: a.FailKind, Code: a.FailCode, Detail: a.Detail}
 	}
-	return s
+	return s, nil
 }
--- a/internal/relay/outstream.go
+++ b/internal/relay/outstream.go
@@ -8,6 +8,7 @@
 
 	"github.com/arbutusring/arbutusring/internal/clock"
 	"github.com/arbutusring/arbutusring/internal/peer"
+	"github.com/arbutusring/arbutusring/internal/statement"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
 )
 
@@ -44,9 +45,11 @@
 // pendingCall is a call without an answer yet.
 type pendingCall struct {
 	id     uint32
-	done   chan struct{} // closed when the answer or err is set
-	end    uint64        // of its frame in the stream
+	kind   statement.Kind // Unknown for a probe
+	done   chan struct{}  // closed when the answer or err is set
+	end    uint64         // of its frame in the stream
 	answer answer
+	result statement.Answer // of answer, for a statement that the server answered
 	err    error
 }
 
@@ -106,7 +109,7 @@
 			}
 		}
 	}
-	p, err := s.start(kindCall, func(id uint32) any { m.ID = id; return m })
+	p, err := s.start(kindCall, m.Kind, func(id uint32) any { m.ID = id; return m })
 	if err == nil && !known && m.PreparedID != 0 {
 		s.texts[*prepared] = m.PreparedID
 		s.textBytes += len(prepared.text)
@@ -118,19 +121,19 @@
 func (s *outStream) startProbe(m *probe) (*pendingCall, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.start(kindProbe, func(id uint32) any { m.ID = id; return m })
+	return s.start(kindProbe, statement.Unknown, func(id uint32) any { m.ID = id; return m })
 }
 
 // start sends a message that will be answered. The caller holds mu.
-func (s *outStream) start(kind byte, message func(id uint32) any) (*pendingCall, error) {
+func (s *outStream) start(frameKind byte, kind statement.Kind, message func(id uint32) any) (*pendingCall, error) {
 	if s.calls == nil {
 		return nil, s.failure(errkind.ConnectFailed, peer.ErrStreamClosed)
 	}
 	s.stream.Expect()
 	s.lastCall++
 	id := s.lastCall
-	p := &pendingCall{id: id, done: make(chan struct{})}
-	err := withFrame(kind, message(id), func(frame []byte) error {
+	p := &pendingCall{id: id, kind: kind, done: make(chan struct{})}
+	err := withFrame(frameKind, message(id), func(frame []byte) error {
 		if len(frame) > maxStatementBytes {
 			return errkind.New(errkind.BadRequest, "the statement has %d bytes with its session state, the limit is %d", len(frame), maxStatementBytes)
 		}
@@ -181,17 +184,41 @@
 		if err := decodeBody(body, &a); err != nil {
 			return err
 		}
-		s.mu.Lock()
-		p := s.calls[a.ID]
-		delete(s.calls, a.ID)
-		s.mu.Unlock()
-		if p != nil { // nil: its deadline has passed
-			p.answer = a
-			close(p.done)
+		if err := s.deliver(a); err != nil {
+			return err
 		}
 	}
 }
 
+// deliver hands an answer to its call. An answer to no call is late, or a copy, and is
+// ignored. After an error the call is still in progress.
+func (s *outStream) deliver(a answer) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.calls[a.ID]
+	if p == nil {
+		return nil
+	}
+	if p.kind != statement.Unknown && a.Err == "" {
+		var err error
+		if p.result, err = a.statementAnswer(); err != nil {
+			return err
+		}
+		if p.needsReceipt() && p.result.Receipt == "" {
+			p.err = s.failure(errkind.ServerLost, errNoReceipt)
+		}
+	}
+	p.answer = a
+	delete(s.calls, a.ID)
+	close(p.done)
+	return nil
+}
+
+// needsReceipt reports whether the statement must not succeed without a receipt.
+func (p *pendingCall) needsReceipt() bool {
+	return p.result.Failure == nil && p.kind != statement.Begin && p.kind != statement.Rollback
+}
+
 // fail ends the calls in progress and returns their number. Calls whose frame was not
 // written as a whole have certainly not run.
 func (s *outStream) fail(cause error) int {
@@ -216,5 +243,8 @@
 	return &connectorError{Host: s.address, Err: errkind.Wrap(kind, cause, "relaying")}
 }
 
+// errNoReceipt is the cause of a call whose answer lacks the receipt of the server.
+var errNoReceipt = errors.New("the answer has no receipt")
+
 // errDeadline is the cause of a call that was not answered in time.
 var errDeadline = errors.New("the deadline has passed")
