relay: refuse statements that lack a part

Cause: elements that a call lacks are decoded as zero values. Times out of range overflowed the estimate that keeps late statements from running.

Evidence: raw bytes from an encoder of the test's own.

Change: a statement that lacks its text, or the id of its caller where it needs one, is answered with bad_request and not run; the stream goes on. Times out of range and a second text end the stream.

--- a/internal/relay/instream.go
+++ b/internal/relay/instream.go
@@ -139,6 +139,9 @@
 	if m.Version < 1 || m.Version > version {
 		return errkind.New(errkind.Unsupported, "version %d of the relay protocol is not known", m.Version)
 	}
+	if err := checkSent(m.Sent); err != nil {
+		return err
+	}
 	in.delay(m.Sent)
 	in.mu.Lock()
 	defer in.mu.Unlock()
@@ -161,6 +164,13 @@
 	if !m.valid() {
 		return errkind.New(errkind.BadRequest, "statements of kind %d are not relayed", m.Kind)
 	}
+	if err := checkSent(m.Sent); err != nil {
+		return err
+	}
+	if !m.complete() {
+		in.refuse(m.ID, errkind.New(errkind.BadRequest, "the statement is not complete"))
+		return nil
+	}
 	r, err := in.relayedStatement(m)
 	if err != nil {
 		return err
@@ -217,6 +227,9 @@
 	if m.PreparedID == 0 {
 		return r, nil
 	}
+	if _, known := in.texts[m.PreparedID]; known {
+		return r, errkind.New(errkind.BadRequest, "prepared statement %d was sent twice", m.PreparedID)
+	}
 	in.textBytes += len(m.PreparedText)
 	if len(in.texts) >= maxKeptTexts || in.textBytes > maxKeptTextBytes {
 		return r, errkind.New(errkind.BadRequest, "too many prepared statements")
--- a/internal/relay/malformed_test.go
+++ b/internal/relay/malformed_test.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"encoding/binary"
+	"errors"
 	"io"
 	"net"
+	"os"
 	"slices"
 	"testing"
 	"time"
@@ -171,3 +173,73 @@
 	_, err = conn.DoRelayed(time.Now().Add(200*time.Millisecond), r) // call 2, which is not answered any more
 	is.Equal(errkind.Of(err), errkind.ServerLost)
 }
+
+// callFields is a read, as call 1 on logical connection 1.
+func callFields() list {
+	return list{1, 1, list{"s", 7, ""}, 0, 5000, 0, 0, false, nil, 0, "", false, int(statement.Read), "q1", "text", false, "", "", nil}
+}
+
+// TestMalformedCall guards against a statement of which a part is missing, has another
+// meaning or is ignored, and is run nevertheless.
+func TestMalformedCall(t *testing.T) {
+	whole := callFields()
+	execute := with(with(with(whole, 12, int(statement.Execute)), 14, ""), 17, "arguments")
+	prepared := func(conn int, text string) []byte {
+		return message('c', with(with(with(with(execute, 0, conn), 1, conn), 9, 1), 10, text))
+	}
+	hello := message('h', list{1, "bad", 0})
+	refused := map[string]bool{"cut after kind": true, "cut after id": true, "no text": true, "no id": true, "execute without a text": true}
+	for name, bytes := range map[string][]byte{
+		"cut after kind":           message('c', whole[:13]),
+		"cut after id":             message('c', whole[:14]),
+		"no text":                  message('c', with(whole, 14, nil)),
+		"no id":                    message('c', with(whole, 13, "")),
+		"position of one":          message('c', with(whole, 18, list{3})),
+		"position of three":        message('c', with(whole, 18, list{3, 4, 5})),
+		"execute without a text":   message('c', execute),
+		"kind out of range":        message('c', with(whole, 12, 200)),
+		"kind of two bytes":        message('c', with(whole, 12, 256+int(statement.Read))),
+		"id of five bytes":         message('c', with(whole, 0, 1<<32)),
+		"sent before the stream":   message('c', with(whole, 3, -1)),
+		"sent far in the future":   message('c', with(whole, 3, 1<<62)),
+		"map":                      message('c', object{"ID", 1, "Conn", 1, "Target", list{"s", 7, ""}, "Remaining", 5000, "Kind", int(statement.Read), "Caller", "q1", "Text", "text"}),
+		"bytes after it":           frame(append(append(pack(whole), 0xc0), 'c')),
+		"prepared id with 2 texts": append(prepared(1, "one"), prepared(2, "two")...),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			in := install(t, 3, 2)
+			connectors, _ := in.roles()
+			raw := rawPeer(is, connectors[0].address)
+			defer func() { is.NoErr(raw.Close()) }()
+			_, err := raw.Write(append(slices.Clone(hello), bytes...))
+			is.NoErr(err)
+			is.NoErr(raw.SetReadDeadline(time.Now().Add(time.Second)))
+			if refused[name] {
+				kind, err := relay.ReadAnswer(raw)
+				is.NoErr(err)
+				is.Equal(kind, errkind.BadRequest)
+				is.Equal(in.backend.count(""), 0)
+				return
+			}
+			_, err = io.Copy(io.Discard, raw)
+			is.Equal(in.backend.count("read"), 0)
+			is.Equal(in.backend.count("two"), 0)
+			is.True(err == nil || !errors.Is(err, os.ErrDeadlineExceeded)) // the connector has ended the stream
+		})
+	}
+	t.Run("whole", func(t *testing.T) {
+		is := is.New(t)
+		in := install(t, 3, 2)
+		connectors, _ := in.roles()
+		raw := rawPeer(is, connectors[0].address)
+		defer func() { is.NoErr(raw.Close()) }()
+		later := append(slices.Clone(whole), "of a later release")
+		_, err := raw.Write(append(slices.Clone(hello), message('c', later)...))
+		is.NoErr(err)
+		a, err := relay.ReadAnswer(raw)
+		is.NoErr(err)
+		is.Equal(a, errkind.OK)
+		is.Equal(in.backend.count("read text"), 1)
+	})
+}
--- a/internal/relay/messages.go
+++ b/internal/relay/messages.go
@@ -101,6 +101,31 @@
 	return c.Kind >= statement.Begin && c.Kind <= statement.Execute && c.Kind != statement.Set && c.Kind != statement.Prepare
 }
 
+// complete reports whether the statement has what its kind requires. Without an id it would
+// be sent as one of the proxy itself.
+func (c *call) complete() bool {
+	switch c.Kind {
+	case statement.Rollback:
+		return true
+	case statement.Begin: // which the proxy sends without an id
+		return c.Text != ""
+	case statement.Execute:
+		return c.Caller != "" && (c.PreparedText != "" || c.PreparedID != 0)
+	}
+	return c.Caller != "" && c.Text != ""
+}
+
+// maxSent bounds the Sent of a message, in ms: ten years, which a time.Duration holds.
+const maxSent = 10 * 365 * 24 * 3600 * 1000
+
+// checkSent refuses a time that no sender has, and that could overflow.
+func checkSent(sent int64) error {
+	if sent < 0 || sent > maxSent {
+		return errkind.New(errkind.BadRequest, "a message was sent at %d ms", sent)
+	}
+	return nil
+}
+
 // cancel says that a logical connection was closed.
 type cancel struct {
 	Conn uint32
