relay: text that can't be sent costs no connection and isn't tried again

Cause: a connection that refuses a request before it sends anything, with bad_request, was taken for one that failed. The connector closed it and counted a failure of the server, and the sender tried the statement six times. A session value that can't be sent was reported as connect_failed, so that the statement went to further connectors.

Evidence: TestRefusedText and TestRefusedSessionState, whose connections refuse CR LF in any field as the line encoder will.

Change: Loan.Do passes bad_request on without counting a failure and reports that nothing was sent, and the connector puts the connection back, outside of a transaction; in a transaction it is closed as before, and the server rolls back. A statement refused with bad_request isn't sent again.

--- a/internal/gateway/loan.go
+++ b/internal/gateway/loan.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -30,6 +31,7 @@
 	conn    *pooledConn
 	slot    schedule.Slot
 	release sync.Once // of slot
+	unsent  bool      // the last statement was refused before anything of it was sent
 }
 
 // lendable returns the server if this host lends connections to it. The view of the
@@ -126,9 +128,11 @@
 
 // Do runs a statement with a latest start and a deadline on clock.Now. Its errors are
 // those of Conn.Do, and errkind.DeadlineExceeded if nothing was sent because one of
-// them has passed, for instance while this host was suspended.
+// them has passed, for instance while this host was suspended. After errkind.BadRequest
+// nothing was sent either, and that is no failure of the server.
 func (l *Loan) Do(start, end time.Time, s RelayedStatement) (statement.Answer, error) {
 	defer l.releaseSlot() // the first statement of a transaction holds it, too
+	l.unsent = false
 	m := l.member
 	left := end.Sub(clock.Now())
 	if left <= 0 {
@@ -145,7 +149,9 @@
 		if sess.preparedStmt != nil {
 			r.Name = sess.preparedStmt.name
 		}
-		if err := l.conn.adapt(deadline, sess); err != nil {
+		if err := l.conn.adapt(deadline, sess); badRequest(err) {
+			return statement.Answer{}, errkind.Wrap(errkind.BadRequest, err, "the session state")
+		} else if err != nil {
 			l.gateway.recordFailure(m, r.ID, err)
 			return statement.Answer{}, err
 		}
@@ -156,9 +162,10 @@
 	begun := time.Now()
 	m.startStatement()
 	a, err := l.conn.do(deadline, r)
-	m.endStatement(err == nil)
+	l.unsent = badRequest(err)
+	m.endStatement(err == nil || l.unsent)
 	if err != nil {
-		if !l.conn.aborted.Load() {
+		if !l.unsent && !l.conn.aborted.Load() {
 			l.gateway.recordFailure(m, r.ID, err)
 		}
 		return statement.Answer{}, err
@@ -168,6 +175,20 @@
 	return a, nil
 }
 
+// badRequest reports whether a connection refused a request before it sent anything.
+func badRequest(err error) bool {
+	for ; err != nil; err = errors.Unwrap(err) {
+		if e, ok := err.(*errkind.Error); ok && e.Kind == errkind.BadRequest {
+			return true
+		}
+	}
+	return false
+}
+
+// Unsent reports whether nothing of the last statement was sent, so that the connection
+// is as it was before.
+func (l *Loan) Unsent() bool { return l.unsent }
+
 // Return gives the connection back, which has no open transaction.
 func (l *Loan) Return() {
 	l.releaseSlot()
--- a/internal/gateway/operation.go
+++ b/internal/gateway/operation.go
@@ -358,6 +358,9 @@
 		if pc.refusedAnswer(err) {
 			return o.refuseAnswer(err), false
 		}
+		if errkind.Of(err) == errkind.BadRequest { // nothing was sent, and no other connection can send it
+			return o.session.failureAnswer(err), false
+		}
 		if pc.refusedByConnector(err) {
 			o.recordError(err)
 			o.tried[rt.member] = true
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -32,6 +32,9 @@
 	gate     chan struct{}  // statements wait for it after they were executed; nil if they don't
 	lsn      uint64
 	rows     []string // of every read
+	refused  string   // text that connections refuse to send; empty for none
+	refusals int      // statements refused because of it
+	opened   int      // connections opened
 }
 
 // backendConn is a connection to a backend.
@@ -54,6 +57,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.open[host]++
+	b.opened++
 	b.customer[customer]++
 	total := 0
 	for _, n := range b.open {
@@ -132,6 +136,9 @@
 		if !c.Usable() {
 			return nil, errkind.New(errkind.ConnectFailed, "closed")
 		}
+		if c.refuses(r) {
+			return nil, errkind.New(errkind.BadRequest, "the text can't be sent")
+		}
 		a, gate := c.execute(r)
 		if gate != nil {
 			select {
@@ -147,6 +154,17 @@
 	return answers, nil
 }
 
+// refuses reports whether a statement is refused before anything of it is sent.
+func (c *backendConn) refuses(r statement.Request) bool {
+	c.b.mu.Lock()
+	defer c.b.mu.Unlock()
+	if c.b.refused == "" || !strings.Contains(r.ID+" "+r.Text+" "+r.Name+" "+r.Value, c.b.refused) {
+		return false
+	}
+	c.b.refusals++
+	return true
+}
+
 // execute runs a statement and returns what its answer waits for.
 func (c *backendConn) execute(r statement.Request) (statement.Answer, chan struct{}) {
 	b := c.b
--- a/internal/relay/instream.go
+++ b/internal/relay/instream.go
@@ -249,7 +249,7 @@
 		out.setError(err)
 		in.service.metrics.refusal(errkind.Of(err))
 	}
-	in.finishCall(c, m.Conn, err == nil && a.State != statement.Idle, err)
+	in.finishCall(c, m, err == nil && a.State != statement.Idle, err)
 	in.send(out)
 }
 
@@ -286,7 +286,7 @@
 
 // finishCall returns the connection of a statement, closes it if it must not be used
 // again, or keeps it for the open transaction.
-func (in *inStream) finishCall(c *lentConn, id uint32, open bool, err error) {
+func (in *inStream) finishCall(c *lentConn, m *call, open bool, err error) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	in.running--
@@ -295,13 +295,14 @@
 	if open && !cancelled {
 		return
 	}
-	if in.conns[id] == c {
-		in.removeConn(id)
+	if in.conns[m.Conn] == c {
+		in.removeConn(m.Conn)
 	}
 	c.cancel()
+	outside := m.Target != nil && c.loan != nil && c.loan.Unsent() // of a transaction
 	switch {
 	case c.loan == nil:
-	case err == nil && !open && !cancelled:
+	case (err == nil && !open || outside) && !cancelled:
 		c.loan.Return()
 	default:
 		c.loan.Drop()
--- a/internal/relay/text_test.go
+++ b/internal/relay/text_test.go
@@ -87,3 +87,63 @@
 	is.NoErr(err)
 	is.Equal(a.Receipt, "receipt")
 }
+
+// TestRefusedText guards against text that the protocol of the server can't carry and
+// that costs a connection of the connector, counts against the server, or is sent again.
+func TestRefusedText(t *testing.T) {
+	const text = "a\r\nb"
+	for name, r := range map[string]statement.Request{
+		"text":      {Kind: statement.Write, ID: "x", Text: text},
+		"id":        {Kind: statement.Write, ID: text, Text: "t"},
+		"arguments": {Kind: statement.Execute, ID: "x", Name: "p", Value: text},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			in := install(t, 6, 4)
+			in.backend.refused = "\r\n"
+			connectors, sender := in.roles()
+			c := in.open(sender)
+			c.Execute(t.Context(), statement.Request{Kind: statement.Prepare, Name: "p", Value: "shape"})
+			is.Equal(kindOf(c.do(statement.Write, "w1")), errkind.OK)
+			for range 5 {
+				is.Equal(kindOf(c.Execute(t.Context(), r)), errkind.BadRequest)
+			}
+			is.Equal(kindOf(c.do(statement.Write, "w2")), errkind.OK)
+			is.Equal(in.backend.refusals, 5) // each was tried once
+			is.Equal(in.backend.opened, 1)
+			is.Equal(connectors[0].g.Dump().Members[0].FailingFor, time.Duration(0))
+			c.do(statement.Begin, "begin")
+			is.Equal(kindOf(c.do(statement.Write, "w3")), errkind.OK)
+			is.Equal(kindOf(c.Execute(t.Context(), r)).Info().Outcome, errkind.NotRun)
+			is.Equal(kindOf(c.do(statement.Commit, "commit")), errkind.TransactionLost)
+			is.Equal(in.backend.count("commit"), 0)
+			eventually(is, func() bool { return in.backend.connections("") <= 1 })
+		})
+	}
+}
+
+// TestRefusedSessionState guards against a session value of a peer that can't be sent and
+// counts against the server, or is taken for one that the connection has.
+func TestRefusedSessionState(t *testing.T) {
+	is := is.New(t)
+	in := install(t, 3, 2)
+	in.backend.refused = "\r\n"
+	connectors, _ := in.roles()
+	raw := rawPeer(is, connectors[0].address)
+	defer func() { is.NoErr(raw.Close()) }()
+	call := func(id int, value string) list {
+		return with(with(with(with(callFields(), 0, id), 1, id), 7, true), 8, object{"zone", value})
+	}
+	_, err := raw.Write(append(message('h', list{1, "peer", 0}), message('c', call(1, "a\r\nb"))...))
+	is.NoErr(err)
+	kind, err := relay.ReadAnswer(raw)
+	is.NoErr(err)
+	is.Equal(kind, errkind.BadRequest)
+	is.Equal(connectors[0].g.Dump().Members[0].FailingFor, time.Duration(0))
+	_, err = raw.Write(message('c', call(2, "utc")))
+	is.NoErr(err)
+	kind, err = relay.ReadAnswer(raw)
+	is.NoErr(err)
+	is.Equal(kind, errkind.OK)
+	is.Equal(in.backend.count("read text map[zone:utc]"), 1)
+}
