settings: obey a changed file only once it stays the same

Cause: the settings file is read again at SIGHUP and every 2 s, and may be written at that moment. What is cut after a line or within a number is valid TOML: the part was obeyed, with defaults for what was missing.

Evidence: TestSettingsFileWhileItIsWritten writes a file in pieces with SIGHUP after each. Before, the control address 10.0.0.2:74 of a peer_port 7440 was put in force.

Change: a changed text is parsed after it was the same for 500 ms.

Not changed: at the start the file is read once; it must be whole then.

--- a/cmd/arbutusring/run_platform.go
+++ b/cmd/arbutusring/run_platform.go
@@ -23,6 +23,11 @@
 // it may change without a signal.
 const settingsPollInterval = 2 * time.Second
 
+// settingsSettleTime is how long a changed settings file must stay the same before it is
+// obeyed: it may be read while it is written, and what is cut at the end of a line or
+// within a number is valid, too.
+const settingsSettleTime = 500 * time.Millisecond
+
 // restartDelay is the delay before a process that failed is started again, for
 // example after its data folder failed. A full or broken disk may last for
 // minutes.
@@ -113,7 +118,10 @@
 	events   *eventlog.Log
 	reload   func(settings.Settings)
 	settings settings.Settings // in force
-	lastText []byte            // as last read; nil before the first read
+	lastText []byte            // as last parsed; nil before the first time
+
+	pending      []byte // a changed text that is not parsed yet; nil for none
+	pendingSince time.Time
 }
 
 // loop reloads changed settings until ctx ends, or returns an error when the
@@ -121,6 +129,8 @@
 func (w *settingsWatcher) loop(ctx context.Context, hup <-chan os.Signal, done <-chan struct{}) error {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
+	settled := time.NewTimer(settingsSettleTime)
+	defer settled.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -129,12 +139,17 @@
 			return errors.New("the replicated log has stopped")
 		case <-hup:
 		case <-ticker.C:
+		case <-settled.C:
 		}
 		w.check()
+		if w.pending != nil {
+			settled.Reset(settingsSettleTime - time.Since(w.pendingSince))
+		}
 	}
 }
 
-// check reloads the settings if the text of the file has changed.
+// check reloads the settings if the text of the file has changed and stayed the same for
+// settingsSettleTime.
 func (w *settingsWatcher) check() {
 	if !w.fileChanged() {
 		return
@@ -150,17 +165,24 @@
 	}
 }
 
-// fileChanged reports whether the text of the file has changed since the last
-// call.
+// fileChanged reports whether the text of the file differs from lastText and has stayed
+// the same for settingsSettleTime. It becomes lastText then.
 func (w *settingsWatcher) fileChanged() bool {
 	text, err := os.ReadFile(w.file)
 	if err != nil {
 		w.events.Event("reload_failed").Err(err).Msg("cannot read the settings file; keeping the settings in force")
 		return false
 	}
-	if bytes.Equal(text, w.lastText) {
+	switch {
+	case bytes.Equal(text, w.lastText):
+		w.pending = nil
+		return false
+	case w.pending == nil || !bytes.Equal(text, w.pending):
+		w.pending, w.pendingSince = text, time.Now()
+		return false
+	case time.Since(w.pendingSince) < settingsSettleTime:
 		return false
 	}
-	w.lastText = text
+	w.lastText, w.pending = text, nil
 	return true
 }
