--- a/internal/consensus/malformed_test.go
+++ b/internal/consensus/malformed_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/arbutusring/arbutusring/internal/consensus"
 	"github.com/arbutusring/arbutusring/internal/wal"
+	"github.com/matryer/is"
 	"pgregory.net/rapid"
 )
 
@@ -65,3 +66,66 @@
 		}
 	})
 }
+
+// TestMalformedSnapshot guards against a snapshot that is installed although a chunk of it
+// is longer than what is left, it has no members, or its halves are of two snapshots.
+func TestMalformedSnapshot(t *testing.T) {
+	members := []consensus.Member{{ID: "a", Incarnation: "1", Address: "a:1"}, {ID: "b", Incarnation: "1", Address: "b:1"}}
+	chunk := func(offset, size uint64, data string, members []consensus.Member) consensus.Message {
+		return consensus.Message{
+			Kind: consensus.MessageSnapshot, From: consensus.Member{ID: "b", Incarnation: "1"}, To: consensus.Member{ID: "a", Incarnation: "1"},
+			Term: 2, Index: 5, LogTerm: 2, Offset: offset, Size: size, Data: []byte(data), Members: members,
+		}
+	}
+	for name, test := range map[string]struct {
+		chunks    []consensus.Message
+		installed string
+	}{
+		"whole":                {[]consensus.Message{chunk(0, 4, "ab", members), chunk(2, 4, "cd", members)}, "abcd"},
+		"chunk twice":          {[]consensus.Message{chunk(0, 4, "ab", members), chunk(0, 4, "ab", members), chunk(2, 4, "cd", members)}, "abcd"},
+		"too long":             {[]consensus.Message{chunk(0, 4, "abcde", members)}, ""},
+		"second chunk long":    {[]consensus.Message{chunk(0, 4, "ab", members), chunk(2, 4, "cde", members)}, ""},
+		"no members":           {[]consensus.Message{chunk(0, 4, "abcd", nil)}, ""},
+		"member without id":    {[]consensus.Message{chunk(0, 4, "abcd", []consensus.Member{{Incarnation: "1"}})}, ""},
+		"halves of two":        {[]consensus.Message{chunk(0, 6, "ab", members), chunk(2, 4, "cd", members)}, ""},
+		"other one from start": {[]consensus.Message{chunk(0, 6, "ab", members), chunk(0, 4, "cd", members), chunk(2, 4, "ef", members)}, "cdef"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1000, 0)
+			m, err := consensus.NewMachine(consensus.MachineOptions{
+				Self: members[0], MinElectionTimeout: 400 * time.Millisecond, HeartbeatInterval: 100 * time.Millisecond,
+				Random: func(n int64) int64 { return n / 2 },
+			}, now)
+			is.NoErr(err)
+			installed := ""
+			for _, c := range test.chunks {
+				m.Step(now, c)
+				if s := m.Output(now).Install; s != nil {
+					installed = string(s.Data)
+				}
+			}
+			is.Equal(installed, test.installed)
+		})
+	}
+}
+
+// TestMalformedMembership guards against a membership of which only the beginning is read,
+// and against nothing that is taken for a membership without voters.
+func TestMalformedMembership(t *testing.T) {
+	for name, data := range map[string]string{
+		"bytes after it":    "\x91\x81\xa1i\xa1a\x00",
+		"nil":               "\xc0",
+		"empty":             "\x90",
+		"member without id": "\x91\x81\xa1n\xa11",
+		"cut":               "\x92\x81\xa1i\xa1a",
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := consensus.NewMachine(consensus.MachineOptions{
+				Self: consensus.Member{ID: "a", Incarnation: "1"}, MinElectionTimeout: 400 * time.Millisecond, HeartbeatInterval: 100 * time.Millisecond,
+				Random: func(n int64) int64 { return n / 2 }, Snapshot: &wal.Snapshot{Index: 5, Term: 2, Members: []byte(data)},
+			}, time.Unix(1000, 0))
+			is.New(t).True(err != nil)
+		})
+	}
+}
--- a/internal/consensus/members.go
+++ b/internal/consensus/members.go
@@ -60,8 +60,28 @@
 	return b
 }
 
+// decodeMembers decodes a membership. It must be one whole value with at least one member:
+// without voters, this host alone would be a majority.
 func decodeMembers(b []byte) (members, error) {
 	var ms []Member
-	err := codec.NewDecoderBytes(b, new(codec.MsgpackHandle)).Decode(&ms)
-	return ms, Error.Wrap(err)
+	d := codec.NewDecoderBytes(b, new(codec.MsgpackHandle))
+	if err := d.Decode(&ms); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	if n := len(b) - d.NumBytesRead(); n != 0 {
+		return nil, Error.New("%d bytes follow a membership", n)
+	}
+	return ms, members(ms).check()
+}
+
+func (ms members) check() error {
+	if len(ms) == 0 {
+		return Error.New("a membership without members")
+	}
+	for _, m := range ms {
+		if m.ID == "" {
+			return Error.New("a member without an id")
+		}
+	}
+	return nil
 }
--- a/internal/consensus/snapshot_transfer.go
+++ b/internal/consensus/snapshot_transfer.go
@@ -12,8 +12,8 @@
 
 // incomingSnapshot is a snapshot that is being received.
 type incomingSnapshot struct {
-	index, term uint64
-	data        []byte
+	index, term, size uint64
+	data              []byte
 }
 
 // SnapshotTaken informs the machine that the driver has made a snapshot of the
@@ -86,12 +86,20 @@
 		m.send(done)
 		return
 	}
+	if err := members(msg.Members).check(); err != nil {
+		m.reject(msg, "%v", err)
+		return
+	}
 	in := m.incomingSnapshot
-	if in == nil || in.index != msg.Index || in.term != msg.LogTerm {
-		in = &incomingSnapshot{index: msg.Index, term: msg.LogTerm}
+	if in == nil || in.index != msg.Index || in.term != msg.LogTerm || in.size != msg.Size {
+		in = &incomingSnapshot{index: msg.Index, term: msg.LogTerm, size: msg.Size}
 		m.incomingSnapshot = in
 	}
 	if msg.Offset == uint64(len(in.data)) {
+		if uint64(len(msg.Data)) > in.size-msg.Offset {
+			m.reject(msg, "a chunk of %d bytes at %d of %d", len(msg.Data), msg.Offset, in.size)
+			return
+		}
 		in.data = append(in.data, msg.Data...)
 	}
 	if uint64(len(in.data)) < msg.Size {
