--- a/internal/consensus/malformed_test.go
+++ b/internal/consensus/malformed_test.go
@@ -1,6 +1,7 @@
 package consensus_test
 
 import (
+	"errors"
 	"testing"
 	"time"
 
@@ -129,3 +130,36 @@
 		})
 	}
 }
+
+// TestSnapshotThatCannotBeRestored guards against a snapshot that is stored before it is
+// known to be one, so that the host never starts again.
+func TestSnapshotThatCannotBeRestored(t *testing.T) {
+	is := is.New(t)
+	opts := consensus.Options{
+		ID: "a", Address: "a:1", Dir: t.TempDir(), Join: true,
+		Send: func(consensus.Member, consensus.Message) {}, Apply: func(uint64, []byte) []byte { return nil },
+		Snapshot: func() []byte { return []byte("good") },
+		Restore: func(data []byte) error {
+			if string(data) != "good" {
+				return errors.New("malformed")
+			}
+			return nil
+		},
+	}
+	n, err := consensus.Start(opts)
+	is.NoErr(err)
+	leader := consensus.Member{ID: "b", Incarnation: "1", Address: "b:1"}
+	n.Step(consensus.Message{
+		Kind: consensus.MessageSnapshot, From: leader, To: n.Self(), Term: 2, Index: 5, LogTerm: 2, Size: 3,
+		Data: []byte("bad"), Members: []consensus.Member{leader, n.Self()},
+	})
+	select {
+	case <-n.Done():
+	case <-time.After(5 * time.Second):
+		t.Fatal("the host goes on without the state of the snapshot")
+	}
+	is.True(n.Err() != nil)
+	n, err = consensus.Start(opts)
+	is.NoErr(err)
+	is.NoErr(n.Stop(t.Context()))
+}
--- a/internal/consensus/node_loop.go
+++ b/internal/consensus/node_loop.go
@@ -141,7 +141,8 @@
 }
 
 // write makes the state, the snapshot and the entries of the output durable, and
-// restores an installed snapshot.
+// restores an installed snapshot. It restores before it writes: a host with a stored
+// snapshot that can't be restored would not start again.
 func (n *Node) write(out Output) error {
 	if out.Install == nil {
 		return n.log.Save(out.HardState, out.Entries)
@@ -150,15 +151,15 @@
 	if err := n.log.Save(out.HardState, nil); err != nil {
 		return err
 	}
+	if err := n.opts.Restore(s.Data); err != nil {
+		return Error.Wrap(err)
+	}
 	if err := n.log.SaveSnapshot(s); err != nil {
 		return err
 	}
 	if err := n.log.Reset(s.Index, s.Term); err != nil {
 		return err
 	}
-	if err := n.opts.Restore(s.Data); err != nil {
-		return Error.Wrap(err)
-	}
 	n.applied, n.snapshot = s.Index, s.Index
 	n.opts.Logger.Info().Str("id", n.self.ID).Uint64("index", s.Index).Msg("snapshot installed")
 	return n.log.Save(nil, out.Entries)
