--- a/internal/wal/segment.go
+++ b/internal/wal/segment.go
@@ -33,7 +33,7 @@
 	segments := make([]segment, 0, len(names))
 	for _, path := range names {
 		s := segment{path: path}
-		if _, err := fmt.Sscanf(filepath.Base(path), segmentFormat, &s.number); err != nil {
+		if _, err := fmt.Sscanf(filepath.Base(path), segmentFormat, &s.number); err != nil || path != segmentPath(dir, s.number) {
 			return nil, Error.New("%s: file name is not that of a segment", path)
 		}
 		if n := len(segments); n > 0 && segments[n-1].number+1 != s.number {
@@ -60,6 +60,9 @@
 			}
 			break
 		}
+		if off == 0 && (len(payload) == 0 || payload[0] != itemSegment) {
+			return 0, Error.New("%s: offset 0: the first record is not that of a segment", s.path)
+		}
 		maxIndex, err := r.applyRecord(payload, s.number)
 		if err != nil {
 			return 0, Error.New("%s: offset %d: %v", s.path, off, err)
--- a/internal/wal/snapshot.go
+++ b/internal/wal/snapshot.go
@@ -46,9 +46,11 @@
 	if err != nil {
 		return err
 	}
-	return writeFileAtomic(files, filepath.Join(dir, fmt.Sprintf(snapshotFormat, s.Index, s.Term)), record)
+	return writeFileAtomic(files, filepath.Join(dir, snapshotName(s)), record)
 }
 
+func snapshotName(s *Snapshot) string { return fmt.Sprintf(snapshotFormat, s.Index, s.Term) }
+
 // loadSnapshot returns the newest snapshot, or nil if there is none. It refuses
 // a damaged snapshot, because the log entries that it replaces may be gone.
 func loadSnapshot(files fileSystem, dir string) (*Snapshot, error) {
@@ -69,6 +71,9 @@
 	if err != nil {
 		return nil, Error.New("%s: offset 0: %v", path, err)
 	}
+	if name := snapshotName(s); filepath.Base(path) != name {
+		return nil, Error.New("%s: offset 0: the content is that of %s", path, name)
+	}
 	return s, nil
 }
 
