owner: a stored answer is given to the same request only

Cause: the owner answers a known id with the stored answer, whatever the request holds. Requests without an id, or two with the same one, got the answer of the first.

Evidence: TestAnswerOfOtherRequest: a second INSERT under the id of another was answered with success and did not run.

Change: the record keeps a digest of the messages. A request with another one under a known id, or without entry or number, is answered with bad_request and not run.

--- a/internal/owner/exec.go
+++ b/internal/owner/exec.go
@@ -8,6 +8,7 @@
 	"github.com/arbutusring/arbutusring/internal/ownerrpc"
 	"github.com/arbutusring/arbutusring/internal/workpool"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
+	"github.com/cespare/xxhash/v2"
 )
 
 // defaultCycleBudget is the time limit of a cycle that states none, for a server
@@ -26,7 +27,7 @@
 	ctx, stop := context.WithDeadline(ctx, deadline)
 	defer stop()
 
-	rec, first, err := o.outcomes.begin(recordKey{args.ID, args.Server}, args.Repeatable, cancel)
+	rec, first, err := o.outcomes.begin(recordKey{args.ID, args.Server}, xxhash.Sum64(args.Messages), args.Repeatable, cancel)
 	switch {
 	case err != nil:
 		replyError(reply, err)
--- a/internal/owner/outcome_test.go
+++ b/internal/owner/outcome_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/arbutusring/arbutusring/internal/owner"
+	"github.com/arbutusring/arbutusring/internal/ownerrpc"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
@@ -149,3 +150,22 @@
 		is.True(r.Dump().(owner.State).Outcomes <= 8+2)
 	})
 }
+
+// TestAnswerOfOtherRequest guards against the stored answer of one request that is given
+// to another because both have the same id, or none.
+func TestAnswerOfOtherRequest(t *testing.T) {
+	runTest(t, owner.Options{}, func(t *testing.T, r *harness) {
+		is := is.New(t)
+		a, b := r.writeArgs(1, "INSERT a"), r.writeArgs(2, "INSERT b")
+		is.Equal(r.exec(a).Kind, errkind.OK)
+		b.ID = a.ID
+		is.Equal(r.exec(b).Kind, errkind.BadRequest)
+		is.Equal(r.exec(a).Kind, errkind.OK) // the stored answer
+		for _, id := range []ownerrpc.RequestID{{}, {Entry: "e1"}, {Number: 7}} {
+			b.ID = id
+			is.Equal(r.exec(b).Kind, errkind.BadRequest)
+		}
+		is.Equal(r.server.runCount("INSERT a"), 1)
+		is.Equal(r.server.runCount("INSERT b"), 0)
+	})
+}
--- a/internal/owner/outcomestore.go
+++ b/internal/owner/outcomestore.go
@@ -46,11 +46,18 @@
 
 // begin records the arrival of a cycle and returns its record and true, or the
 // existing record and false if the cycle is known. It returns an error if the
-// store is full of outcomes that must still be kept.
-func (s *outcomeStore) begin(key recordKey, repeatable bool, cancel context.CancelCauseFunc) (*record, bool, error) {
+// id is incomplete or that of a cycle with other messages, and if the store is full
+// of outcomes that must still be kept. digest is that of the messages.
+func (s *outcomeStore) begin(key recordKey, digest uint64, repeatable bool, cancel context.CancelCauseFunc) (*record, bool, error) {
+	if key.id.Entry == "" || key.id.Number == 0 {
+		return nil, false, errkind.New(errkind.BadRequest, "the request has no id")
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if r, ok := s.records[key]; ok && !s.disabled {
+		if r.arrived && r.digest != digest {
+			return nil, false, errkind.New(errkind.BadRequest, "another request has the id %v", key.id)
+		}
 		return r, false, nil
 	}
 	if !repeatable && len(s.executed) >= s.limits.OutcomeRecords {
@@ -60,7 +67,7 @@
 		s.executed = s.evict(s.executed, 1)
 		s.executedTrimmed = max(0, s.executedTrimmed-1)
 	}
-	r := &record{key: key, repeatable: repeatable, cancel: cancel, done: make(chan struct{})}
+	r := &record{key: key, arrived: true, digest: digest, repeatable: repeatable, cancel: cancel, done: make(chan struct{})}
 	s.records[key] = r
 	return r, true, nil
 }
--- a/internal/owner/record.go
+++ b/internal/owner/record.go
@@ -26,6 +26,8 @@
 // record is the state and the answer of one cycle. outcomeStore.mu guards it.
 type record struct {
 	key             recordKey
+	arrived         bool   // false if it was cancelled before
+	digest          uint64 // of its messages, if it has arrived
 	repeatable      bool
 	state           recordState
 	cancel          context.CancelCauseFunc // ends the wait before sending; nil if finished or not yet arrived
