directory: an answer without a version acknowledges no configuration

Cause: the fields that an answer lacks are zero, and the zero value of the error kind is success. An empty answer to Put acknowledged the configuration.

Evidence: TestEmptyAnswerToPut: an answer that names no version, or a lower one than was sent, was returned as success.

Result: the test failed before and passes now; go test of directoryrpc (-race) and directory pass.

--- a/internal/directoryrpc/client.go
+++ b/internal/directoryrpc/client.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/arbutusring/arbutusring/internal/controlrpc"
+	"github.com/arbutusring/arbutusring/pkg/errkind"
 )
 
 const (
@@ -94,9 +95,14 @@
 	return do[RegisterReply](ctx, c, "Directory.Register", args, attemptTimeout)
 }
 
-// Put submits a configuration. It is safe to repeat.
+// Put submits a configuration. It is safe to repeat. An answer that does not name this or
+// a higher version acknowledges nothing.
 func (c *Client) Put(ctx context.Context, args *PutArgs) (*PutReply, error) {
-	return do[PutReply](ctx, c, "Directory.Put", args, putAttemptTimeout)
+	reply, err := do[PutReply](ctx, c, "Directory.Put", args, putAttemptTimeout)
+	if err == nil && reply.Kind == errkind.OK && reply.Version < args.Version {
+		return reply, errkind.New(errkind.OutcomeUnknown, "the answer to configuration %d names version %d", args.Version, reply.Version)
+	}
+	return reply, err
 }
 
 // Get returns the configuration in force.
--- a/internal/directoryrpc/client_test.go
+++ b/internal/directoryrpc/client_test.go
@@ -94,3 +94,23 @@
 		})
 	}
 }
+
+// TestEmptyAnswerToPut guards against an answer without content that is taken for the
+// acknowledgement of a configuration.
+func TestEmptyAnswerToPut(t *testing.T) {
+	is := is.New(t)
+	var version uint64
+	c := directoryrpc.NewClient([]string{"a"}, func(_ context.Context, _, _ string, _, reply any) error {
+		reply.(*directoryrpc.PutReply).Version = version
+		return nil
+	})
+	_, err := c.Put(t.Context(), &directoryrpc.PutArgs{Version: 7})
+	is.Equal(errkind.Of(err), errkind.OutcomeUnknown)
+	version = 6
+	_, err = c.Put(t.Context(), &directoryrpc.PutArgs{Version: 7})
+	is.Equal(errkind.Of(err), errkind.OutcomeUnknown)
+	version = 8
+	reply, err := c.Put(t.Context(), &directoryrpc.PutArgs{Version: 7})
+	is.NoErr(err)
+	is.Equal(reply.Version, uint64(8))
+}
