--- a/internal/gateway/loan.go
+++ b/internal/gateway/loan.go
@@ -30,6 +30,7 @@
 	conn    *pooledConn
 	slot    schedule.Slot
 	release sync.Once // of slot
+	unsent  bool      // the last statement was refused before anything of it was sent
 }
 
 // lendable returns the server if this host lends connections to it. The view of the
@@ -126,9 +127,11 @@
 
 // Do runs a statement with a latest start and a deadline on clock.Now. Its errors are
 // those of Conn.Do, and errkind.DeadlineExceeded if nothing was sent because one of
-// them has passed, for instance while this host was suspended.
+// them has passed, for instance while this host was suspended. After errkind.BadRequest
+// nothing was sent either, and that is no failure of the server.
 func (l *Loan) Do(start, end time.Time, s RelayedStatement) (statement.Answer, error) {
 	defer l.releaseSlot() // the first statement of a transaction holds it, too
+	l.unsent = false
 	m := l.member
 	left := end.Sub(clock.Now())
 	if left <= 0 {
@@ -145,7 +148,9 @@
 		if sess.preparedStmt != nil {
 			r.Name = sess.preparedStmt.name
 		}
-		if err := l.conn.adapt(deadline, sess); err != nil {
+		if err := l.conn.adapt(deadline, sess); badRequest(err) {
+			return statement.Answer{}, errkind.Wrap(errkind.BadRequest, err, "the session state")
+		} else if err != nil {
 			l.gateway.recordFailure(m, r.ID, err)
 			return statement.Answer{}, err
 		}
@@ -156,10 +161,10 @@
 	begun := time.Now()
 	m.startStatement()
 	a, err := l.conn.do(deadline, r)
-	refused := l.conn.refusedRequest(err)
-	m.endStatement(err == nil || refused)
+	l.unsent = badRequest(err)
+	m.endStatement(err == nil || l.unsent)
 	if err != nil {
-		if !refused && !l.conn.aborted.Load() {
+		if !l.unsent && !l.conn.aborted.Load() {
 			l.gateway.recordFailure(m, r.ID, err)
 		}
 		return statement.Answer{}, err
@@ -171,6 +176,10 @@
 	return a, nil
 }
 
+// Unsent reports whether nothing of the last statement was sent, so that the connection
+// is as it was before.
+func (l *Loan) Unsent() bool { return l.unsent }
+
 // Return gives the connection back, which has no open transaction.
 func (l *Loan) Return() {
 	l.releaseSlot()
--- a/internal/gateway/pooledconn.go
+++ b/internal/gateway/pooledconn.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"maps"
 	"sync/atomic"
 	"time"
@@ -121,7 +122,17 @@
 // refusedRequest reports whether a statement can't be sent on any connection, because a
 // field of it would end the message. Nothing was sent.
 func (pc *pooledConn) refusedRequest(err error) bool {
-	return pc.relayed == nil && errkind.Of(err) == errkind.BadRequest
+	return pc.relayed == nil && badRequest(err)
+}
+
+// badRequest reports whether a connection refused a request before it sent anything.
+func badRequest(err error) bool {
+	for ; err != nil; err = errors.Unwrap(err) {
+		if e, ok := err.(*errkind.Error); ok && e.Kind == errkind.BadRequest {
+			return true
+		}
+	}
+	return false
 }
 
 // do sends one statement and returns its answer.
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -30,9 +30,19 @@
 	return &clientCodec{ClientCodec: codec.GoRpc.ClientCodec(conn, newHandle()), in: newMessageReader(conn, nil)}
 }
 
+// ReadResponseHeader refuses a response without a sequence number, which would be taken
+// for the answer to call 0.
 func (c *clientCodec) ReadResponseHeader(r *rpc.Response) error {
 	c.in.begin()
-	return c.in.decode(r)
+	var h header
+	if err := c.in.decode(&h); err != nil {
+		return err
+	}
+	if h.Seq == nil || h.Error == nil {
+		return c.in.reject(Error.New("the header of a response is not complete"))
+	}
+	r.ServiceMethod, r.Seq, r.Error = h.ServiceMethod, *h.Seq, *h.Error
+	return nil
 }
 
 func (c *clientCodec) ReadResponseBody(body any) error { return c.in.decode(body) }
@@ -45,6 +55,7 @@
 	in           *messageReader
 	seq          uint64 // of the request that is being read
 	onRequest    func() // called for each request that was read; nil for none
+	malformed    error  // of a body; where the next message begins is not known then
 
 	mu   sync.Mutex
 	held map[uint64]int64 // memory of the arguments of running calls, by sequence number
@@ -59,11 +70,14 @@
 	}
 }
 
-// ReadRequestHeader counts a call as running once its header has been read.
+// ReadRequestHeader counts a call as running once its header has been read. It fails
+// after a malformed body: the caller, net/rpc, would go on reading in the middle of it.
 func (c *countingCodec) ReadRequestHeader(r *rpc.Request) error {
+	if c.malformed != nil {
+		return c.malformed
+	}
 	c.in.begin()
-	err := c.in.decode(r)
-	if err != nil {
+	if err := c.readHeader(r); err != nil {
 		c.in.release()
 		return err
 	}
@@ -75,10 +89,23 @@
 	return nil
 }
 
+func (c *countingCodec) readHeader(r *rpc.Request) error {
+	var h header
+	if err := c.in.decode(&h); err != nil {
+		return err
+	}
+	if h.Seq == nil || h.ServiceMethod == "" {
+		return c.in.reject(Error.New("the header of a request is not complete"))
+	}
+	r.ServiceMethod, r.Seq = h.ServiceMethod, *h.Seq
+	return nil
+}
+
 // ReadRequestBody keeps what the arguments take from the budget until the call is
 // answered.
 func (c *countingCodec) ReadRequestBody(body any) error {
 	err := c.in.decode(body)
+	c.malformed = err
 	if held := c.in.takeHeld(); held > 0 {
 		c.mu.Lock()
 		c.held[c.seq] += held
