gateway: a prepared statement that is too long under its new name is no failure of the server

Callers saw: after a PARSE of nearly 1 MiB, EXECUTE was answered BUSY, a promise that it may be repeated, and the server counted as failing, up to a change of the primary. Cause: the request that can't be encoded was reported as a connection that could not be opened.

Change: the refusal keeps its kind, bad_request, on its way through the session state; it is not tried again and says nothing about the server.

--- a/internal/gateway/operation.go
+++ b/internal/gateway/operation.go
@@ -328,6 +328,9 @@
 		u.abandon()
 		o.recordError(err)
 		o.tried[rt.member] = true
+		if errkind.Of(err) == errkind.BadRequest {
+			return o.refuse(), false
+		}
 		return a, true
 	}
 	if u != nil && (!u.attach(pc) || !o.gateway.hasLease()) {
--- a/internal/gateway/operationtx.go
+++ b/internal/gateway/operationtx.go
@@ -32,7 +32,7 @@
 			}
 		}
 		o.recordError(err)
-		if o.attempts >= maxAttempts || errkind.Of(err) == errkind.Denied || o.preferOtherHost(err) || errkind.Of(err) == errkind.Overloaded || !o.awaitView(v, retryPause) {
+		if o.attempts >= maxAttempts || errkind.Of(err) == errkind.Denied || errkind.Of(err) == errkind.BadRequest || o.preferOtherHost(err) || errkind.Of(err) == errkind.Overloaded || !o.awaitView(v, retryPause) {
 			t.fail()
 			a := o.refuse()
 			return &a
@@ -124,6 +124,9 @@
 	if o.request.Kind != statement.Commit {
 		if err := t.conn.adapt(o.wallDeadline(), s.requiredState(o.preparedStmt)); err != nil {
 			o.dropTransaction()
+			if errkind.Of(err) == errkind.BadRequest {
+				return s.failureAnswer(err)
+			}
 			return s.failureAnswer(errkind.Wrap(errkind.TransactionLost, err, "the connection of the transaction was lost"))
 		}
 		if err := o.mayRun(); err != nil {
--- a/internal/gateway/pooledconn.go
+++ b/internal/gateway/pooledconn.go
@@ -99,6 +99,9 @@
 		pc.prepared[s.name] = true
 	}
 	answers, err := pc.conn.Do(deadline, requests...)
+	if pc.refusedRequest(err) {
+		return errkind.Wrap(errkind.BadRequest, err, "applying the session state to the connection")
+	}
 	if err != nil {
 		// The caller's statement was not sent.
 		return errkind.Wrap(errkind.ConnectFailed, err, "applying the session state to the connection")
