gateway: a COMMIT of writes that a busy server refused is not sent again

Callers saw: a COMMIT that the server refused twice as busy, and never ran, was answered INDOUBT. Cause: a second refusal on a connection can't be told from a copy of the first one, so it is rejected, and the outcome of a rejected COMMIT is unknown. Refusals of an overloaded primary come in rows.

A COMMIT without writes is still sent again, because its outcome is known.

--- a/internal/gateway/operationtx.go
+++ b/internal/gateway/operationtx.go
@@ -173,9 +173,11 @@
 }
 
 // canResendBusy reports whether a statement of a transaction may be sent again,
-// because the server refused it as overloaded and time remains.
+// because the server refused it as overloaded and time remains. A COMMIT of writes is not:
+// a second refusal could not be told from a copy of the first one, so that its outcome
+// would be unknown.
 func (o *operation) canResendBusy(a statement.Answer) bool {
-	return a.Failure != nil && a.Failure.Kind == errkind.Overloaded && a.State == statement.Open &&
+	return !(o.request.Kind == statement.Commit && o.session.tx.wrote) && a.Failure != nil && a.Failure.Kind == errkind.Overloaded && a.State == statement.Open &&
 		o.attempts < maxAttempts && clock.Now().Add(retryPause).Before(o.deadline)
 }
 
