correlation: a BEGIN that may be answered by a copy is sent on a new connection

Callers could see: a transaction whose BEGIN the server had refused (BUSY, LAGGING, READONLY) went on, because the late copy of the answer to an earlier BEGIN was believed, and its statements ran outside of any transaction (PINNED). The log position in that copy counted as one of the new BEGIN, so that reads could be older than their bound (STALE). In the same way the refusal of a SET or PARSE in a transaction was taken for the answer to the statement after it, which was sent twice (TWICE, MIXED).

Cause: answers without a receipt were believed by their state alone, and an answer to an earlier statement of the same kind has the same state.

Change: the content of such an answer counts like a receipt: state, log position and rows. A BEGIN whose answer equals an earlier one on its connection is rejected, and sent on a new connection, where nothing can be repeated. SET, PARSE and RESET may still be answered alike, but no error is believed after that until a receipt has come. Connectors do the same for statements of other hosts.

Weighed: a new connection for every transaction is exact too, and costs one for each; a second statement without effect after BEGIN, to see the state again, can be fooled by two copies.

--- a/internal/correlation/doc.go
+++ b/internal/correlation/doc.go
@@ -12,8 +12,10 @@
 //     without a receipt is a copy of an answer that had none, and is skipped too, if there
 //     was such an answer; otherwise the server breaks the protocol.
 //   - The other statements have no receipt. Their answers must have the state that the
-//     statement leads to, and no rows unless it returns one. A receipt that follows proves
-//     that nothing was taken for another answer before it.
+//     statement leads to, and no rows unless it returns one. One that equals an earlier
+//     answer, with the log position, may be a copy. For BEGIN it is rejected: statements must
+//     not be sent in a transaction that may have been refused. For others it counts, but
+//     until a receipt follows, an error may be that of such a statement and is rejected.
 //   - An error has no receipt. It counts if no error with the same code and text has been
 //     received on the connection, and no earlier statement can have caused it. After an
 //     error a connection must not be used for another transaction or statement: a copy
--- a/internal/correlation/tracker.go
+++ b/internal/correlation/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 
 	"github.com/arbutusring/arbutusring/internal/statement"
 )
@@ -28,11 +29,11 @@
 
 // Tracker follows the answers on one connection. It is not safe for concurrent use.
 type Tracker struct {
-	state    statement.State // after the last accepted answer
-	receipts receipts
+	state    statement.State     // after the last accepted answer
+	receipts receipts            // and the contents of answers without one
 	errors   map[string]struct{} // code and text of the accepted errors
 	bare     bool                // an answer without a receipt was accepted
-	unproven bool                // since the last receipt, one was accepted that may be a copy of an earlier one
+	unproven bool                // since the last receipt, one was accepted that may be a copy
 }
 
 // NewTracker returns the tracker of a new connection.
@@ -93,16 +94,31 @@
 	if r.Kind == statement.Status || r.Kind == statement.Demote {
 		rows = 1
 	}
-	want := t.stateAfter(r.Kind)
-	switch fits := a.Receipt == "" && len(a.Rows) == rows && a.State == want; {
-	case fits:
-		t.unproven = t.unproven || t.bare
-		t.bare, t.state = true, a.State
-		return Accept, statement.ByState, nil
-	case a.Receipt == "" && t.bare:
-		return Skip, "", nil
+	if want := t.stateAfter(r.Kind); a.Receipt != "" || len(a.Rows) != rows || a.State != want {
+		if a.Receipt == "" && t.bare {
+			return Skip, "", nil
+		}
+		return reject("a %s was answered with receipt %q, %d rows and state %c", r.Kind, a.Receipt, len(a.Rows), a.State)
+	}
+	content := bareContent(a)
+	repeated := t.receipts.contains(content)
+	if repeated && r.Kind == statement.Begin {
+		return reject("it may be a copy of the answer to an earlier %s", r.Kind)
+	}
+	t.receipts.add(content)
+	t.bare, t.unproven, t.state = true, t.unproven || repeated, a.State
+	return Accept, statement.ByState, nil
+}
+
+// bareContent returns the content of an answer without a receipt, which no receipt equals.
+func bareContent(a statement.Answer) string {
+	b := append(make([]byte, 0, 64), ' ', byte(a.State))
+	b = strconv.AppendUint(b, a.Position.Term, 10)
+	b = strconv.AppendUint(append(b, '.'), a.Position.LSN, 10)
+	for _, row := range a.Rows {
+		b = append(append(b, ' '), row...)
 	}
-	return reject("a %s was answered with receipt %q, %d rows and state %c", r.Kind, a.Receipt, len(a.Rows), a.State)
+	return string(b)
 }
 
 // judgeError judges an error.
@@ -111,8 +127,8 @@
 	if _, repeated := t.errors[key]; repeated {
 		return reject("error %s has been received before", a.Failure.Code)
 	}
-	// Within a transaction nothing is lost by believing it: only the commit has an effect.
-	if single := t.state == statement.Idle && a.State != statement.Open; t.unproven && single && hasReceipt(r.Kind) && r.Kind != statement.Read {
+	// A single read has no effect, and its connection is closed after the error.
+	if single := t.state == statement.Idle && r.Kind == statement.Read; t.unproven && hasReceipt(r.Kind) && !single {
 		return reject("error %s may be that of an earlier statement", a.Failure.Code)
 	}
 	if t.errors == nil {
--- a/internal/correlation/tracker_test.go
+++ b/internal/correlation/tracker_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/arbutusring/arbutusring/internal/correlation"
 	"github.com/arbutusring/arbutusring/internal/statement"
+	"github.com/arbutusring/arbutusring/pkg/logpos"
 	"github.com/matryer/is"
 )
 
@@ -14,6 +15,11 @@
 	return statement.Answer{Receipt: receipt, State: state}
 }
 
+// at returns a result without a receipt, with a log position.
+func at(lsn uint64, state statement.State) statement.Answer {
+	return statement.Answer{State: state, Position: logpos.Position{Term: 1, LSN: lsn}}
+}
+
 func refusal(code string, state statement.State) statement.Answer {
 	return statement.Answer{Failure: &statement.Failure{Code: code}, State: state}
 }
@@ -37,10 +43,11 @@
 		"copy of BEGIN before a read": {
 			{statement.Begin, result("", T), accept}, {statement.Read, result("", T), skip}, {0, result("a", T), accept}},
 		"copy of an earlier BEGIN": {
-			{statement.Begin, result("", T), accept}, {statement.Commit, result("a", I), accept}, {statement.Begin, result("", T), accept},
-			{statement.Read, result("", T), skip}, {0, result("b", T), accept}},
+			{statement.Begin, at(1, T), accept}, {statement.Commit, result("a", I), accept}, {statement.Begin, at(2, T), accept},
+			{statement.Read, at(1, T), skip}, {0, result("b", T), accept}},
+		"BEGIN like an earlier one":         {{statement.Begin, at(1, T), accept}, {statement.Commit, result("a", I), accept}, {statement.Begin, at(1, T), reject}},
 		"copy of BEGIN before ROLLBACK":     {{statement.Begin, result("", T), accept}, {statement.Rollback, result("", T), skip}, {0, result("", I), accept}},
-		"copy of a commit before BEGIN":     {{statement.Begin, result("", T), accept}, {statement.Commit, result("a", I), accept}, {statement.Begin, result("a", I), skip}, {0, result("", T), accept}},
+		"copy of a commit before BEGIN":     {{statement.Begin, result("", T), accept}, {statement.Commit, result("a", I), accept}, {statement.Begin, result("a", I), skip}, {0, at(1, T), accept}},
 		"read without a receipt":            {{statement.Read, result("", I), reject}},
 		"read in another state":             {{statement.Read, result("a", T), reject}},
 		"commit that leaves it open":        {{statement.Begin, result("", T), accept}, {statement.Commit, result("a", T), reject}},
@@ -50,10 +57,12 @@
 		"the same error in a transaction":   {{statement.Begin, result("", T), accept}, {statement.Write, refusal("BUSY", T), accept}, {statement.Write, refusal("BUSY", T), reject}},
 		"another error":                     {{statement.Begin, result("", T), accept}, {statement.Write, refusal("BUSY", T), accept}, {statement.Write, refusal("FAILED", E), accept}},
 		"error of a write or of a late SET": {{statement.Set, result("", I), accept}, {statement.Set, result("", I), accept}, {statement.Write, refusal("BUSY", I), reject}},
-		"error of a write after one SET":    {{statement.Set, result("", I), accept}, {statement.Write, refusal("BUSY", I), accept}},
-		"error of a write after a receipt":  {{statement.Set, result("", I), accept}, {statement.Set, result("", I), accept}, {statement.Read, result("a", I), accept}, {statement.Write, refusal("BUSY", I), accept}},
-		"error of a read after two SETs":    {{statement.Set, result("", I), accept}, {statement.Set, result("", I), accept}, {statement.Read, refusal("BUSY", I), accept}},
-		"status without a row":              {{statement.Status, result("", I), reject}},
+		"error of a late PARSE in a transaction": {
+			{statement.Begin, at(1, T), accept}, {statement.Read, result("a", T), accept}, {statement.Prepare, at(1, T), accept}, {statement.Write, refusal("BUSY", T), reject}},
+		"error of a write after one SET":   {{statement.Set, result("", I), accept}, {statement.Write, refusal("BUSY", I), accept}},
+		"error of a write after a receipt": {{statement.Set, result("", I), accept}, {statement.Set, result("", I), accept}, {statement.Read, result("a", I), accept}, {statement.Write, refusal("BUSY", I), accept}},
+		"error of a read after two SETs":   {{statement.Set, result("", I), accept}, {statement.Set, result("", I), accept}, {statement.Read, refusal("BUSY", I), accept}},
+		"status without a row":             {{statement.Status, result("", I), reject}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/gateway/loan.go
+++ b/internal/gateway/loan.go
@@ -27,10 +27,31 @@
 type Loan struct {
 	gateway *Gateway
 	member  *member
-	conn    *pooledConn
 	slot    schedule.Slot
 	release sync.Once // of slot
 	unsent  bool      // the last statement was refused before anything of it was sent
+
+	mu      sync.Mutex  // guards the fields below
+	conn    *pooledConn // nil if opening another one has failed
+	aborted bool
+}
+
+// connection returns the connection that is in use.
+func (l *Loan) connection() *pooledConn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.conn
+}
+
+// reopen replaces the connection. After an error there is none.
+func (l *Loan) reopen(deadline time.Time, sess sessionState) error {
+	opened, err := l.member.reopen(context.Background(), deadline, l.connection(), sess)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn = opened; opened != nil && l.aborted {
+		opened.abort()
+	}
+	return err
 }
 
 // lendable returns the server if this host lends connections to it. The view of the
@@ -139,8 +160,10 @@
 	}
 	deadline := time.Now().Add(left)
 	r := s.Request
+	var sess sessionState
 	if s.HasState {
-		sess, err := l.gateway.sessionState(s)
+		var err error
+		sess, err = l.gateway.sessionState(s)
 		if err != nil {
 			return statement.Answer{}, err
 		}
@@ -148,7 +171,7 @@
 		if sess.preparedStmt != nil {
 			r.Name = sess.preparedStmt.name
 		}
-		if err := l.conn.adapt(deadline, sess); badRequest(err) {
+		if err := l.connection().adapt(deadline, sess); badRequest(err) {
 			return statement.Answer{}, errkind.Wrap(errkind.BadRequest, err, "the session state")
 		} else if err != nil {
 			l.gateway.recordFailure(m, r.ID, err)
@@ -160,11 +183,17 @@
 	}
 	begun := time.Now()
 	m.startStatement()
-	a, err := l.conn.do(deadline, r)
+	a, err := l.connection().do(deadline, r)
+	if r.Kind == statement.Begin && unattributed(err) {
+		l.gateway.recordFailure(m, r.ID, err)
+		if err = l.reopen(deadline, sess); err == nil {
+			a, err = l.connection().do(deadline, r)
+		}
+	}
 	l.unsent = badRequest(err)
 	m.endStatement(err == nil || l.unsent)
 	if err != nil {
-		if !l.unsent && !l.conn.aborted.Load() {
+		if pc := l.connection(); !l.unsent && (pc == nil || !pc.aborted.Load()) {
 			l.gateway.recordFailure(m, r.ID, err)
 		}
 		return statement.Answer{}, err
@@ -183,18 +212,28 @@
 // Return gives the connection back, which has no open transaction.
 func (l *Loan) Return() {
 	l.releaseSlot()
-	l.member.pool.put(l.conn)
+	if pc := l.connection(); pc != nil {
+		l.member.pool.put(pc)
+	}
 }
 
 // Drop closes the connection, so that the server rolls back.
 func (l *Loan) Drop() {
 	l.releaseSlot()
-	l.member.pool.drop(l.conn)
+	if pc := l.connection(); pc != nil {
+		l.member.pool.drop(pc)
+	}
 }
 
 // Abort ends a statement in progress by closing the connection. Drop must still be
 // called.
-func (l *Loan) Abort() { l.conn.abort() }
+func (l *Loan) Abort() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.aborted = true; l.conn != nil {
+		l.conn.abort()
+	}
+}
 
 func (l *Loan) releaseSlot() {
 	l.release.Do(func() { l.member.sched.Release(l.slot) })
--- a/internal/gateway/operationtx.go
+++ b/internal/gateway/operationtx.go
@@ -60,9 +60,16 @@
 	// the queue, because it holds a connection until it ends.
 	defer rt.member.release(slot, pc)
 	err = o.sendBegin(rt, u, pc)
+	if unattributed(err) {
+		if pc, err = rt.member.reopen(o.ctx, o.wallDeadline(), pc, o.session.requiredState(o.preparedStmt)); err == nil {
+			err = o.sendBegin(rt, u, pc)
+		}
+	}
 	if err != nil {
 		u.abandon()
-		rt.member.pool.drop(pc)
+		if pc != nil {
+			rt.member.pool.drop(pc)
+		}
 		o.tried[rt.member] = true
 		return err
 	}
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -211,6 +211,16 @@
 	return pc, nil
 }
 
+// reopen closes a connection in use and opens another one in its place.
+func (p *pool) reopen(ctx context.Context, pc *pooledConn) (*pooledConn, error) {
+	_ = pc.conn.Close()
+	p.mu.Lock()
+	delete(p.inUse, pc)
+	p.dialling++
+	p.mu.Unlock()
+	return p.dial(ctx, pc.customer, false)
+}
+
 // releaseDial uncounts a connection that was not opened. err is the cause, or
 // nil if it was not tried.
 func (p *pool) releaseDial(err error) {
