jsonstrict: copy a document only if a name has to be hidden

Cause: every configuration has fields that the product doesn't use, and all of them were hidden in a copy: up to 8 MB that the limit on the memory of requests did not count.

Change: only a name that encoding/json would take for a field, in spite of its case, is hidden. The limit counts that copy.

--- a/internal/jsonstrict/walker.go
+++ b/internal/jsonstrict/walker.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"reflect"
 	"slices"
+	"strings"
 )
 
 // walker looks for names that occur twice in one object and hides those that
@@ -105,7 +106,7 @@
 			var known bool
 			if value, known = fields[string(name)]; !known && w.onlyKnown {
 				return Error.New("unknown field %q", name)
-			} else if !known {
+			} else if !known && matchesAny(string(name), fields) {
 				w.hide(start, w.at-1)
 			}
 		} else if t != nil && t.Kind() == reflect.Map {
@@ -119,6 +120,16 @@
 	return nil
 }
 
+// matchesAny reports whether encoding/json takes a name for that of a field.
+func matchesAny(name string, fields map[string]reflect.Type) bool {
+	for field := range fields {
+		if strings.EqualFold(name, field) {
+			return true
+		}
+	}
+	return false
+}
+
 // hide replaces a name by blanks, which are the name of no field.
 func (w *walker) hide(start, end int) {
 	if w.shown == nil {
--- a/internal/operator/memory_limiter.go
+++ b/internal/operator/memory_limiter.go
@@ -8,9 +8,9 @@
 	"github.com/arbutusring/arbutusring/pkg/errkind"
 )
 
-// bodyCopies is how often a body is held: as it is read, with room for growth, and as
-// parsed.
-const bodyCopies = 3
+// bodyCopies is how often a body is held: as it is read, with room for growth, as parsed,
+// and while it is parsed once more if names are hidden (see package jsonstrict).
+const bodyCopies = 4
 
 // memoryLimiter counts the bodies of requests until they are answered. A request whose
 // body finds no room is answered with status 503, whatever its handler answers to the
