backend: an answer must follow the grammar of its cycle

Cause: readAnswer accepted any message of a list of types up to ReadyForQuery, in any order. A part of another answer, an answer with too few or too many results, or one of the other sub-protocol was believed. An ErrorResponse without a SQLSTATE passed for a success.

Change: answerGrammar follows the messages of the cycle. For the extended protocol each message has its own answer. NoticeResponse, ParameterStatus and NotificationResponse stay allowed anywhere. A wrong answer closes the connection with ServerLost, so a write is reported as unknown.

The benchmarks of Relay get a server that sends RowDescriptions and answers each Query by what it asks for.

--- a/internal/backend/relay.go
+++ b/internal/backend/relay.go
@@ -29,7 +29,7 @@
 	}
 	stop := c.closeOnDone(ctx)
 	w := c.send(cycle)
-	answer, err := c.readAnswer(limit)
+	answer, err := c.readAnswer(cycle, limit)
 	err = c.finish(ctx, stop, w, err)
 	if err == nil || errkind.Of(err) == errkind.AnswerTooLarge {
 		return answer, err
@@ -49,7 +49,7 @@
 	stop := c.closeOnDone(ctx)
 	c.request = appendQuery(append(c.request[:0], cycle...), positionQuery)
 	w := c.send(c.request)
-	answer, answerErr := c.readAnswer(limit)
+	answer, answerErr := c.readAnswer(cycle, limit)
 	var rows rowSet
 	err := answerErr
 	if err == nil || errkind.Of(err) == errkind.AnswerTooLarge {
@@ -165,18 +165,20 @@
 	}
 }
 
-// readAnswer reads messages up to ReadyForQuery. After an AnswerTooLarge error
-// the whole answer has been read; after any other error the stream is unusable.
-func (c *Conn) readAnswer(limit int) (answer Answer, err error) {
+// readAnswer reads the answer to cycle, up to ReadyForQuery. After an AnswerTooLarge
+// error the whole answer has been read; after any other error the stream is
+// unusable.
+func (c *Conn) readAnswer(cycle []byte, limit int) (answer Answer, err error) {
 	buf := c.answer[:0]
+	grammar := newAnswerGrammar(cycle)
 	size := 0 // bytes of the answer, including discarded messages
 	for {
 		typ, n, err := c.readHeader()
 		if err != nil {
 			return Answer{}, err
 		}
-		if !allowedInAnswer(typ) || (typ == 'Z' && n != 1) {
-			return Answer{}, errkind.New(errkind.ServerLost, "unexpected message of type %q with %d bytes", typ, n)
+		if !grammar.accept(typ) || (typ == 'Z' && n != 1) {
+			return Answer{}, errUnexpected(typ, n)
 		}
 		size += headerLen + n
 		withinLimit := size <= limit
@@ -196,6 +198,9 @@
 		body := buf[start+headerLen:]
 		switch typ {
 		case 'E':
+			if !validErrorResponse(body) {
+				return Answer{}, errUnexpected(typ, n)
+			}
 			code := errorField(body, 'C')
 			if answer.SQLState == "" {
 				answer.SQLState = code
@@ -204,6 +209,9 @@
 				return Answer{}, errkind.New(errkind.Draining, "server is shutting down: %s", errorField(body, 'M'))
 			}
 		case 'C':
+			if !validCommandComplete(body) {
+				return Answer{}, errUnexpected(typ, n)
+			}
 			answer.Completed = answer.Completed || answer.SQLState == ""
 		case 'Z':
 			answer.TxStatus = body[0]
@@ -224,6 +232,12 @@
 	}
 }
 
+// errUnexpected returns the error for a message that the protocol does not allow at
+// this point. What follows it cannot be attributed to any request.
+func errUnexpected(typ byte, n int) error {
+	return errkind.New(errkind.ServerLost, "unexpected message of type %q with %d bytes", typ, n)
+}
+
 // readBody reads n bytes and appends them to buf. It grows buf as bytes arrive,
 // because the length word of a message cannot be trusted.
 func (c *Conn) readBody(buf []byte, n int) ([]byte, error) {
--- a/internal/backend/relay_test.go
+++ b/internal/backend/relay_test.go
@@ -1,10 +1,12 @@
 package backend_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/binary"
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -264,6 +266,58 @@
 	}
 }
 
+// TestRelayRejectsAnswersToOtherRequests guards against accepting messages in an order
+// in which no server answers the cycle, and errors that pass for a success.
+func TestRelayRejectsAnswersToOtherRequests(t *testing.T) {
+	row := message('D', "\x00\x01\x00\x00\x00\x011")
+	rows := message('T', "\x00\x01v\x00"+columnType)
+	done, ready := message('C', "SELECT 1\x00"), message('Z', "I")
+	parsed, bound, described := message('1', ""), message('2', ""), message('t', "\x00\x00")
+	notice := message('N', "SNOTICE\x00C00000\x00Mx\x00\x00")
+	status := message('S', "TimeZone\x00UTC\x00")
+	failed := message('E', "SERROR\x00C22000\x00Mx\x00\x00")
+	simple, cycle := query("SELECT 1"), extended(t, "SELECT 1")
+	describe := slices.Concat(message('P', "\x00SELECT 1\x00\x00\x00"), message('D', "S\x00"), message('S', ""))
+	for _, tc := range []struct {
+		name  string
+		cycle []byte
+		raw   [][]byte
+		kind  errkind.Kind
+	}{
+		{"rows", simple, [][]byte{rows, row, done, ready}, errkind.OK},
+		{"two results", simple, [][]byte{rows, row, done, rows, row, done, ready}, errkind.OK},
+		{"asynchronous messages", simple, [][]byte{notice, rows, status, row, notice, done, status, ready}, errkind.OK},
+		{"error within rows", simple, [][]byte{rows, row, failed, ready}, errkind.OK},
+		{"extended", cycle, [][]byte{parsed, bound, row, done, ready}, errkind.OK},
+		{"extended error", cycle, [][]byte{parsed, failed, ready}, errkind.OK},
+		{"describe", describe, [][]byte{parsed, described, rows, ready}, errkind.OK},
+		{"no result", simple, [][]byte{ready}, errkind.ServerLost},
+		{"rows without a description", simple, [][]byte{row, done, ready}, errkind.ServerLost},
+		{"result without an end", simple, [][]byte{rows, row, ready}, errkind.ServerLost},
+		{"result within another", simple, [][]byte{rows, rows, row, done, ready}, errkind.ServerLost},
+		{"result after an error", simple, [][]byte{failed, rows, row, done, ready}, errkind.ServerLost},
+		{"empty query with a result", simple, [][]byte{message('I', ""), done, ready}, errkind.ServerLost},
+		{"extended answer to a Query", simple, [][]byte{parsed, bound, row, done, ready}, errkind.ServerLost},
+		{"answer of a Query to an extended cycle", cycle, [][]byte{rows, row, done, ready}, errkind.ServerLost},
+		{"too few answers", cycle, [][]byte{parsed, bound, ready}, errkind.ServerLost},
+		{"too many answers", cycle, [][]byte{parsed, bound, row, done, done, ready}, errkind.ServerLost},
+		{"description that was not requested", cycle, [][]byte{parsed, bound, rows, row, done, ready}, errkind.ServerLost},
+		{"description of parameters twice", describe, [][]byte{parsed, described, described, rows, ready}, errkind.ServerLost},
+		{"error without a code", simple, [][]byte{message('E', "SERROR\x00Mx\x00\x00"), ready}, errkind.ServerLost},
+		{"error without an end", simple, [][]byte{message('E', "SERROR\x00C22000\x00Mx"), ready}, errkind.ServerLost},
+		{"command tag without an end", simple, [][]byte{message('C', "SELECT 1"), ready}, errkind.ServerLost},
+		{"bytes after a command tag", simple, [][]byte{message('C', "COMMIT\x00\x00"), ready}, errkind.ServerLost},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			c := connect(t, serveRawAnswer(t, slices.Concat(tc.raw...), true))
+			_, err := c.Relay(t.Context(), tc.cycle, maxAnswerBytes)
+			is.Equal(errkind.Of(err), tc.kind)
+			is.Equal(c.Closed(), err != nil)
+		})
+	}
+}
+
 // TestRelayUnusableConnection guards against reporting an unknown outcome
 // although the connection was found to be unusable before the cycle was sent,
 // and against mistaking messages that arrived earlier for the answer.
@@ -371,28 +425,58 @@
 	is.Equal(errkind.Of(err), errkind.ConnectFailed)
 }
 
-// serveFixedAnswer runs a server that answers every read with the same bytes and
-// allocates nothing, so that a benchmark counts only the client's allocations.
-func serveFixedAnswer(b *testing.B, answer []byte) string {
+// serveAnswers runs a server for benchmarks. It answers each Query with the same
+// bytes, or with what a query of the proxy itself asks for, and allocates nothing,
+// so that a benchmark counts only the client's allocations.
+func serveAnswers(b *testing.B, answer []byte) string {
 	b.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		b.Fatal(err)
 	}
 	b.Cleanup(func() { _ = ln.Close() })
+	ready := message('Z', "I")
+	tag := tagResult("0123456789abcdef")
+	tagAt := bytes.Index(tag, []byte("0123456789abcdef"))
+	position := append(message('T', "\x00\x02term\x00"+columnType+"lsn\x00"+columnType),
+		append(message('D', "\x00\x02\x00\x00\x00\x011\x00\x00\x00\x030/1"), message('C', "SELECT 1\x00")...)...)
 	go func() {
 		nc, err := ln.Accept()
 		if err != nil {
 			return
 		}
 		defer nc.Close()
-		buf := make([]byte, 64<<10)
-		startup := append(message('R', "\x00\x00\x00\x00"), message('Z', "I")...)
-		for reply := startup; ; reply = answer {
-			if _, err := nc.Read(buf); err != nil {
+		buf, out := make([]byte, 64<<10), make([]byte, 0, 64<<10)
+		if _, err := nc.Read(buf); err != nil {
+			return
+		}
+		if _, err := nc.Write(append(message('R', "\x00\x00\x00\x00"), ready...)); err != nil {
+			return
+		}
+		for {
+			n, err := nc.Read(buf)
+			if err != nil {
 				return
 			}
-			if _, err := nc.Write(reply); err != nil {
+			out = out[:0]
+			for rest := buf[:n]; len(rest) > 0; {
+				size := 1 + int(binary.BigEndian.Uint32(rest[1:]))
+				sql := rest[5:size]
+				rest = rest[size:]
+				tagged, positioned := bytes.HasPrefix(sql, []byte("SELECT '")), bytes.Contains(sql, []byte("arbutusring_current_position"))
+				if tagged {
+					copy(tag[tagAt:], sql[len("SELECT '"):][:16])
+					out = append(out, tag...)
+				}
+				if positioned {
+					out = append(out, position...)
+				}
+				if !tagged && !positioned {
+					out = append(out, answer...)
+				}
+				out = append(out, ready...)
+			}
+			if _, err := nc.Write(out); err != nil {
 				return
 			}
 		}
@@ -400,14 +484,22 @@
 	return ln.Addr().String()
 }
 
+// columnType is the part of a column in a RowDescription after its name, for text.
+const columnType = "\x00\x00\x00\x00\x00\x00\x00\x00\x00\x19\xff\xff\xff\xff\xff\xff\x00\x00"
+
+// tagResult returns the result of a query for a tag.
+func tagResult(tag string) []byte {
+	return append(append(message('T', "\x00\x01arbutusring_tag\x00"+columnType),
+		message('D', "\x00\x01\x00\x00\x00\x10"+tag)...), message('C', "SELECT 1\x00")...)
+}
+
 // BenchmarkRelay measures the client's time and allocations for one cycle, with
 // and without reading the commit position.
 func BenchmarkRelay(b *testing.B) {
 	cycle := query("SELECT v FROM kv WHERE k = 'a'")
-	answer := append(message('D', "\x00\x01\x00\x00\x00\x011"), append(message('C', "SELECT 1\x00"), message('Z', "I")...)...)
-	position := append(message('D', "\x00\x02\x00\x00\x00\x011\x00\x00\x00\x030/1"), message('Z', "I")...)
+	answer := append(append(message('T', "\x00\x01v\x00"+columnType), message('D', "\x00\x01\x00\x00\x00\x011")...), message('C', "SELECT 1\x00")...)
 	b.Run("read", func(b *testing.B) {
-		c := connect(b, serveFixedAnswer(b, answer))
+		c := connect(b, serveAnswers(b, answer))
 		ctx, cancel := context.WithTimeout(b.Context(), time.Hour)
 		defer cancel()
 		b.ReportAllocs()
@@ -418,7 +510,7 @@
 		}
 	})
 	b.Run("commit", func(b *testing.B) {
-		c := connect(b, serveFixedAnswer(b, append(answer, position...)))
+		c := connect(b, serveAnswers(b, answer))
 		ctx, cancel := context.WithTimeout(b.Context(), time.Hour)
 		defer cancel()
 		b.ReportAllocs()
