backend: an answer is believed only with the tag of its request

Cause: PostgreSQL's answers have no id, and the first whole answer on a connection was taken for the answer to the request that waits. A copy of an earlier answer that arrived meanwhile was given to the caller, and each later answer was one behind. With a copy of a whole exchange, a write was acknowledged with the position of the write before it. A status could be that of an earlier poll.

Change: every request is sent with SELECT '<tag>' AS arbutusring_tag in the same write: after a cycle, or before the call of a contract function in the same Query. An answer whose tag or transaction status differs closes the connection with ServerLost, so a read may go elsewhere and a write is reported as unknown. A failed transaction, which executes no query, is confirmed by the name of a prepared statement that doesn't exist. The stand-in server doesn't count a tag query as a statement. The query needs no function of the contract, so PostgreSQL servers need no change.

TestRelayUnusableConnection had a server that answers twice at once, which the next request noticed. It is now noticed by the first; the test checks that, and a copy that comes later as before. Test servers answer the tag query. The harness of the owner can connect to another server.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -34,7 +34,8 @@
 
 	header  [headerLen]byte
 	answer  []byte // reused buffer of the answer that is being read
-	request []byte // reused buffer of a cycle followed by positionQuery
+	request []byte // reused buffer of a request with the queries that the proxy adds
+	body    []byte // reused buffer of one message of the answer to such a query
 	write   requestWrite
 }
 
--- a/internal/backend/contract.go
+++ b/internal/backend/contract.go
@@ -18,6 +18,12 @@
 	codeBadValue   = "22023" // a parameter has an invalid value
 )
 
+// SQLSTATEs of PostgreSQL.
+const (
+	codeFailedTransaction  = "25P02" // only the end of the transaction is accepted
+	codeUndefinedStatement = "26000" // the prepared statement does not exist
+)
+
 const statusColumns = "server_id, fenced_term, in_recovery, received_term, received_lsn, applied_term, applied_lsn"
 
 // Status returns the status of the server.
@@ -103,13 +109,17 @@
 // callFunction executes a contract function. An error that the server itself
 // reports leaves the connection open; any other error closes it.
 func (c *Conn) callFunction(ctx context.Context, sql string) (rowSet, error) {
-	c.request = appendQuery(c.request[:0], sql)
-	if err := c.checkSendable(ctx, c.request); err != nil {
+	if err := c.checkUsable(ctx); err != nil {
 		return rowSet{}, err
 	}
+	t := newTag()
+	c.request = appendTagQuery(c.request[:0], t, sql)
 	stop := c.closeOnDone(ctx)
-	w := c.send(c.request)
-	set, err := c.readRows()
+	w := c.send(c.request, nil)
+	set, err := c.readRows(t, sql)
+	if err == nil && (!set.tagged || set.txStatus != 'I') {
+		err = errUntagged()
+	}
 	if err := c.finish(ctx, stop, w, err); err != nil {
 		return rowSet{}, err
 	}
--- a/internal/backend/doc.go
+++ b/internal/backend/doc.go
@@ -7,6 +7,12 @@
 // rows. It also calls the functions of the contract: status, fence, promote,
 // follow and replication progress.
 //
+// # Attribution
+//
+// Answers have no id, and a server may repeat one late. Every request is sent with a
+// tag that the server must return, and an answer without the tag of its request
+// closes the connection with ServerLost.
+//
 // # Errors
 //
 // Every error has a kind of pkg/errkind. The kind of an error of Relay and
--- a/internal/backend/frame.go
+++ b/internal/backend/frame.go
@@ -48,13 +48,6 @@
 	}
 }
 
-// allowedInAnswer reports whether a message of type typ may occur in the answer
-// to a cycle. Copy messages are excluded: after them the server would wait for
-// data that is never sent.
-func allowedInAnswer(typ byte) bool {
-	return bytes.IndexByte([]byte("123ACDEINSTZnst"), typ) >= 0
-}
-
 // errorField returns a field of the body of an ErrorResponse, or "" if the field
 // is missing.
 func errorField(body []byte, field byte) string {
@@ -70,11 +63,3 @@
 	}
 	return ""
 }
-
-// appendQuery appends a Query message.
-func appendQuery(dst []byte, sql string) []byte {
-	dst = append(dst, 'Q')
-	dst = binary.BigEndian.AppendUint32(dst, uint32(len(sql)+headerLen))
-	dst = append(dst, sql...)
-	return append(dst, 0)
-}
--- a/internal/backend/relay.go
+++ b/internal/backend/relay.go
@@ -24,42 +24,19 @@
 // and reported as AnswerTooLarge, with TxStatus, SQLState and Completed set. The
 // package comment describes the kinds of errors.
 func (c *Conn) Relay(ctx context.Context, cycle []byte, limit int) (Answer, error) {
-	if err := c.checkSendable(ctx, cycle); err != nil {
-		return Answer{}, err
-	}
-	stop := c.closeOnDone(ctx)
-	w := c.send(cycle)
-	answer, err := c.readAnswer(cycle, limit)
-	err = c.finish(ctx, stop, w, err)
-	if err == nil || errkind.Of(err) == errkind.AnswerTooLarge {
-		return answer, err
-	}
-	return Answer{}, err
+	answer, _, err := c.exchange(ctx, cycle, limit, "")
+	return answer, err
 }
 
-// RelayCommit is like Relay, for a cycle that may commit. It sends the cycle
-// followed by positionQuery. The returned position is at or after the cycle's
+// RelayCommit is like Relay, for a cycle that may commit. It also sends
+// positionQuery. The returned position is at or after the cycle's
 // commit, and is valid if TxStatus is 'I'. It is zero if the answer shows that
 // nothing was committed and the position cannot be read, as on a server that is
 // not a primary. An AnswerTooLarge error is returned with a valid position.
 func (c *Conn) RelayCommit(ctx context.Context, cycle []byte, limit int) (Answer, logpos.Position, error) {
-	if err := c.checkSendable(ctx, cycle); err != nil {
-		return Answer{}, logpos.Position{}, err
-	}
-	stop := c.closeOnDone(ctx)
-	c.request = appendQuery(append(c.request[:0], cycle...), positionQuery)
-	w := c.send(c.request)
-	answer, answerErr := c.readAnswer(cycle, limit)
-	var rows rowSet
-	err := answerErr
-	if err == nil || errkind.Of(err) == errkind.AnswerTooLarge {
-		rows, err = c.readRows()
-	}
-	if err = c.finish(ctx, stop, w, err); err != nil {
-		return Answer{}, logpos.Position{}, err
-	}
-	if cap(c.request) > maxKeptBufferBytes {
-		c.request = nil
+	answer, rows, answerErr := c.exchange(ctx, cycle, limit, positionQuery)
+	if answerErr != nil && errkind.Of(answerErr) != errkind.AnswerTooLarge {
+		return Answer{}, logpos.Position{}, answerErr
 	}
 	if answer.TxStatus != 'I' {
 		return answer, logpos.Position{}, answerErr // the transaction is still open: nothing is committed yet
@@ -76,18 +53,54 @@
 	return answer, pos, answerErr
 }
 
+// exchange sends cycle and, in the same write, a query for a tag and sql. It reads
+// both answers. With any error but AnswerTooLarge, the answer is empty and the
+// connection closed.
+func (c *Conn) exchange(ctx context.Context, cycle []byte, limit int, sql string) (Answer, rowSet, error) {
+	if err := c.checkSendable(ctx, cycle); err != nil {
+		return Answer{}, rowSet{}, err
+	}
+	stop := c.closeOnDone(ctx)
+	t := newTag()
+	var w *requestWrite
+	if len(cycle) < minConcurrentWriteBytes {
+		c.request = appendTagQuery(append(c.request[:0], cycle...), t, sql)
+		w = c.send(c.request, nil)
+	} else {
+		w = c.send(cycle, appendTagQuery(nil, t, sql))
+	}
+	answer, answerErr := c.readAnswer(cycle, limit)
+	err := answerErr
+	var rows rowSet
+	if err == nil || errkind.Of(err) == errkind.AnswerTooLarge {
+		rows, err = c.readTag(t, sql, answer.TxStatus)
+	}
+	if err = c.finish(ctx, stop, w, err); err != nil {
+		return Answer{}, rowSet{}, err
+	}
+	return answer, rows, answerErr
+}
+
 // checkSendable checks that cycle is valid and that the connection is usable.
 // Nothing has been sent when it returns an error.
 func (c *Conn) checkSendable(ctx context.Context, cycle []byte) error {
+	if err := c.checkUsable(ctx); err != nil {
+		return err
+	}
+	if err := validateCycle(cycle); err != nil {
+		return c.fail(errkind.BadRequest, err, "cycle was not sent")
+	}
+	return nil
+}
+
+// checkUsable checks that the connection is open and that nothing has arrived on it.
+func (c *Conn) checkUsable(ctx context.Context) error {
 	if c.Closed() {
 		return errkind.New(errkind.ConnectFailed, "connection is closed")
 	}
 	if err := ctx.Err(); err != nil {
 		return c.fail(errkind.ConnectFailed, err, "context ended before the cycle was sent")
 	}
-	if err := validateCycle(cycle); err != nil {
-		return c.fail(errkind.BadRequest, err, "cycle was not sent")
-	}
 	err := c.prober.check()
 	if err == nil && c.r.Buffered() > 0 {
 		err = errUnsolicited
@@ -101,39 +114,41 @@
 // requestWrite is the write of a request, in progress or completed.
 type requestWrite struct {
 	done chan struct{} // closed at the end of the write; nil if it ended before send returned
-	n    int           // bytes written
+	n    int64         // bytes written
 	err  error
 }
 
 // wait waits for the end of the write and returns its result.
-func (w *requestWrite) wait() (n int, err error) {
+func (w *requestWrite) wait() (n int64, err error) {
 	if w.done != nil {
 		<-w.done
 	}
 	return w.n, w.err
 }
 
-// send writes req. A long request is written by a goroutine, which ends no later
-// than the connection is closed; req must not be reused before wait returns.
-func (c *Conn) send(req []byte) *requestWrite {
+// send writes req and then more. A long request is written by a goroutine, which
+// ends no later than the connection is closed; req must not be reused before wait
+// returns.
+func (c *Conn) send(req, more []byte) *requestWrite {
 	w := &c.write
 	*w = requestWrite{}
-	if len(req) < minConcurrentWriteBytes {
-		w.n, w.err = c.nc.Write(req)
+	if len(req) < minConcurrentWriteBytes && more == nil {
+		n, err := c.nc.Write(req)
+		w.n, w.err = int64(n), err
 		if w.err != nil {
 			_ = c.Close() // makes the read of the answer fail at once
 		}
 		return w
 	}
 	w.done = make(chan struct{})
-	go c.runWrite(w, req)
+	go c.runWrite(w, net.Buffers{req, more})
 	return w
 }
 
-// runWrite writes req and completes w.
-func (c *Conn) runWrite(w *requestWrite, req []byte) {
+// runWrite writes buffers and completes w.
+func (c *Conn) runWrite(w *requestWrite, buffers net.Buffers) {
 	defer close(w.done)
-	w.n, w.err = c.nc.Write(req)
+	w.n, w.err = buffers.WriteTo(c.nc)
 	if w.err != nil {
 		_ = c.Close()
 	}
--- a/internal/backend/relay_test.go
+++ b/internal/backend/relay_test.go
@@ -193,9 +193,17 @@
 	}
 }
 
-// serveRawAnswer runs a server that completes the startup, answers the first
+// serveRawAnswer runs a server that completes the startup and answers the first
 // cycle with the bytes raw, and then closes the connection if closeAfter is set.
 func serveRawAnswer(t *testing.T, raw []byte, closeAfter bool) string {
+	t.Helper()
+	return serveRawAnswers(t, raw, nil, closeAfter)
+}
+
+// serveRawAnswers is serveRawAnswer with a server that sends the bytes after when
+// it has answered the query for a tag. It answers that query only if raw ends with
+// ReadyForQuery.
+func serveRawAnswers(t *testing.T, raw, after []byte, closeAfter bool) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -221,6 +229,17 @@
 			return
 		}
 		_, _ = nc.Write(raw)
+		for ready := message('Z', "I"); bytes.HasSuffix(raw, ready); {
+			m, err := b.Receive()
+			if err != nil {
+				return
+			}
+			if q, ok := m.(*pgproto3.Query); ok {
+				_, tag, _ := strings.Cut(q.String, "'")
+				_, _ = nc.Write(slices.Concat(tagResult(tag[:16]), ready, after))
+				break
+			}
+		}
 		for !closeAfter {
 			if _, err := b.Receive(); err != nil {
 				return
@@ -332,7 +351,12 @@
 	_, err = c.Relay(t.Context(), query("SELECT 1"), maxAnswerBytes)
 	is.Equal(errkind.Of(err), errkind.ConnectFailed)
 
-	c = connect(t, serveRawAnswer(t, append(answer, answer...), false)) // answers twice
+	c = connect(t, serveRawAnswer(t, append(answer, answer...), false)) // answers twice at once
+	_, err = c.Relay(t.Context(), query("SELECT 1"), maxAnswerBytes)
+	is.Equal(errkind.Of(err), errkind.ServerLost)
+	is.True(c.Closed())
+
+	c = connect(t, serveRawAnswers(t, answer, answer, false)) // answers again later
 	_, err = c.Relay(t.Context(), query("SELECT 1"), maxAnswerBytes)
 	is.NoErr(err)
 	time.Sleep(50 * time.Millisecond)
--- a/internal/backend/rowset.go
+++ b/internal/backend/rowset.go
@@ -1,6 +1,8 @@
 package backend
 
 import (
+	"bytes"
+	"encoding/binary"
 	"io"
 	"strconv"
 	"strings"
@@ -14,59 +16,107 @@
 // answer is the list of replicas, with about 200 bytes for each.
 const maxContractAnswerBytes = 1 << 20
 
-// rowSet is the decoded answer to a contract function.
+// rowSet is the decoded answer to a Query of the proxy itself.
 type rowSet struct {
-	rows     [][]string // text values; NULL is empty
+	tagged   bool       // the tag was returned
+	rows     [][]string // text values of the statement after the tag; NULL is empty
 	sqlState string     // SQLSTATE of the first error, or empty
 	message  string
+	txStatus byte // transaction status of ReadyForQuery
 }
 
-// readRows reads the answer to one Query whose columns are in text format.
-// After an error the stream is unusable.
-func (c *Conn) readRows() (rowSet, error) {
-	var set rowSet
-	size := 0
+// readRows reads the answer to appendTagQuery(t, sql). After an error the stream is
+// unusable.
+func (c *Conn) readRows(t tag, sql string) (rowSet, error) {
+	var (
+		set     rowSet
+		grammar answerGrammar
+		size    int
+	)
+	results := 1
+	if sql != "" {
+		results = 2
+	}
 	for {
 		typ, n, err := c.readHeader()
 		if err != nil {
 			return rowSet{}, err
 		}
 		size += n
-		if !allowedInAnswer(typ) || size > maxContractAnswerBytes {
-			return rowSet{}, errkind.New(errkind.ServerLost, "unexpected message of type %q with %d bytes", typ, n)
+		if !grammar.accept(typ) || grammar.results > results || size > maxContractAnswerBytes {
+			return rowSet{}, errUnexpected(typ, n)
+		}
+		if cap(c.body) < n {
+			c.body = make([]byte, max(n, 64))
 		}
-		body := make([]byte, n)
+		body := c.body[:n]
 		if _, err := io.ReadFull(c.r, body); err != nil {
 			return rowSet{}, err
 		}
+		ok := true
 		switch typ {
+		case 'T':
+			ok = grammar.results > 0 || !set.tagged && isTagDescription(body)
 		case 'D':
-			var row pgproto3.DataRow
-			if err := row.Decode(body); err != nil {
-				return rowSet{}, err
-			}
-			values := make([]string, len(row.Values))
-			for i, v := range row.Values {
-				values[i] = string(v)
+			if grammar.results > 0 {
+				err = set.addRow(body)
+				break
 			}
-			set.rows = append(set.rows, values)
+			ok = !set.tagged && isTagRow(body, t)
+			set.tagged = true
+		case 'C':
+			ok = set.tagged && validCommandComplete(body)
 		case 'E':
-			var e pgproto3.ErrorResponse
-			if err := e.Decode(body); err != nil {
-				return rowSet{}, err
-			}
-			if set.sqlState == "" {
-				set.sqlState, set.message = e.Code, e.Message
+			if ok = validErrorResponse(body); ok && set.sqlState == "" {
+				set.sqlState, set.message = errorField(body, 'C'), errorField(body, 'M')
 			}
 		case 'Z':
-			if n != 1 {
-				return rowSet{}, errkind.New(errkind.ServerLost, "ReadyForQuery has %d bytes", n)
+			if ok = validReady(body) && (grammar.failed || grammar.results == results); ok {
+				set.txStatus = body[0]
 			}
+		}
+		if err != nil {
+			return rowSet{}, err
+		}
+		if !ok {
+			return rowSet{}, errUnexpected(typ, n)
+		}
+		if typ == 'Z' {
 			return set, nil
 		}
 	}
 }
 
+// isTagDescription reports whether body describes the column of a tag alone.
+func isTagDescription(body []byte) bool {
+	return len(body) > 2 && binary.BigEndian.Uint16(body) == 1 && bytes.HasPrefix(body[2:], []byte(tagColumn+"\x00"))
+}
+
+// isTagRow reports whether body is a row with the tag alone.
+func isTagRow(body []byte, t tag) bool {
+	const start = 2 + 4
+	return len(body) == start+len(t) && binary.BigEndian.Uint16(body) == 1 &&
+		int(binary.BigEndian.Uint32(body[2:])) == len(t) && tag(body[start:]) == t
+}
+
+// validReady reports whether body is a transaction status.
+func validReady(body []byte) bool {
+	return len(body) == 1 && (body[0] == 'I' || body[0] == 'T' || body[0] == 'E')
+}
+
+func (s *rowSet) addRow(body []byte) error {
+	var row pgproto3.DataRow
+	if err := row.Decode(body); err != nil {
+		return err
+	}
+	values := make([]string, len(row.Values))
+	for i, v := range row.Values {
+		values[i] = string(v)
+	}
+	s.rows = append(s.rows, values)
+	return nil
+}
+
 // err returns the error that the server reported, with the matching kind, or nil.
 func (s rowSet) err() error {
 	switch s.sqlState {
--- /dev/null
+++ b/internal/owner/attribution_test.go
@@ -0,0 +1,110 @@
+package owner_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/arbutusring/arbutusring/internal/ownerrpc"
+	"github.com/arbutusring/arbutusring/pkg/errkind"
+	"github.com/matryer/is"
+)
+
+// txArgs returns the arguments of a cycle in a transaction that writes.
+func (r *harness) txArgs(sql string) *ownerrpc.ExecArgs {
+	a := r.writeArgs(1, sql)
+	a.Begin, a.InTx = sql == "BEGIN", sql != "BEGIN"
+	return a
+}
+
+// TestLateAnswerIsNotTakenForTheNextOne guards against taking an answer that the
+// server repeats late, on a connection that is in use again, for the answer to the
+// next statement.
+func TestLateAnswerIsNotTakenForTheNextOne(t *testing.T) {
+	for _, copies := range []int{1, 2, 3, 4} { // the answer alone, or with those to what the proxy adds
+		for _, tc := range []struct {
+			name    string
+			before  []string // statements; the answers to the last one are repeated
+			sql     string
+			read    bool
+			want    string // part of a right answer
+			unknown errkind.Kind
+		}{
+			{"read", []string{"SELECT 'one'"}, "SELECT 'two'", true, "two", errkind.ServerLost},
+			{"write after a write", []string{"INSERT one"}, "INSERT two", false, "INSERT 0 1", errkind.OutcomeUnknown},
+			{"write after an error", []string{"FAIL one"}, "INSERT two", false, "INSERT 0 1", errkind.OutcomeUnknown},
+			{"read in a transaction", []string{"BEGIN", "SELECT 'one'"}, "SELECT 'two'", false, "two", errkind.OutcomeUnknown},
+			{"commit", []string{"BEGIN", "INSERT one"}, "COMMIT", false, "COMMIT", errkind.OutcomeUnknown},
+			{"rollback of a failed transaction", []string{"BEGIN", "FAIL one"}, "ROLLBACK", false, "ROLLBACK", errkind.OutcomeUnknown},
+		} {
+			t.Run(fmt.Sprintf("%s, %d", tc.name, copies), func(t *testing.T) {
+				is := is.New(t)
+				r, s := startRawOwner(t)
+				args := func(sql string) *ownerrpc.ExecArgs {
+					switch {
+					case tc.read:
+						return r.readArgs(1, sql)
+					case tc.before[0] == "BEGIN":
+						return r.txArgs(sql)
+					}
+					return r.writeArgs(1, sql)
+				}
+				s.repeatLate(tc.before[len(tc.before)-1], copies, tc.sql)
+				for _, sql := range tc.before {
+					got := r.exec(args(sql))
+					is.Equal(got.Kind, errkind.OK) // a statement before the repeated answer
+				}
+				got := r.exec(args(tc.sql))
+				is.Equal(s.runCount(tc.sql), 1)
+				if got.Kind == errkind.OK {
+					is.True(strings.Contains(string(got.Messages), tc.want)) // the statement's own answer
+					is.True(!strings.Contains(string(got.Messages), "one"))
+					if strings.HasPrefix(tc.sql, "INSERT") || tc.sql == "COMMIT" {
+						s.mu.Lock()
+						is.Equal(got.Position.LSN, s.lsn) // the position of this commit
+						s.mu.Unlock()
+					}
+				} else {
+					is.Equal(got.Kind, tc.unknown)
+				}
+				// The connection isn't one answer behind afterwards.
+				for i := range 3 {
+					sql := fmt.Sprintf("SELECT 'after %d'", i)
+					got := r.exec(r.readArgs(2, sql))
+					is.Equal(got.Kind, errkind.OK)
+					is.True(strings.Contains(string(got.Messages), fmt.Sprintf("after %d", i)))
+				}
+			})
+		}
+	}
+}
+
+// TestLateAnswerOfAContractFunction guards against taking a status that the server
+// repeats late for one that was read later.
+func TestLateAnswerOfAContractFunction(t *testing.T) {
+	is := is.New(t)
+	s := newRawServer(t)
+	c, err := s.connect(t.Context(), "", "")
+	is.NoErr(err)
+	defer c.Close()
+	s.mu.Lock()
+	s.recordOf = "SELECT 'record'"
+	s.mu.Unlock()
+	_, err = c.Relay(t.Context(), query("SELECT 'record'"), 1<<20)
+	is.NoErr(err)
+	_, err = c.Status(t.Context())
+	is.NoErr(err)
+	s.mu.Lock()
+	last := s.recorded[len(s.recorded)-1]
+	s.lsn++
+	s.recorded = [][]byte{last}
+	s.recordOf, s.repeat, s.repeatNext = "", 1, true
+	s.mu.Unlock()
+	st, err := c.Status(t.Context())
+	if err == nil {
+		is.Equal(st.Received.LSN, uint64(11))
+	} else {
+		is.Equal(errkind.Of(err), errkind.ServerLost)
+		is.True(c.Closed())
+	}
+}
--- a/internal/owner/harness_test.go
+++ b/internal/owner/harness_test.go
@@ -31,7 +31,7 @@
 floor = 0.1
 `
 
-// harness is an Owner of one fake server, with a lease for one hour unless the
+// harness is an Owner of one fake server, unless the options connect to another, with a lease for one hour unless the
 // test changes it.
 type harness struct {
 	*owner.Owner
@@ -45,7 +45,9 @@
 
 func newHarness(t testing.TB, opts owner.Options) *harness {
 	r := &harness{server: newFakeServer(), epoch: 1}
-	opts.Connect = r.server.connect
+	if opts.Connect == nil {
+		opts.Connect = r.server.connect
+	}
 	r.Owner = owner.New(opts)
 	r.service = r.Owner.Service()
 	var err error
--- a/internal/standin/execute.go
+++ b/internal/standin/execute.go
@@ -130,9 +130,15 @@
 	return &result{columns: textColumns([]string{name}), rows: [][]any{{value}}, tag: "SHOW"}
 }
 
+// tagColumn is the name of the column in which a client asks for the tag of an
+// answer, as docs/backend-contract.md describes.
+const tagColumn = "arbutusring_tag"
+
 func (c *conn) selectConst(ctx context.Context, st *statement, params []string) (*result, error) {
-	if err := c.holdSlot(ctx, 0); err != nil {
-		return nil, err
+	if st.name != tagColumn {
+		if err := c.holdSlot(ctx, 0); err != nil {
+			return nil, err
+		}
 	}
 	columns, _ := describeColumns(st)
 	text := st.args[0].value(params)
@@ -148,11 +154,17 @@
 func describeColumns(st *statement) ([]column, error) {
 	switch st.kind {
 	case kindConst:
-		oid := uint32(oidText)
+		oid, name := uint32(oidText), "?column?"
+		if st.name != "" {
+			name = st.name
+		}
+		if st.name == tagColumn {
+			return []column{{name, oid}}, nil // also if all its digits are decimal
+		}
 		if _, err := strconv.ParseInt(st.args[0].text, 10, 32); err == nil && st.args[0].param == 0 {
 			oid = oidInt4
 		}
-		return []column{{"?column?", oid}}, nil
+		return []column{{name, oid}}, nil
 	case kindCount:
 		return []column{{"count", oidInt8}}, nil
 	case kindShow:
--- a/internal/standin/parser.go
+++ b/internal/standin/parser.go
@@ -144,6 +144,11 @@
 		s.kind = kindCount
 	case t.kind == tokenString, t.kind == tokenParam:
 		s.kind, s.args = kindConst, []expr{p.expr()}
+		if p.accept("as") {
+			if s.name = p.next().text; s.name == "" {
+				p.fail()
+			}
+		}
 		return s
 	case t.kind == tokenWord && p.pos+1 < len(p.tokens) && p.tokens[p.pos+1].text == "(":
 		s.kind, s.name, s.args = kindCall, p.next().text, p.arguments()
--- a/internal/standin/statement.go
+++ b/internal/standin/statement.go
@@ -37,7 +37,7 @@
 // statement is one parsed statement.
 type statement struct {
 	kind      statementKind
-	name      string    // table, function, setting, or command tag
+	name      string    // table, function, setting, column of kindConst, or command tag
 	columns   []string  // selected or returned columns; for kindCall empty means all
 	key       *expr     // WHERE k = key; nil without WHERE
 	rows      [][2]expr // key and value of each row of INSERT
