entry: an escape string that is continued on another line keeps its escapes

Cause: PostgreSQL continues a string constant after white space with a line break, and a string that began with E keeps its backslash escapes. The lexer ended the string at the first quote. In E'a'<line break>'\' || '; delete from t; --' it saw one string less than the server, and took the second statement for text: a read, which may run at a replica, is repeated, and is answered without a majority.

Change: after the closing quote of an escape string, white space with a line break, and comments up to the end of a line, another quote continues it.

Measured: TestClassify passes; without E, and without a line break, nothing changes.

--- a/internal/entry/lexer.go
+++ b/internal/entry/lexer.go
@@ -139,7 +139,7 @@
 
 // readQuoted reads a quoted token whose opening quote is at pos. A doubled quote
 // stands for the quote itself; if escapes is true, a backslash escapes the next
-// character.
+// character, also where the string is continued on another line.
 func (l *lexer) readQuoted(quote byte, kind tokenKind, escapes bool) token {
 	l.pos++
 	start, plain := l.pos, true
@@ -152,6 +152,8 @@
 		case l.peek(1) == quote:
 			plain = false
 			l.pos += 2
+		case escapes && l.continuation() > 0:
+			l.pos += l.continuation()
 		default:
 			text := l.sql[start:l.pos]
 			l.pos++
@@ -165,6 +167,32 @@
 	return token{kind: tokenInvalid}
 }
 
+// continuation returns the distance from the closing quote at pos to the first byte
+// after the quote that continues the string, or 0 if the string ends at pos. A string
+// is continued after white space with a line break and after comments up to the end
+// of a line.
+func (l *lexer) continuation() int {
+	newLine := false
+	for i := l.pos + 1; i < len(l.sql); i++ {
+		switch c := l.sql[i]; {
+		case c == '\n' || c == '\r':
+			newLine = true
+		case c == ' ' || c == '\t' || c == '\f' || c == '\v':
+		case c == '-' && i+1 < len(l.sql) && l.sql[i+1] == '-':
+			n := strings.IndexAny(l.sql[i:], "\r\n")
+			if n < 0 {
+				return 0
+			}
+			i += n - 1
+		case c == '\'' && newLine:
+			return i + 1 - l.pos
+		default:
+			return 0
+		}
+	}
+	return 0
+}
+
 // readDollar reads a dollar-quoted string, a parameter such as $1, or a single
 // dollar sign.
 func (l *lexer) readDollar() token {
