entry: names are compared with the bytes that the server resolves

Cause: the lexer converted words with strings.ToLower, which also converts the Kelvin sign to k and a dotted I to i, and invalid UTF-8 to a replacement character. A function whose name differs from that of a known one by such a letter passed for the known one, so a query that calls it counted as a read.

Evidence: two lines of testdata/statements.txt, rank and min written so, were classified as read.

Change: only A to Z are converted, as PostgreSQL does with identifiers.

--- a/internal/entry/lexer.go
+++ b/internal/entry/lexer.go
@@ -6,7 +6,7 @@
 type tokenKind uint8
 
 const (
-	tokenWord    tokenKind = iota + 1 // unquoted identifier or keyword, converted to lower case
+	tokenWord    tokenKind = iota + 1 // unquoted identifier or keyword, with A to Z in lower case
 	tokenQuoted                       // quoted identifier, without the quotes
 	tokenString                       // string constant, without the quotes
 	tokenNumber                       // numeric constant
@@ -73,7 +73,7 @@
 		for l.pos < len(l.sql) && isWordPart(l.sql[l.pos]) {
 			l.pos++
 		}
-		return token{tokenWord, strings.ToLower(l.sql[start:l.pos])}, true
+		return token{tokenWord, lowerASCII(l.sql[start:l.pos])}, true
 	case isDigit(c) || c == '.' && isDigit(l.peek(1)):
 		for l.pos < len(l.sql) && (isWordPart(l.sql[l.pos]) || l.sql[l.pos] == '.') {
 			l.pos++
@@ -84,6 +84,24 @@
 	return token{tokenSymbol, l.sql[start:l.pos]}, true
 }
 
+// lowerASCII converts A to Z to lower case, as PostgreSQL does with identifiers. Other
+// letters stay: the lower case of the Kelvin sign, for one, is a k, with which another
+// function would pass for a known one.
+func lowerASCII(s string) string {
+	for i := range len(s) {
+		if s[i] >= 'A' && s[i] <= 'Z' {
+			b := []byte(s)
+			for ; i < len(b); i++ {
+				if b[i] >= 'A' && b[i] <= 'Z' {
+					b[i] += 'a' - 'A'
+				}
+			}
+			return string(b)
+		}
+	}
+	return s
+}
+
 // peek returns the byte n positions ahead, or 0 beyond the end of the text.
 func (l *lexer) peek(n int) byte {
 	if l.pos+n < len(l.sql) {
