entry: Parse and Bind messages are examined to their last byte

Cause: bytes after the parameter types of a Parse were not examined. They were dropped for a named statement, which is sent again from its decoded form, and sent on for the unnamed one. The values of a Bind were not examined at all.

Change: both must hold exactly what their counts and lengths say, else the connection is closed with 08P01 and nothing is sent. A named Parse is sent with the caller's own bytes after the name, no longer decoded and encoded.

--- a/internal/entry/preparedstatement.go
+++ b/internal/entry/preparedstatement.go
@@ -6,7 +6,6 @@
 
 	"github.com/arbutusring/arbutusring/internal/caller"
 	"github.com/arbutusring/arbutusring/internal/limit"
-	"github.com/jackc/pgx/v5/pgproto3"
 )
 
 // preparedStatement is a prepared statement of a session. The unnamed statement
@@ -19,11 +18,11 @@
 // newPreparedStatement decodes a Parse message into the statement's name and the
 // prepared statement.
 func newPreparedStatement(message []byte) (string, *preparedStatement, error) {
-	var msg pgproto3.Parse
-	if err := msg.Decode(message[5:]); err != nil {
-		return "", nil, newViolation("Parse message is malformed: %v", err)
+	name, query, ok := parseStrings(message)
+	if !ok {
+		return "", nil, newViolation("Parse message is malformed")
 	}
-	stmts := Classify(msg.Query)
+	stmts := Classify(query)
 	p := &preparedStatement{stmt: stmts[0]}
 	if len(stmts) > 1 {
 		// The server refuses several statements in one Parse. ClassWrite
@@ -35,19 +34,34 @@
 			}
 		}
 	}
-	name := msg.Name
 	p.parse = message
 	if name != "" {
-		msg.Name = ""
-		out, err := msg.Encode(nil)
-		if err != nil {
-			return "", nil, newViolation("Parse message is malformed: %v", err)
-		}
-		p.parse = out
+		rest := message[5+len(name):]
+		p.parse = append(binary.BigEndian.AppendUint32([]byte{'P'}, uint32(4+len(rest))), rest...)
 	}
 	return name, p, nil
 }
 
+// parseStrings returns the statement name and the query of a Parse message. ok is
+// false unless the strings, the number of parameter types and the types are the whole
+// body.
+func parseStrings(message []byte) (name, query string, ok bool) {
+	body := message[5:]
+	i := bytes.IndexByte(body, 0)
+	if i < 0 {
+		return "", "", false
+	}
+	j := bytes.IndexByte(body[i+1:], 0)
+	if j < 0 {
+		return "", "", false
+	}
+	types := body[i+1+j+1:]
+	if len(types) < 2 || len(types) != 2+4*int(binary.BigEndian.Uint16(types)) {
+		return "", "", false
+	}
+	return string(body[:i]), string(body[i+1 : i+1+j]), true
+}
+
 // storeStatement stores a statement whose Parse succeeded.
 func (s *session) storeStatement(name string, p *preparedStatement) {
 	if s.stmts == nil {
@@ -84,18 +98,61 @@
 }
 
 // bindNames returns the portal and the statement name of a Bind message, and the
-// rest of its body, which is not examined.
+// rest of its body: the formats and values of the parameters and the formats of the
+// result.
 func bindNames(message []byte) (portal, statement string, rest []byte, err error) {
 	body := message[5:]
 	i := bytes.IndexByte(body, 0)
 	if i >= 0 {
 		if j := bytes.IndexByte(body[i+1:], 0); j >= 0 {
-			return string(body[:i]), string(body[i+1 : i+1+j]), body[i+1+j+1:], nil
+			rest = body[i+1+j+1:]
+			if validBindValues(rest) {
+				return string(body[:i]), string(body[i+1 : i+1+j]), rest, nil
+			}
 		}
 	}
 	return "", "", nil, newViolation("Bind message is malformed")
 }
 
+// validBindValues reports whether body holds the formats and values of the parameters
+// and the formats of the result, and nothing else.
+func validBindValues(body []byte) bool {
+	body, ok := skipFormats(body)
+	if !ok || len(body) < 2 {
+		return false
+	}
+	n := binary.BigEndian.Uint16(body)
+	body = body[2:]
+	for range n {
+		if len(body) < 4 {
+			return false
+		}
+		size := int32(binary.BigEndian.Uint32(body))
+		body = body[4:]
+		if size == -1 { // NULL
+			continue
+		}
+		if size < 0 || int(size) > len(body) {
+			return false
+		}
+		body = body[size:]
+	}
+	body, ok = skipFormats(body)
+	return ok && len(body) == 0
+}
+
+// skipFormats removes a number of format codes and the codes from the start of b.
+func skipFormats(b []byte) (rest []byte, ok bool) {
+	if len(b) < 2 {
+		return nil, false
+	}
+	size := 2 + 2*int(binary.BigEndian.Uint16(b))
+	if size > len(b) {
+		return nil, false
+	}
+	return b[size:], true
+}
+
 // objectName returns the object type, 'S' or 'P', and the name in a Describe or
 // Close message.
 func objectName(message []byte) (byte, string, error) {
