caller: a Sync or Flush with a body is refused

Cause: the length of a Sync was not looked at beyond the limits. Its extra bytes were sent to the server unseen; those of a Flush were dropped.

Evidence: TestPaddedMessagesAreRefused; both were accepted before.

Change: a Sync or Flush has no body.

--- a/internal/caller/framer.go
+++ b/internal/caller/framer.go
@@ -81,6 +81,9 @@
 	if int64(length)+1 > int64(f.MaxMessageBytes) {
 		return 0, 0, errkind.New(errkind.BadRequest, "message of type %q has %d bytes, the limit is %d", rest[0], int64(length)+1, f.MaxMessageBytes)
 	}
+	if (rest[0] == 'S' || rest[0] == 'H') && length != 4 {
+		return 0, 0, errkind.New(errkind.BadRequest, "message of type %q has a body of %d bytes, must have none", rest[0], length-4)
+	}
 	size := int(length) + 1
 	if f.scanned+size > f.MaxCycleBytes {
 		return 0, 0, errkind.New(errkind.BadRequest, "cycle has more than %d bytes", f.MaxCycleBytes)
