caller: only a Sync ends what is skipped after a failed Flush

Cause: after a flushed part of a cycle had failed, any message that ends a cycle ended the skipping and got a ReadyForQuery, also a Query or a FunctionCall. PostgreSQL ignores those up to the Sync. The Sync then got a second ReadyForQuery, and a caller that counts answers took each one for that to the message before.

Evidence: TestMessagesAfterFailedFlushGetOneAnswer read ReadyForQuery where the answer to the next Query belongs.

Change: a Query and a FunctionCall are skipped without an answer.

Measured: go test -race of the package passes.

--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -417,7 +417,7 @@
 		_ = c.nc.Close()
 		return
 	case c.skippingToSync:
-		if cycle.Kind != KindFlush {
+		if cycle.Kind == KindExtended { // only a Sync ends it; a Query is skipped without an answer
 			c.skippingToSync = false
 			c.write(AppendReady(nil, c.txStatus))
 		}
--- a/internal/caller/framing_test.go
+++ b/internal/caller/framing_test.go
@@ -4,8 +4,28 @@
 	"testing"
 
 	"github.com/arbutusring/arbutusring/internal/caller"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/matryer/is"
 )
 
+// TestMessagesAfterFailedFlushGetOneAnswer guards against ending the skipped messages
+// at a Query, after which each answer would be taken for that to the message before.
+func TestMessagesAfterFailedFlushGetOneAnswer(t *testing.T) {
+	for _, skipped := range []pgproto3.FrontendMessage{&pgproto3.Query{String: "skipped"}, &pgproto3.FunctionCall{}} {
+		is := is.New(t)
+		srv := startServer(t, new(echoHandler), caller.Options{})
+		c := connect(t, srv)
+		c.send(&pgproto3.Parse{Query: "x"}, &pgproto3.Flush{}, skipped, &pgproto3.Sync{}, &pgproto3.Query{String: "next"})
+		_, failed := c.receive().(*pgproto3.ErrorResponse)
+		is.True(failed)
+		_, ready := c.receive().(*pgproto3.ReadyForQuery)
+		is.True(ready)
+		next, ok := c.receive().(*pgproto3.CommandComplete)
+		is.True(ok) // the answer to the next Query, without one to the Sync in between
+		is.Equal(string(next.CommandTag), "next")
+	}
+}
+
 // TestPaddedMessagesAreRefused guards against bytes in messages that have none, which
 // would be dropped or sent on without having been examined.
 func TestPaddedMessagesAreRefused(t *testing.T) {
