caller: nothing may follow the end of a startup packet

Cause: the decoder of pgproto3 reads on after the empty name that ends the parameters, unless exactly one byte is left. The rest of the packet was read as a pair with an empty name. The body of an encryption request was dropped.

Evidence: two cases of TestMalformedStartupIsRefused; the first packet opened a session, the second was answered with N.

Change: startupParameters reads the list as PostgreSQL does. An encryption request with a body is refused with 08P01.

Measured: go test -race of the package passes.

--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -179,6 +179,10 @@
 		code := binary.BigEndian.Uint32(packet)
 		switch code {
 		case codeSSL, codeGSSENC:
+			if len(packet) > 4 {
+				c.endWithError(errkind.New(errkind.BadRequest, "encryption request has a body"))
+				return
+			}
 			c.encryptionRequests++
 			if c.encryptionRequests > maxEncryptionRequests {
 				c.endWithError(errkind.New(errkind.BadRequest, "too many encryption requests"))
--- a/internal/caller/framing_test.go
+++ b/internal/caller/framing_test.go
@@ -41,3 +41,22 @@
 		})
 	}
 }
+
+// TestMalformedStartupIsRefused guards against a startup packet that is read in another
+// way than PostgreSQL reads it.
+func TestMalformedStartupIsRefused(t *testing.T) {
+	srv := startServer(t, new(echoHandler), caller.Options{})
+	for name, bytes := range map[string]string{
+		"bytes after the end that read as a pair": "\x00\x00\x00\x1a\x00\x03\x00\x00user\x00u\x00\x00database\x00\x00",
+		"parameters after the end":                "\x00\x00\x00\x1b\x00\x03\x00\x00user\x00u\x00\x00database\x00x\x00",
+		"no end":                                  "\x00\x00\x00\x0f\x00\x03\x00\x00user\x00u\x00",
+		"bytes after the end":                     "\x00\x00\x00\x11\x00\x03\x00\x00user\x00u\x00\x00x",
+		"encryption with a body":                  "\x00\x00\x00\x0c\x04\xd2\x16\x2fabcd",
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := dial(t, srv)
+			_, _ = c.Write([]byte(bytes))
+			c.expectFatal("08P01")
+		})
+	}
+}
--- a/internal/caller/startup.go
+++ b/internal/caller/startup.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bytes"
 	"encoding/binary"
 
 	"github.com/arbutusring/arbutusring/pkg/errkind"
@@ -46,15 +47,41 @@
 	if version>>16 != 3 {
 		return nil, false, errkind.New(errkind.BadRequest, "protocol version %d.%d is not supported, only 3.x", version>>16, version&0xffff)
 	}
-	// pgproto3 decodes only versions 3.0 and 3.2.
-	packet30 := append([]byte(nil), packet...)
-	binary.BigEndian.PutUint32(packet30, pgproto3.ProtocolVersion30)
-	if len(packet30) == 5 && packet30[4] == 0 {
-		return nil, false, errkind.New(errkind.BadRequest, "startup packet has no parameters")
+	params, ok := startupParameters(packet[4:])
+	if !ok {
+		return nil, false, errkind.New(errkind.BadRequest, "startup packet is malformed")
 	}
-	msg := new(pgproto3.StartupMessage)
-	if err := msg.Decode(packet30); err != nil {
-		return nil, false, errkind.Wrap(errkind.BadRequest, err, "startup packet is malformed")
+	if len(params) == 0 {
+		return nil, false, errkind.New(errkind.BadRequest, "startup packet has no parameters")
 	}
+	msg := &pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: params}
 	return msg, version != pgproto3.ProtocolVersion30, nil
 }
+
+// startupParameters decodes pairs of a name and a value. An empty name ends the list,
+// and it must be the last byte; the decoder of pgproto3 reads on after it. Of a name
+// that is given twice, the last value counts, as in PostgreSQL.
+func startupParameters(body []byte) (map[string]string, bool) {
+	params := make(map[string]string)
+	for {
+		name, rest, ok := cutString(body)
+		if !ok || name == "" {
+			return params, ok && len(rest) == 0
+		}
+		value, rest, ok := cutString(rest)
+		if !ok {
+			return nil, false
+		}
+		params[name] = value
+		body = rest
+	}
+}
+
+// cutString returns the string at the start of b, and what follows its zero byte.
+func cutString(b []byte) (s string, rest []byte, ok bool) {
+	i := bytes.IndexByte(b, 0)
+	if i < 0 {
+		return "", nil, false
+	}
+	return string(b[:i]), b[i+1:], true
+}
