backend: asynchronous messages between two cycles don't end the connection

Cause: any byte that had arrived since the last answer closed the connection, also a NoticeResponse, ParameterStatus or NotificationResponse, which PostgreSQL may send at any time. An open transaction was lost.

Evidence: two cases of TestAsynchronousMessagesBetweenStatements, in which a server with its own bytes sends such messages between INSERT and COMMIT, gave transaction_lost.

Change: complete messages of the three types are dropped before the next request, up to 64 KiB. A message that is cut, an error or an answer still closes the connection before anything is sent.

Measured: go test -race of internal/backend and internal/owner passes.

--- a/internal/backend/probe.go
+++ b/internal/backend/probe.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"encoding/binary"
 	"errors"
 	"io"
 	"net"
@@ -9,7 +10,8 @@
 	"github.com/arbutusring/arbutusring/pkg/errkind"
 )
 
-// errUnsolicited means that the server sent messages between two cycles. They
+// errUnsolicited means that the server sent messages between two cycles other than
+// complete asynchronous ones. They
 // are either the reason why the server is about to close the connection, or the
 // rest of an answer, which would be mistaken for the answer to the next cycle.
 var errUnsolicited = errkind.New(errkind.ConnectFailed, "server sent messages outside a cycle")
@@ -63,3 +65,47 @@
 	}
 	return p.err
 }
+
+// maxIdleBytes limits the asynchronous messages that are read between two cycles.
+const maxIdleBytes = 64 << 10
+
+// dropAsync discards the asynchronous messages that have arrived since the last
+// answer. It returns an error if anything else has arrived or the connection was
+// closed. It does not wait for more bytes.
+func (c *Conn) dropAsync() error {
+	for dropped := 0; ; {
+		if c.r.Buffered() == 0 {
+			err := c.prober.check()
+			if err != errUnsolicited {
+				return err
+			}
+			if _, err := c.r.Peek(1); err != nil { // reads what has arrived
+				return err
+			}
+		}
+		b, err := c.r.Peek(c.r.Buffered())
+		if err != nil {
+			return err
+		}
+		n := asyncLen(b)
+		if dropped += n; n == 0 || dropped > maxIdleBytes {
+			return errUnsolicited
+		}
+		if _, err := c.r.Discard(n); err != nil {
+			return err
+		}
+	}
+}
+
+// asyncLen returns the length of the first message in b if that is complete and
+// asynchronous, and 0 otherwise.
+func asyncLen(b []byte) int {
+	if len(b) < headerLen || !isAsync(b[0]) {
+		return 0
+	}
+	n := int64(binary.BigEndian.Uint32(b[1:headerLen])) + 1
+	if n < headerLen || n > int64(len(b)) {
+		return 0
+	}
+	return int(n)
+}
--- a/internal/backend/relay.go
+++ b/internal/backend/relay.go
@@ -93,7 +93,8 @@
 	return nil
 }
 
-// checkUsable checks that the connection is open and that nothing has arrived on it.
+// checkUsable checks that the connection is open and that nothing but asynchronous
+// messages has arrived on it.
 func (c *Conn) checkUsable(ctx context.Context) error {
 	if c.Closed() {
 		return errkind.New(errkind.ConnectFailed, "connection is closed")
@@ -101,11 +102,7 @@
 	if err := ctx.Err(); err != nil {
 		return c.fail(errkind.ConnectFailed, err, "context ended before the cycle was sent")
 	}
-	err := c.prober.check()
-	if err == nil && c.r.Buffered() > 0 {
-		err = errUnsolicited
-	}
-	if err != nil {
+	if err := c.dropAsync(); err != nil {
 		return c.fail(errkind.ConnectFailed, err, "connection is not usable")
 	}
 	return nil
--- a/internal/owner/attribution_test.go
+++ b/internal/owner/attribution_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/arbutusring/arbutusring/internal/ownerrpc"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
@@ -108,3 +109,38 @@
 		is.True(c.Closed())
 	}
 }
+
+// TestAsynchronousMessagesBetweenStatements guards against giving up a connection, and
+// with it a transaction, because of a message that a server may send at any time.
+func TestAsynchronousMessagesBetweenStatements(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		async []byte
+		lost  bool // the connection is closed
+	}{
+		{"parameter", message('S', "TimeZone\x00UTC\x00"), false},
+		{"notice and notification", append(message('N', "SNOTICE\x00C00000\x00Mx\x00\x00"), message('A', "\x00\x00\x00\x01a\x00b\x00")...), false},
+		{"a message that is cut", message('S', "TimeZone\x00UTC\x00")[:9], true},
+		{"parameter and an answer", append(message('S', "TimeZone\x00UTC\x00"), message('Z', "T")...), true},
+		{"error", rawError("57014", "x"), true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			r, s := startRawOwner(t)
+			is.Equal(r.exec(r.txArgs("BEGIN")).Kind, errkind.OK)
+			s.mu.Lock()
+			s.async = tc.async
+			s.mu.Unlock()
+			is.Equal(r.exec(r.txArgs("INSERT one")).Kind, errkind.OK)
+			time.Sleep(20 * time.Millisecond)
+			got := r.exec(r.txArgs("COMMIT"))
+			if tc.lost {
+				is.Equal(got.Kind, errkind.TransactionLost)
+				is.Equal(s.runCount("COMMIT"), 0)
+				return
+			}
+			is.Equal(got.Kind, errkind.OK)
+			is.True(strings.Contains(string(got.Messages), "COMMIT"))
+		})
+	}
+}
--- a/internal/owner/rawserver_test.go
+++ b/internal/owner/rawserver_test.go
@@ -27,6 +27,7 @@
 	recordOf   string   // statement whose answers are recorded
 	repeatAt   string   // statement before whose answer the recorded ones are sent again
 	repeat     int      // how many of the recorded answers are sent again
+	async      []byte   // sent after each request, at once and again in a segment of its own
 	repeatNext bool     // the recorded answers are sent again before the next answer
 }
 
@@ -132,9 +133,19 @@
 		default:
 			return
 		}
-		if _, err := nc.Write(out); err != nil {
+		var async []byte
+		if strings.Contains(string(body), "arbutusring_") {
+			s.mu.Lock()
+			async = s.async
+			s.mu.Unlock()
+		}
+		if _, err := nc.Write(append(out, async...)); err != nil {
 			return
 		}
+		if len(async) > 0 {
+			time.Sleep(2 * time.Millisecond)
+			_, _ = nc.Write(async) // the connection may be closed
+		}
 	}
 }
 
