backend: the startup of a connection follows its grammar

Cause: a ReadyForQuery ended the startup with any body, in any transaction status, and without the server having accepted the user.

Evidence: four cases of TestWrongStartupIsRefused gave a connection.

Change: one AuthenticationOk, then one ReadyForQuery outside of a transaction; anything else is ConnectFailed.

Measured: go test -race of internal/backend and internal/owner passes.

--- a/internal/backend/connect.go
+++ b/internal/backend/connect.go
@@ -59,6 +59,7 @@
 	if _, err := c.nc.Write(buf); err != nil {
 		return err
 	}
+	accepted := false
 	for {
 		typ, n, err := c.readHeader()
 		if err != nil {
@@ -76,6 +77,10 @@
 			if len(body) < 4 || binary.BigEndian.Uint32(body) != pgproto3.AuthTypeOk {
 				return errkind.New(errkind.ConnectFailed, "server requests password authentication, which is not supported")
 			}
+			if accepted || len(body) != 4 {
+				return errkind.New(errkind.ConnectFailed, "unexpected AuthenticationOk with %d bytes", len(body))
+			}
+			accepted = true
 		case 'E':
 			var e pgproto3.ErrorResponse
 			if err := e.Decode(body); err != nil {
@@ -83,6 +88,9 @@
 			}
 			return errkind.New(errkind.ConnectFailed, "server refused the connection with SQLSTATE %s: %s", e.Code, e.Message)
 		case 'Z':
+			if !accepted || len(body) != 1 || body[0] != 'I' {
+				return errkind.New(errkind.ConnectFailed, "unexpected ReadyForQuery with %d bytes", len(body))
+			}
 			return nil
 		case 'S', 'K', 'N', 'v':
 		default:
