backend: a server that reads statements in another way is not used

Cause: statements are classified with standard_conforming_strings on and in UTF8. The values that a server reports were not looked at. On a server or a pooled connection with the setting off, for instance after a function changed it, '\' doesn't end a string, and a second statement can stand in what was classified as text.

Change: another value of standard_conforming_strings or client_encoding in a ParameterStatus ends the connection: at the startup with ConnectFailed, later after the answer in progress.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -31,6 +31,7 @@
 	r      *bufio.Reader
 	prober *prober
 	closed atomic.Bool
+	unsafe bool // a setting has a value that is not in safeSettings; the next request is refused
 
 	header  [headerLen]byte
 	answer  []byte // reused buffer of the answer that is being read
--- a/internal/backend/connect.go
+++ b/internal/backend/connect.go
@@ -92,7 +92,11 @@
 				return errkind.New(errkind.ConnectFailed, "unexpected ReadyForQuery with %d bytes", len(body))
 			}
 			return nil
-		case 'S', 'K', 'N', 'v':
+		case 'S':
+			if c.recordParameter(body); c.unsafe {
+				return errUnsafeSetting
+			}
+		case 'K', 'N', 'v':
 		default:
 			return errkind.New(errkind.ConnectFailed, "unexpected startup message of type %q", typ)
 		}
--- a/internal/backend/probe.go
+++ b/internal/backend/probe.go
@@ -88,6 +88,11 @@
 			return err
 		}
 		n := asyncLen(b)
+		if n > 0 && b[0] == 'S' {
+			if c.recordParameter(b[headerLen:n]); c.unsafe {
+				return errUnsafeSetting
+			}
+		}
 		if dropped += n; n == 0 || dropped > maxIdleBytes {
 			return errUnsolicited
 		}
--- a/internal/backend/relay.go
+++ b/internal/backend/relay.go
@@ -78,6 +78,9 @@
 	if err = c.finish(ctx, stop, w, err); err != nil {
 		return Answer{}, rowSet{}, err
 	}
+	if c.unsafe {
+		_ = c.Close() // the answer is complete; an open transaction is lost
+	}
 	return answer, rows, answerErr
 }
 
@@ -194,8 +197,9 @@
 		}
 		size += headerLen + n
 		withinLimit := size <= limit
-		// ErrorResponse and ReadyForQuery are decoded even beyond the limit.
-		if !withinLimit && typ != 'Z' && typ != 'E' {
+		// ErrorResponse, ParameterStatus and ReadyForQuery are decoded even beyond
+		// the limit.
+		if !withinLimit && typ != 'Z' && typ != 'E' && typ != 'S' {
 			if _, err := c.r.Discard(n); err != nil {
 				return Answer{}, err
 			}
@@ -220,6 +224,8 @@
 			if code == codeShutdown && !answer.Completed && errorField(body, 'V') == "FATAL" {
 				return Answer{}, errkind.New(errkind.Draining, "server is shutting down: %s", errorField(body, 'M'))
 			}
+		case 'S':
+			c.recordParameter(body)
 		case 'C':
 			if !validCommandComplete(body) {
 				return Answer{}, errUnexpected(typ, n)
--- a/internal/backend/rowset.go
+++ b/internal/backend/rowset.go
@@ -66,6 +66,8 @@
 			set.tagged = true
 		case 'C':
 			ok = set.tagged && validCommandComplete(body)
+		case 'S':
+			c.recordParameter(body)
 		case 'E':
 			if ok = validErrorResponse(body); ok && set.sqlState == "" {
 				set.sqlState, set.message = errorField(body, 'C'), errorField(body, 'M')
