standin, faulttest: a server may repeat its answers late

The stand-in server gets the fault repeat_answer: an answer to a statement on a table is sent again immediately before the next such answer on the connection. TestHistory injects it at all servers of the group.

--- a/internal/faulttest/faults.go
+++ b/internal/faulttest/faults.go
@@ -63,6 +63,17 @@
 	{"stall open connections of the primary", primaryFault(standin.FaultSilent, "on", "off")},
 	{"isolate primary from its replicas", primaryFault(standin.FaultStopReplication, "on", "off")},
 	{"drop the answers to commits", primaryFault(standin.FaultDropAnswer, "3", "0")},
+	{"repeat answers late", func(x *Injector, _ context.Context) func() {
+		set := func(value string) {
+			for i := range 3 {
+				if s := x.in.Server(i); s != nil {
+					_ = s.SetFault(standin.FaultRepeatAnswer, value)
+				}
+			}
+		}
+		set("20")
+		return func() { set("0") }
+	}},
 	{"cut an entry off control, one way", func(x *Injector, _ context.Context) func() {
 		e := entryID(x.rng.IntN(len(x.in.entries)))
 		for i := range x.in.controls {
--- a/internal/standin/conn.go
+++ b/internal/standin/conn.go
@@ -39,10 +39,11 @@
 	tx                  *transaction // nil outside a transaction
 	statements          map[string]*prepared
 	portals             map[string]*portal
-	ignoreTillSync      bool // after an error, messages are ignored up to Sync
-	cycleCommitted      bool // the query cycle has committed changes
-	cycleAccessedTables bool // the query cycle has accessed tables
-	bufferedRows        int  // rows since the last flush
+	ignoreTillSync      bool   // after an error, messages are ignored up to Sync
+	cycleCommitted      bool   // the query cycle has committed changes
+	cycleAccessedTables bool   // the query cycle has accessed tables
+	bufferedRows        int    // rows since the last flush
+	repeat              []byte // answer that is sent again before the next answer to a statement on a table
 
 	mu            sync.Mutex
 	idle          bool               // waits for a query cycle outside a transaction
@@ -241,12 +242,15 @@
 // the cycle.
 func (c *conn) endCycle() error {
 	c.backend.Send(&pgproto3.ReadyForQuery{TxStatus: c.txStatus()})
-	if c.cycleCommitted && c.srv.faults.consumeDropAnswer() {
+	if c.cycleCommitted && c.srv.faults.consumeAnswer(FaultDropAnswer) {
 		return errTerminated
 	}
 	err := c.flush()
 	c.cycleCommitted, c.cycleAccessedTables, c.ignoreTillSync = false, false, false
 	clear(c.portals)
+	if c.stream.keep {
+		c.repeat, c.stream.kept, c.stream.keep = c.stream.kept, nil, false
+	}
 	c.stream.cutAfter, c.stream.stallAfter = -1, -1
 	return err
 }
@@ -260,6 +264,12 @@
 	}
 	c.bufferedRows = 0
 	if c.cycleAccessedTables {
+		if c.repeat != nil {
+			c.stream.late, c.repeat = c.repeat, nil
+		}
+		if !c.stream.keep {
+			c.stream.keep = c.srv.faults.consumeAnswer(FaultRepeatAnswer)
+		}
 		if n := c.srv.faults.consumeByteCount(FaultCutAnswer); n > 0 {
 			c.stream.cutAfter = n
 		}
--- a/internal/standin/faultconn.go
+++ b/internal/standin/faultconn.go
@@ -18,6 +18,11 @@
 	// negative without such a fault. Used by the writing goroutine only.
 	cutAfter   int
 	stallAfter int
+
+	// For FaultRepeatAnswer. Used by the writing goroutine only.
+	late []byte // sent before the next bytes
+	keep bool   // what is sent is added to kept
+	kept []byte
 }
 
 func newFaultConn(ctx context.Context, nc net.Conn, f *faults) *faultConn {
@@ -47,6 +52,15 @@
 	if err := c.faults.awaitOff(c.ctx, FaultFreeze); err != nil {
 		return 0, err
 	}
+	if c.keep {
+		c.kept = append(c.kept, p...)
+	}
+	if late := c.late; len(late) > 0 && !c.silent.Load() {
+		c.late = nil
+		if _, err := c.Conn.Write(late); err != nil {
+			return 0, err
+		}
+	}
 	switch {
 	case c.silent.Load():
 		return len(p), nil
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -22,6 +22,10 @@
 	FaultCutAnswer   Fault = "cut_answer"   // count: bytes of the next answer that are sent before the connection is closed
 	FaultStallAnswer Fault = "stall_answer" // count: bytes of the next answer that are sent before the connection becomes silent
 
+	// FaultRepeatAnswer is a count: number of answers to statements on tables that are
+	// sent again, immediately before the next such answer on the connection.
+	FaultRepeatAnswer Fault = "repeat_answer"
+
 	FaultServiceTime      Fault = "service_time"
 	FaultConnectDelay     Fault = "connect_delay"
 	FaultReplicationDelay Fault = "replication_delay"
@@ -73,7 +77,7 @@
 		default:
 			return errBadValue
 		}
-	case FaultDropAnswer, FaultCutAnswer, FaultStallAnswer:
+	case FaultDropAnswer, FaultCutAnswer, FaultStallAnswer, FaultRepeatAnswer:
 		n, err := strconv.Atoi(value)
 		if err != nil || n < 0 {
 			return errBadValue
@@ -107,15 +111,15 @@
 	return f.delays[name]
 }
 
-// consumeDropAnswer reports whether FaultDropAnswer applies to the next answer,
-// and decrements its count.
-func (f *faults) consumeDropAnswer() bool {
+// consumeAnswer reports whether name, which is FaultDropAnswer or FaultRepeatAnswer,
+// applies to the next answer, and decrements its count.
+func (f *faults) consumeAnswer(name Fault) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.counts[FaultDropAnswer] == 0 {
+	if f.counts[name] == 0 {
 		return false
 	}
-	f.counts[FaultDropAnswer]--
+	f.counts[name]--
 	return true
 }
 
