backend: no query follows a BEGIN that is sent alone

PostgreSQL then refuses SET TRANSACTION ISOLATION LEVEL.

Evidence: TestBeginIsFollowedByNoQuery; the server got a query between BEGIN and the first statement (the position query did the same before).

Change: a Query with one BEGIN is sent alone. An answer that opens a transaction and says nothing else needs no tag: a copy of it says the same, and the answer that it preceded is noticed at the next request (TestLateBegin). After any other answer, a tag query follows.

--- a/internal/backend/relay.go
+++ b/internal/backend/relay.go
@@ -54,7 +54,7 @@
 }
 
 // exchange sends cycle and, in the same write, a query for a tag and sql. It reads
-// both answers. With any error but AnswerTooLarge, the answer is empty and the
+// both answers. A BEGIN alone is sent without them. With any error but AnswerTooLarge, the answer is empty and the
 // connection closed.
 func (c *Conn) exchange(ctx context.Context, cycle []byte, limit int, sql string) (Answer, rowSet, error) {
 	if err := c.checkSendable(ctx, cycle); err != nil {
@@ -63,7 +63,10 @@
 	stop := c.closeOnDone(ctx)
 	t := newTag()
 	var w *requestWrite
-	if len(cycle) < minConcurrentWriteBytes {
+	begin := beginsOnly(cycle)
+	if begin {
+		w = c.send(cycle, nil)
+	} else if len(cycle) < minConcurrentWriteBytes {
 		c.request = appendTagQuery(append(c.request[:0], cycle...), t, sql)
 		w = c.send(c.request, nil)
 	} else {
@@ -73,7 +76,14 @@
 	err := answerErr
 	var rows rowSet
 	if err == nil || errkind.Of(err) == errkind.AnswerTooLarge {
-		rows, err = c.readTag(t, sql, answer.TxStatus)
+		switch {
+		case !begin:
+			rows, err = c.readTag(t, sql, answer.TxStatus)
+		case began(answer):
+			err = nil
+		default:
+			rows, err = c.tagAfter(answer.TxStatus)
+		}
 	}
 	if err = c.finish(ctx, stop, w, err); err != nil {
 		return Answer{}, rowSet{}, err
--- a/internal/backend/tag.go
+++ b/internal/backend/tag.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"bytes"
 	"crypto/rand"
 	"encoding/binary"
 	"encoding/hex"
@@ -93,6 +94,54 @@
 	return rowSet{}, errUntagged()
 }
 
+// beginsOnly reports whether cycle is a Query with one BEGIN or START TRANSACTION. A
+// tag query after it would take a snapshot, after which SET TRANSACTION is refused.
+func beginsOnly(cycle []byte) bool {
+	if cycle[0] != 'Q' || cycle[len(cycle)-1] != 0 {
+		return false
+	}
+	text := bytes.TrimSpace(cycle[headerLen : len(cycle)-1])
+	text = bytes.TrimSuffix(text, []byte(";"))
+	for _, c := range text {
+		switch {
+		case c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z':
+		case c == ' ' || c == '\t' || c == '\n' || c == '\r' || c == ',':
+		default:
+			return false
+		}
+	}
+	words := bytes.Fields(text)
+	return len(words) > 0 && (bytes.EqualFold(words[0], []byte("begin")) ||
+		len(words) > 1 && bytes.EqualFold(words[0], []byte("start")) && bytes.EqualFold(words[1], []byte("transaction")))
+}
+
+// began reports whether answer says that a transaction was opened, and nothing else. A
+// copy of such an answer says the same, so it needs no tag; the one that it preceded
+// is noticed at the next request.
+func began(answer Answer) bool {
+	if answer.TxStatus != 'T' || answer.SQLState != "" {
+		return false
+	}
+	for m := answer.Messages; len(m) >= headerLen; m = m[1+binary.BigEndian.Uint32(m[1:headerLen]):] {
+		switch body := m[headerLen : 1+binary.BigEndian.Uint32(m[1:headerLen])]; {
+		case m[0] == 'Z' || isAsync(m[0]):
+		case m[0] == 'C' && (string(body) == "BEGIN\x00" || string(body) == "START TRANSACTION\x00"):
+		default:
+			return false
+		}
+	}
+	return len(answer.Messages) > 0
+}
+
+// tagAfter asks for a tag when the answer to a cycle has been read.
+func (c *Conn) tagAfter(txStatus byte) (rowSet, error) {
+	t := newTag()
+	if _, err := c.nc.Write(appendTagQuery(nil, t, "")); err != nil {
+		return rowSet{}, err
+	}
+	return c.readTag(t, "", txStatus)
+}
+
 // confirmFailed reads a tag from a server whose transaction has failed. Such a
 // server executes no query, but it reports the name of a prepared statement that
 // doesn't exist.
--- a/internal/owner/rawserver_test.go
+++ b/internal/owner/rawserver_test.go
@@ -20,15 +20,16 @@
 type rawServer struct {
 	ln net.Listener
 
-	mu         sync.Mutex
-	lsn        uint64
-	executed   []string // statements of callers
-	recorded   [][]byte // answers since the last recorded statement of a caller
-	recordOf   string   // statement whose answers are recorded
-	repeatAt   string   // statement before whose answer the recorded ones are sent again
-	repeat     int      // how many of the recorded answers are sent again
-	async      []byte   // sent after each request, at once and again in a segment of its own
-	repeatNext bool     // the recorded answers are sent again before the next answer
+	mu            sync.Mutex
+	lsn           uint64
+	executed      []string // statements of callers
+	recorded      [][]byte // answers since the last recorded statement of a caller
+	recordOf      string   // statement whose answers are recorded
+	repeatAt      string   // statement before whose answer the recorded ones are sent again
+	repeat        int      // how many of the recorded answers are sent again
+	inTransaction []string // queries, also of the proxy, from a BEGIN on
+	async         []byte   // sent after each request, at once and again in a segment of its own
+	repeatNext    bool     // the recorded answers are sent again before the next answer
 }
 
 func newRawServer(t testing.TB) *rawServer {
@@ -162,6 +163,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out, late []byte
+	if *status != 'I' || text == "BEGIN" {
+		s.inTransaction = append(s.inTransaction, text)
+	}
 	if s.repeatNext {
 		s.repeatNext = false
 		late = append(late, s.recorded[0]...)
@@ -199,6 +203,8 @@
 	complete := func(tag string) []byte { return message('C', tag+"\x00") }
 	position := fmt.Sprintf("0/%X", s.lsn)
 	switch {
+	case word == "BEGIN" && rest != "":
+		return rawError("42601", "one"), false
 	case word == "BEGIN":
 		*status = 'T'
 		return complete(word), true
