owner: a stored outcome is sent only if it is one answer

Cause: what is stored under a request_id was sent to the caller as decoded. The table belongs to the customer, and a row could hold two answers, or none that ends: the caller would take the second for the answer to its next statement.

Change: a stored outcome is whole messages of an answer with one ReadyForQuery at the end, outside of a transaction. Anything else is an internal error.

--- a/internal/owner/attribution_test.go
+++ b/internal/owner/attribution_test.go
@@ -1,11 +1,14 @@
 package owner_test
 
 import (
+	"encoding/base64"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/arbutusring/arbutusring/internal/owner"
 	"github.com/arbutusring/arbutusring/internal/ownerrpc"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
 	"github.com/matryer/is"
@@ -173,3 +176,31 @@
 	is.Equal(r.exec(r.txArgs("COMMIT")).Kind, errkind.TransactionLost)
 	is.Equal(s.runCount("COMMIT"), 0)
 }
+
+// TestStoredOutcomeIsOneAnswer guards against sending a caller what was stored under a
+// request_id if it is more or less than one answer: the table is the caller's own, and
+// the next answer would be taken for that to another statement.
+func TestStoredOutcomeIsOneAnswer(t *testing.T) {
+	complete, ready := message('C', "INSERT 0 1\x00"), message('Z', "I")
+	for name, stored := range map[string][]byte{
+		"two answers":         slices.Concat(complete, ready, complete, ready),
+		"no end":              complete,
+		"an open transaction": slices.Concat(complete, message('Z', "T")),
+		"cut message":         slices.Concat(complete[:8], ready),
+		"bytes at the end":    slices.Concat(complete, ready, []byte("x")),
+		"a copy request":      slices.Concat(message('G', "\x00\x00\x00"), ready),
+		"one answer":          slices.Concat(complete, ready),
+	} {
+		t.Run(name, func(t *testing.T) {
+			runTest(t, owner.Options{}, func(t *testing.T, r *harness) {
+				r.server.set(func(f *fakeServer) { f.outcomes["once"] = "w" + base64.StdEncoding.EncodeToString(stored) })
+				a := r.writeArgs(1, "INSERT one")
+				a.RequestToken = "once"
+				got := r.exec(a)
+				if (got.Kind == errkind.OK) != (name == "one answer") {
+					t.Errorf("answered %q with %q", got.Kind, got.Messages)
+				}
+			})
+		})
+	}
+}
--- a/internal/owner/cycle.go
+++ b/internal/owner/cycle.go
@@ -48,6 +48,23 @@
 	return effect, commit
 }
 
+// isOneAnswer reports whether messages are whole messages of an answer that ends with
+// its only ReadyForQuery, outside of a transaction.
+func isOneAnswer(messages []byte) bool {
+	size, last := 0, ""
+	eachMessage(messages, func(kind byte, whole, body []byte) bool {
+		if last != "" || strings.IndexByte("123ACDEINSTZnst", kind) < 0 {
+			return false
+		}
+		if kind == 'Z' {
+			last = string(body)
+		}
+		size += len(whole)
+		return true
+	})
+	return size == len(messages) && last == "I"
+}
+
 // withTxStatus returns a copy of an answer with the given transaction status in
 // its ReadyForQuery message.
 func withTxStatus(messages []byte, status byte) []byte {
--- a/internal/owner/token.go
+++ b/internal/owner/token.go
@@ -177,6 +177,9 @@
 	if err != nil {
 		return errkind.Wrap(errkind.Internal, err, "the stored outcome is not valid base64")
 	}
+	if !isOneAnswer(messages) {
+		return errkind.New(errkind.Internal, "the stored outcome is not one answer")
+	}
 	x.reply.Messages, x.reply.TxStatus = messages, 'I'
 	x.reply.Detail = "first outcome of the request_id"
 	if value[0] == storedWithoutRows {
