--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -31,10 +31,12 @@
 	r      *bufio.Reader
 	prober *prober
 	closed atomic.Bool
+	unsafe bool // a setting has a value that is not in safeSettings; the next request is refused
 
 	header  [headerLen]byte
 	answer  []byte // reused buffer of the answer that is being read
-	request []byte // reused buffer of a cycle followed by positionQuery
+	request []byte // reused buffer of a request with the queries that the proxy adds
+	body    []byte // reused buffer of one message of the answer to such a query
 	write   requestWrite
 }
 
