--- a/internal/peer/malformed_test.go
+++ b/internal/peer/malformed_test.go
@@ -1,6 +1,7 @@
 package peer_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -143,3 +144,69 @@
 		})
 	}
 }
+
+// TestResponseOfOtherCall guards against a response that is taken for that of another
+// call: in another order, twice, or after its call was given up.
+func TestResponseOfOtherCall(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { is.NoErr(ln.Close()) }()
+	go func() {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		var received []byte
+		// seq waits for the call with the data c and returns its number as it was sent.
+		seq := func(c string) string {
+			for {
+				if at := bytes.Index(received, []byte("\xc4\x01"+c)); at >= 0 {
+					n := bytes.LastIndex(received[:at], []byte("\xa3Seq")) + len("\xa3Seq")
+					return string(received[n : n+1])
+				}
+				b := make([]byte, 4096)
+				n, err := conn.Read(b)
+				if err != nil {
+					return "\x00"
+				}
+				received = append(received, b[:n]...)
+			}
+		}
+		respond := func(c, data string) {
+			_, _ = conn.Write([]byte(object("ServiceMethod", str("Echo.Echo"), "Seq", seq(c), "Error", str("")) + object("Data", "\xc4\x01"+data)))
+		}
+		seq("c") // which is sent after a was given up
+		respond("a", "a")
+		respond("a", "x")
+		respond("c", "c")
+		respond("c", "x")
+		respond("b", "b")
+		_, _ = io.Copy(io.Discard, conn)
+	}()
+	pool := peer.NewPool(peer.PoolOptions{HeartbeatInterval: time.Minute, IdleTimeout: 5 * time.Second})
+	defer pool.Close()
+	call := func(data string, timeout time.Duration) (string, error) {
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
+		defer cancel()
+		reply := new(EchoReply)
+		err := pool.Call(ctx, ln.Addr().String(), "Echo.Echo", &EchoArgs{Data: []byte(data)}, reply)
+		if err != nil {
+			return "", err
+		}
+		return string(reply.Data), nil
+	}
+	_, err = call("a", 50*time.Millisecond)
+	is.Equal(errkind.Of(err), errkind.ServerLost)
+	b := make(chan string, 1)
+	go func() {
+		got, _ := call("b", 2*time.Second)
+		b <- got
+	}()
+	time.Sleep(50 * time.Millisecond)
+	got, err := call("c", 2*time.Second)
+	is.NoErr(err)
+	is.Equal(got, "c")
+	is.Equal(<-b, "b")
+}
