relay: an id of a call in progress is not used again

Cause: ids of calls are 32 bits and wrap. A call that was in progress all that time lost its entry to a new one with its id, which then was given the answer of the first.

Evidence: TestCallNumbersWrap sets the counter back while a call is in progress: the first call got no answer.

Change: ids in use are passed over. The ids of logical connections wrap too, but a connector ends the stream if one in use is begun again.

--- a/internal/relay/export_test.go
+++ b/internal/relay/export_test.go
@@ -82,3 +82,14 @@
 	}
 	return first, encode(kind, m)
 }
+
+// SetLastCall sets the id of the last call on all streams.
+func (c *Client) SetLastCall(id uint32) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, h := range c.peers {
+		h.stream.mu.Lock()
+		h.stream.lastCall = id
+		h.stream.mu.Unlock()
+	}
+}
--- a/internal/relay/outstream.go
+++ b/internal/relay/outstream.go
@@ -130,8 +130,7 @@
 		return nil, s.failure(errkind.ConnectFailed, peer.ErrStreamClosed)
 	}
 	s.stream.Expect()
-	s.lastCall++
-	id := s.lastCall
+	id := s.nextCall()
 	p := &pendingCall{id: id, kind: kind, done: make(chan struct{})}
 	err := withFrame(frameKind, message(id), func(frame []byte) error {
 		if len(frame) > maxStatementBytes {
@@ -150,6 +149,16 @@
 	return p, nil
 }
 
+// nextCall returns an id that no call in progress has. The caller holds mu.
+func (s *outStream) nextCall() uint32 {
+	for {
+		s.lastCall++
+		if _, used := s.calls[s.lastCall]; !used {
+			return s.lastCall
+		}
+	}
+}
+
 // forget removes a call whose answer is no longer waited for.
 func (s *outStream) forget(p *pendingCall) {
 	s.mu.Lock()
--- a/internal/relay/text_test.go
+++ b/internal/relay/text_test.go
@@ -147,3 +147,54 @@
 	is.Equal(kind, errkind.OK)
 	is.Equal(in.backend.count("read text map[zone:utc]"), 1)
 }
+
+// TestCallNumbersWrap guards against two calls with one id after the ids of a stream have
+// all been used, so that one gets the answer of the other.
+func TestCallNumbersWrap(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { is.NoErr(ln.Close()) }()
+	received := make(chan struct{}, 2)
+	go func() {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		r := bufio.NewReader(conn)
+		var ids []int
+		for len(ids) < 2 {
+			f, err := receiveFrame(r)
+			if err != nil {
+				return
+			}
+			if f[len(f)-1] == 'c' {
+				ids = append(ids, int(f[3])) // behind the header of an array of 19 elements
+				received <- struct{}{}
+			}
+		}
+		for i, receipt := range []string{"first", "second"} {
+			_, _ = conn.Write(message('a', with(with(answerFields(), 0, ids[i]), 5, receipt)))
+		}
+		_, _ = receiveFrame(r)
+	}()
+	client := relay.NewClient(relay.ClientOptions{Host: "e1"})
+	defer client.Close()
+	run := func() <-chan string {
+		receipt := make(chan string, 1)
+		conn := client.Connect(directoryrpc.Server{ID: "s", Born: 7}, "", func() []string { return []string{ln.Addr().String()} })
+		r := gateway.RelayedStatement{Request: statement.Request{Kind: statement.Read, ID: "q1", Text: "t"}}
+		go func() {
+			a, _ := conn.DoRelayed(time.Now().Add(time.Second), r)
+			receipt <- a.Receipt
+		}()
+		<-received
+		return receipt
+	}
+	first := run()
+	client.SetLastCall(0)
+	second := run()
+	is.Equal(<-first, "first")
+	is.Equal(<-second, "second")
+}
