relay: refuse a second hello on a stream

Cause: hello could be sent again, and changed the name of the host that the statements on the stream are logged for.

Evidence: a raw stream with two hellos; the statement after them was run.

Change: a second hello ends the stream. Senders send one.

Result: the case of TestMalformedCall failed before and passes now; go test -race ./internal/relay passes.

--- a/internal/relay/instream.go
+++ b/internal/relay/instream.go
@@ -107,6 +107,9 @@
 	}
 	switch kind {
 	case kindHello:
+		if in.greeted {
+			return errkind.New(errkind.BadRequest, "a second hello")
+		}
 		return in.greet(body)
 	case kindCall:
 		m := new(call)
--- a/internal/relay/malformed_test.go
+++ b/internal/relay/malformed_test.go
@@ -204,6 +204,7 @@
 		"sent far in the future":   message('c', with(whole, 3, 1<<62)),
 		"map":                      message('c', object{"ID", 1, "Conn", 1, "Target", list{"s", 7, ""}, "Remaining", 5000, "Kind", int(statement.Read), "Caller", "q1", "Text", "text"}),
 		"bytes after it":           frame(append(append(pack(whole), 0xc0), 'c')),
+		"second hello":             append(slices.Clone(hello), message('c', whole)...),
 		"prepared id with 2 texts": append(prepared(1, "one"), prepared(2, "two")...),
 	} {
 		t.Run(name, func(t *testing.T) {
