gateway: a refused SET or PARSE is no failure of the server

Callers saw: with no other answer in the last 250 ms, one session whose SET a server refused made the server count as failing: its idle connections were closed, and of a primary the directory was told. Cause: the refusal was reported like a connection that could not be opened.

--- a/internal/gateway/operation.go
+++ b/internal/gateway/operation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/arbutusring/arbutusring/internal/clock"
@@ -295,6 +296,9 @@
 		g.opts.Events.Event("answer_rejected").Str("server", m.server.ID).Str("request", request).Err(err).Msg("an answer can't be attributed to its statement")
 		return
 	}
+	if errors.Is(err, errStateRefused) {
+		return
+	}
 	first, unresponsive := m.recordFailure(err)
 	if !unresponsive {
 		// Keep the other connections: each that is reopened would occupy a slot
--- a/internal/gateway/pooledconn.go
+++ b/internal/gateway/pooledconn.go
@@ -49,6 +49,10 @@
 	text     string
 }
 
+// errStateRefused means that the server refused a value or a prepared statement of a
+// session. It has answered, so it does not count as failing.
+var errStateRefused = errors.New("the server refused the state of the session")
+
 func newPooledConn(conn Conn, customer string) *pooledConn {
 	return &pooledConn{conn: conn, customer: customer, settings: make(map[string]string), prepared: make(map[string]bool)}
 }
@@ -109,7 +113,7 @@
 	for i, a := range answers {
 		pc.observe(a)
 		if a.Failure != nil {
-			return errkind.New(errkind.ConnectFailed, "the server refused %s: %s", requests[i].Kind, a.Failure.Detail)
+			return errkind.Wrap(errkind.ConnectFailed, errStateRefused, "%s: %s %s", requests[i].Kind, a.Failure.Code, a.Failure.Detail)
 		}
 	}
 	return nil
