--- a/internal/correlation/tracker.go
+++ b/internal/correlation/tracker.go
@@ -82,6 +82,8 @@
 		return reject("a %s was answered without a receipt", r.Kind)
 	case a.State != want:
 		return reject("a %s was answered in state %c, not %c", r.Kind, a.State, want)
+	case len(a.Rows) > 0 && (r.Kind == statement.Write || r.Kind == statement.Commit):
+		return reject("a %s was answered with %d rows", r.Kind, len(a.Rows))
 	}
 	t.receipts.add(a.Receipt)
 	t.state, t.unproven = a.State, false
