--- a/internal/owner/attribution_test.go
+++ b/internal/owner/attribution_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/arbutusring/arbutusring/internal/backend"
 	"github.com/arbutusring/arbutusring/internal/owner"
 	"github.com/arbutusring/arbutusring/internal/ownerrpc"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
@@ -87,32 +88,47 @@
 }
 
 // TestLateAnswerOfAContractFunction guards against taking a status that the server
-// repeats late for one that was read later.
+// repeats late for one that was read later, and the refusal of a promotion for the
+// answer to the next one.
 func TestLateAnswerOfAContractFunction(t *testing.T) {
-	is := is.New(t)
-	s := newRawServer(t)
-	c, err := s.connect(t.Context(), "", "")
-	is.NoErr(err)
-	defer c.Close()
-	s.mu.Lock()
-	s.recordOf = "SELECT 'record'"
-	s.mu.Unlock()
-	_, err = c.Relay(t.Context(), query("SELECT 'record'"), 1<<20)
-	is.NoErr(err)
-	_, err = c.Status(t.Context())
-	is.NoErr(err)
-	s.mu.Lock()
-	last := s.recorded[len(s.recorded)-1]
-	s.lsn++
-	s.recorded = [][]byte{last}
-	s.recordOf, s.repeat, s.repeatNext = "", 1, true
-	s.mu.Unlock()
-	st, err := c.Status(t.Context())
-	if err == nil {
-		is.Equal(st.Received.LSN, uint64(11))
-	} else {
-		is.Equal(errkind.Of(err), errkind.ServerLost)
-		is.True(c.Closed())
+	for _, name := range []string{"status", "refused promotion"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newRawServer(t)
+			conn, err := s.connect(t.Context(), "", "")
+			is.NoErr(err)
+			c := conn.(*backend.Conn)
+			defer c.Close()
+			s.mu.Lock()
+			s.recordOf = "SELECT 'record'"
+			s.mu.Unlock()
+			_, err = c.Relay(t.Context(), query("SELECT 'record'"), 1<<20)
+			is.NoErr(err)
+			if name == "status" {
+				_, err = c.Status(t.Context())
+				is.NoErr(err)
+			} else {
+				_, err = c.Promote(t.Context(), 1)
+				is.Equal(errkind.Of(err), errkind.StaleTerm)
+			}
+			s.mu.Lock()
+			s.lsn++
+			s.recorded = s.recorded[len(s.recorded)-1:]
+			s.recordOf, s.repeatNext = "", true
+			s.mu.Unlock()
+			var st backend.Status
+			if name == "status" {
+				st, err = c.Status(t.Context())
+			} else {
+				st, err = c.Promote(t.Context(), 2)
+			}
+			if err == nil {
+				is.Equal(st.Received.LSN, uint64(11))
+			} else {
+				is.Equal(errkind.Of(err), errkind.ServerLost)
+				is.True(c.Closed())
+			}
+		})
 	}
 }
 
--- a/internal/owner/rawserver_test.go
+++ b/internal/owner/rawserver_test.go
@@ -229,7 +229,9 @@
 		return rawRow([]string{"term", "lsn"}, "1", position), true
 	case strings.Contains(sql, "arbutusring_replication"):
 		return rawRow([]string{"a", "b", "c", "d", "e"}, "s2", "1", position, "1", position), true
-	case strings.Contains(sql, "arbutusring_status"):
+	case strings.Contains(sql, "arbutusring_promote(1)"):
+		return rawError("ARB01", "one"), false
+	case strings.Contains(sql, "arbutusring_status"), strings.Contains(sql, "arbutusring_promote"):
 		return rawRow([]string{"a", "b", "c", "d", "e", "f", "g"}, "s1", "1", "f", "1", position, "1", position), true
 	}
 	_, literal, _ := strings.Cut(sql, "'")
--- a/internal/standin/doc.go
+++ b/internal/standin/doc.go
@@ -6,7 +6,8 @@
 // # SQL
 //
 // Every table has the columns k (text, unique) and v (text), and exists
-// implicitly: CREATE TABLE has no effect. The subset is: SELECT with count(*) or
+// implicitly: CREATE TABLE has no effect. The subset is: SELECT of a literal, with AS;
+// SELECT with count(*) or
 // columns, WHERE k = value, FOR UPDATE; INSERT with ON CONFLICT; UPDATE,
 // including SET v = v || value; DELETE; RETURNING; transactions; SET, SHOW,
 // DISCARD ALL and pg_sleep. Both the simple and the extended protocol are
