--- a/internal/backend/probe.go
+++ b/internal/backend/probe.go
@@ -11,9 +11,9 @@
 )
 
 // errUnsolicited means that the server sent messages between two cycles other than
-// complete asynchronous ones. They
-// are either the reason why the server is about to close the connection, or the
-// rest of an answer, which would be mistaken for the answer to the next cycle.
+// complete asynchronous ones. They are either the reason why the server is about to
+// close the connection, or the rest of an answer, which would be mistaken for the
+// answer to the next cycle.
 var errUnsolicited = errkind.New(errkind.ConnectFailed, "server sent messages outside a cycle")
 
 // prober checks with a non-blocking peek at the socket whether an idle
--- a/internal/standin/doc.go
+++ b/internal/standin/doc.go
@@ -6,13 +6,12 @@
 // # SQL
 //
 // Every table has the columns k (text, unique) and v (text), and exists
-// implicitly: CREATE TABLE has no effect. The subset is: SELECT of a literal, with AS;
-// SELECT with count(*) or
-// columns, WHERE k = value, FOR UPDATE; INSERT with ON CONFLICT; UPDATE,
-// including SET v = v || value; DELETE; RETURNING; transactions; SET, SHOW,
-// DISCARD ALL and pg_sleep. Both the simple and the extended protocol are
-// supported. Isolation is read committed: a transaction locks each row that it
-// changes until it ends.
+// implicitly: CREATE TABLE has no effect. The subset is: SELECT of a literal,
+// with AS; SELECT with count(*) or columns, WHERE k = value, FOR UPDATE; INSERT
+// with ON CONFLICT; UPDATE, including SET v = v || value; DELETE; RETURNING;
+// transactions; SET, SHOW, DISCARD ALL and pg_sleep. Both the simple and the
+// extended protocol are supported. Isolation is read committed: a transaction
+// locks each row that it changes until it ends.
 //
 // # Log and replication
 //
