--- a/internal/gateway/operationtx.go
+++ b/internal/gateway/operationtx.go
@@ -205,7 +205,7 @@
 	s := o.session
 	t := s.tx
 	gv := o.gateway.view.Load().groups[o.db.Group]
-	if gv != nil && !t.conn.aborted.Load() && !t.conn.refusedAnswer(err) {
+	if gv != nil && !t.conn.aborted.Load() && !t.conn.refusedAnswer(err) && !t.conn.refusedRequest(err) {
 		o.recordFailure(route{member: t.member, group: gv.group}, err)
 	}
 	wrote, commit := t.wrote, o.request.Kind == statement.Commit
