correlation: a busy server's refusal of a write is believed after SET and PARSE

Callers saw, of a server that repeats nothing: a single write after two statements without a receipt, a SET and a PARSE, that the server refused as BUSY was answered INDOUBT, so that it could not be repeated. Cause: the refusal might have been that of the SET.

Change: outside of a transaction BUSY, READONLY and LAGGING count, because the pages give them only to reads, writes, commits and BEGIN. In exchange, two holes that the model of the review shows are closed: a ROLLBACK whose answer may be a copy is rejected like a BEGIN, since a server that lost the lead refuses one, and an error that names an open transaction is no answer to a single statement.

--- a/internal/correlation/doc.go
+++ b/internal/correlation/doc.go
@@ -13,9 +13,11 @@
 //     was such an answer; otherwise the server breaks the protocol.
 //   - The other statements have no receipt. Their answers must have the state that the
 //     statement leads to, and no rows unless it returns one. One that equals an earlier
-//     answer, with the log position, may be a copy. For BEGIN it is rejected: statements must
-//     not be sent in a transaction that may have been refused. For others it counts, but
-//     until a receipt follows, an error may be that of such a statement and is rejected.
+//     answer, with the log position, may be a copy. For BEGIN and ROLLBACK it is rejected:
+//     statements must not be sent while it is open whether they are in a transaction. For
+//     others it counts, but until a receipt follows, an error may be that of such a
+//     statement and is rejected, except for the refusals that servers give only to
+//     statements with a receipt.
 //   - An error has no receipt. It counts if no error with the same code and text has been
 //     received on the connection, and no earlier statement can have caused it. After an
 //     error a connection must not be used for another transaction or statement: a copy
--- a/internal/correlation/tracker.go
+++ b/internal/correlation/tracker.go
@@ -5,6 +5,7 @@
 	"strconv"
 
 	"github.com/arbutusring/arbutusring/internal/statement"
+	"github.com/arbutusring/arbutusring/pkg/errkind"
 )
 
 // Verdict is what happens to an answer.
@@ -104,7 +105,7 @@
 	}
 	content := bareContent(a)
 	repeated := t.receipts.contains(content)
-	if repeated && r.Kind == statement.Begin {
+	if repeated && (r.Kind == statement.Begin || r.Kind == statement.Rollback) {
 		return reject("it may be a copy of the answer to an earlier %s", r.Kind)
 	}
 	t.receipts.add(content)
@@ -123,14 +124,30 @@
 	return string(b)
 }
 
+// believedUnproven reports whether an error is believed though an earlier statement without
+// a receipt may have caused it: outside of a transaction, of a read, which has no effect, or
+// if servers refuse only statements that have a receipt in this way.
+func (t *Tracker) believedUnproven(k statement.Kind, e errkind.Kind) bool {
+	if t.state != statement.Idle {
+		return false
+	}
+	switch e {
+	case errkind.Overloaded, errkind.ReadOnlyMember, errkind.PositionNotReached:
+		return true
+	}
+	return k == statement.Read
+}
+
 // judgeError judges an error.
 func (t *Tracker) judgeError(r statement.Request, a statement.Answer) (Verdict, statement.Basis, error) {
 	key := a.Failure.Code + " " + a.Failure.Detail
 	if _, repeated := t.errors[key]; repeated {
 		return reject("error %s has been received before", a.Failure.Code)
 	}
-	// A single read has no effect, and its connection is closed after the error.
-	if single := t.state == statement.Idle && r.Kind == statement.Read; t.unproven && hasReceipt(r.Kind) && !single {
+	if t.state == statement.Idle && a.State == statement.Open {
+		return reject("error %s names an open transaction", a.Failure.Code)
+	}
+	if t.unproven && hasReceipt(r.Kind) && !t.believedUnproven(r.Kind, a.Failure.Kind) {
 		return reject("error %s may be that of an earlier statement", a.Failure.Code)
 	}
 	if t.errors == nil {
