--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -179,6 +179,10 @@
 		code := binary.BigEndian.Uint32(packet)
 		switch code {
 		case codeSSL, codeGSSENC:
+			if len(packet) > 4 {
+				c.endWithError(errkind.New(errkind.BadRequest, "encryption request has a body"))
+				return
+			}
 			c.encryptionRequests++
 			if c.encryptionRequests > maxEncryptionRequests {
 				c.endWithError(errkind.New(errkind.BadRequest, "too many encryption requests"))
@@ -417,7 +421,7 @@
 		_ = c.nc.Close()
 		return
 	case c.skippingToSync:
-		if cycle.Kind != KindFlush {
+		if cycle.Kind == KindExtended { // only a Sync ends it; a Query is skipped without an answer
 			c.skippingToSync = false
 			c.write(AppendReady(nil, c.txStatus))
 		}
--- a/internal/entry/lexer.go
+++ b/internal/entry/lexer.go
@@ -6,7 +6,7 @@
 type tokenKind uint8
 
 const (
-	tokenWord    tokenKind = iota + 1 // unquoted identifier or keyword, converted to lower case
+	tokenWord    tokenKind = iota + 1 // unquoted identifier or keyword, with A to Z in lower case
 	tokenQuoted                       // quoted identifier, without the quotes
 	tokenString                       // string constant, without the quotes
 	tokenNumber                       // numeric constant
@@ -73,7 +73,7 @@
 		for l.pos < len(l.sql) && isWordPart(l.sql[l.pos]) {
 			l.pos++
 		}
-		return token{tokenWord, strings.ToLower(l.sql[start:l.pos])}, true
+		return token{tokenWord, lowerASCII(l.sql[start:l.pos])}, true
 	case isDigit(c) || c == '.' && isDigit(l.peek(1)):
 		for l.pos < len(l.sql) && (isWordPart(l.sql[l.pos]) || l.sql[l.pos] == '.') {
 			l.pos++
@@ -84,6 +84,24 @@
 	return token{tokenSymbol, l.sql[start:l.pos]}, true
 }
 
+// lowerASCII converts A to Z to lower case, as PostgreSQL does with identifiers. Other
+// letters stay: the lower case of the Kelvin sign, for one, is a k, with which another
+// function would pass for a known one.
+func lowerASCII(s string) string {
+	for i := range len(s) {
+		if s[i] >= 'A' && s[i] <= 'Z' {
+			b := []byte(s)
+			for ; i < len(b); i++ {
+				if b[i] >= 'A' && b[i] <= 'Z' {
+					b[i] += 'a' - 'A'
+				}
+			}
+			return string(b)
+		}
+	}
+	return s
+}
+
 // peek returns the byte n positions ahead, or 0 beyond the end of the text.
 func (l *lexer) peek(n int) byte {
 	if l.pos+n < len(l.sql) {
@@ -139,7 +157,7 @@
 
 // readQuoted reads a quoted token whose opening quote is at pos. A doubled quote
 // stands for the quote itself; if escapes is true, a backslash escapes the next
-// character.
+// character, also where the string is continued on another line.
 func (l *lexer) readQuoted(quote byte, kind tokenKind, escapes bool) token {
 	l.pos++
 	start, plain := l.pos, true
@@ -152,6 +170,8 @@
 		case l.peek(1) == quote:
 			plain = false
 			l.pos += 2
+		case escapes && l.continuation() > 0:
+			l.pos += l.continuation()
 		default:
 			text := l.sql[start:l.pos]
 			l.pos++
@@ -165,6 +185,32 @@
 	return token{kind: tokenInvalid}
 }
 
+// continuation returns the distance from the closing quote at pos to the first byte
+// after the quote that continues the string, or 0 if the string ends at pos. A string
+// is continued after white space with a line break and after comments up to the end
+// of a line.
+func (l *lexer) continuation() int {
+	newLine := false
+	for i := l.pos + 1; i < len(l.sql); i++ {
+		switch c := l.sql[i]; {
+		case c == '\n' || c == '\r':
+			newLine = true
+		case c == ' ' || c == '\t' || c == '\f' || c == '\v':
+		case c == '-' && i+1 < len(l.sql) && l.sql[i+1] == '-':
+			n := strings.IndexAny(l.sql[i:], "\r\n")
+			if n < 0 {
+				return 0
+			}
+			i += n - 1
+		case c == '\'' && newLine:
+			return i + 1 - l.pos
+		default:
+			return 0
+		}
+	}
+	return 0
+}
+
 // readDollar reads a dollar-quoted string, a parameter such as $1, or a single
 // dollar sign.
 func (l *lexer) readDollar() token {
--- a/internal/gateway/loan.go
+++ b/internal/gateway/loan.go
@@ -27,9 +27,31 @@
 type Loan struct {
 	gateway *Gateway
 	member  *member
-	conn    *pooledConn
 	slot    schedule.Slot
 	release sync.Once // of slot
+	unsent  bool      // the last statement was refused before anything of it was sent
+
+	mu      sync.Mutex  // guards the fields below
+	conn    *pooledConn // nil if opening another one has failed
+	aborted bool
+}
+
+// connection returns the connection that is in use.
+func (l *Loan) connection() *pooledConn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.conn
+}
+
+// reopen replaces the connection. After an error there is none.
+func (l *Loan) reopen(deadline time.Time, sess sessionState) error {
+	opened, err := l.member.reopen(context.Background(), deadline, l.connection(), sess)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn = opened; opened != nil && l.aborted {
+		opened.abort()
+	}
+	return err
 }
 
 // lendable returns the server if this host lends connections to it. The view of the
@@ -126,9 +148,11 @@
 
 // Do runs a statement with a latest start and a deadline on clock.Now. Its errors are
 // those of Conn.Do, and errkind.DeadlineExceeded if nothing was sent because one of
-// them has passed, for instance while this host was suspended.
+// them has passed, for instance while this host was suspended. After errkind.BadRequest
+// nothing was sent either, and that is no failure of the server.
 func (l *Loan) Do(start, end time.Time, s RelayedStatement) (statement.Answer, error) {
 	defer l.releaseSlot() // the first statement of a transaction holds it, too
+	l.unsent = false
 	m := l.member
 	left := end.Sub(clock.Now())
 	if left <= 0 {
@@ -136,8 +160,10 @@
 	}
 	deadline := time.Now().Add(left)
 	r := s.Request
+	var sess sessionState
 	if s.HasState {
-		sess, err := l.gateway.sessionState(s)
+		var err error
+		sess, err = l.gateway.sessionState(s)
 		if err != nil {
 			return statement.Answer{}, err
 		}
@@ -145,7 +171,9 @@
 		if sess.preparedStmt != nil {
 			r.Name = sess.preparedStmt.name
 		}
-		if err := l.conn.adapt(deadline, sess); err != nil {
+		if err := l.connection().adapt(deadline, sess); badRequest(err) {
+			return statement.Answer{}, errkind.Wrap(errkind.BadRequest, err, "the session state")
+		} else if err != nil {
 			l.gateway.recordFailure(m, r.ID, err)
 			return statement.Answer{}, err
 		}
@@ -155,34 +183,57 @@
 	}
 	begun := time.Now()
 	m.startStatement()
-	a, err := l.conn.do(deadline, r)
-	m.endStatement(err == nil)
+	a, err := l.connection().do(deadline, r)
+	if r.Kind == statement.Begin && unattributed(err) {
+		l.gateway.recordFailure(m, r.ID, err)
+		if err = l.reopen(deadline, sess); err == nil {
+			a, err = l.connection().do(deadline, r)
+		}
+	}
+	l.unsent = badRequest(err)
+	m.endStatement(err == nil || l.unsent)
 	if err != nil {
-		if !l.conn.aborted.Load() {
+		if pc := l.connection(); !l.unsent && (pc == nil || !pc.aborted.Load()) {
 			l.gateway.recordFailure(m, r.ID, err)
 		}
 		return statement.Answer{}, err
 	}
 	l.gateway.metrics.lent.Inc(1)
+	l.gateway.opts.Events.Sample("statement_lent").Str("request", r.ID).Str("server", m.server.ID).Str("connection", a.Source.Connection).
+		Uint64("answer", a.Source.Number).Str("basis", string(a.Source.Basis)).Str("receipt", a.Receipt).Msg("ran a statement of another host")
 	m.recordAnswer(time.Since(begun), a.Position)
 	return a, nil
 }
 
+// Unsent reports whether nothing of the last statement was sent, so that the connection
+// is as it was before.
+func (l *Loan) Unsent() bool { return l.unsent }
+
 // Return gives the connection back, which has no open transaction.
 func (l *Loan) Return() {
 	l.releaseSlot()
-	l.member.pool.put(l.conn)
+	if pc := l.connection(); pc != nil {
+		l.member.pool.put(pc)
+	}
 }
 
 // Drop closes the connection, so that the server rolls back.
 func (l *Loan) Drop() {
 	l.releaseSlot()
-	l.member.pool.drop(l.conn)
+	if pc := l.connection(); pc != nil {
+		l.member.pool.drop(pc)
+	}
 }
 
 // Abort ends a statement in progress by closing the connection. Drop must still be
 // called.
-func (l *Loan) Abort() { l.conn.abort() }
+func (l *Loan) Abort() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.aborted = true; l.conn != nil {
+		l.conn.abort()
+	}
+}
 
 func (l *Loan) releaseSlot() {
 	l.release.Do(func() { l.member.sched.Release(l.slot) })
--- a/internal/gateway/operation.go
+++ b/internal/gateway/operation.go
@@ -290,6 +290,11 @@
 
 // recordFailure is operation.recordFailure for a server.
 func (g *Gateway) recordFailure(m *member, request string, err error) {
+	if unattributed(err) {
+		g.metrics.answersRejected.Inc(1)
+		g.opts.Events.Event("answer_rejected").Str("server", m.server.ID).Str("request", request).Err(err).Msg("an answer can't be attributed to its statement")
+		return
+	}
 	first, unresponsive := m.recordFailure(err)
 	if !unresponsive {
 		// Keep the other connections: each that is reopened would occupy a slot
@@ -323,6 +328,9 @@
 		u.abandon()
 		o.recordError(err)
 		o.tried[rt.member] = true
+		if errkind.Of(err) == errkind.BadRequest {
+			return o.refuse(), false
+		}
 		return a, true
 	}
 	if u != nil && (!u.attach(pc) || !o.gateway.hasLease()) {
@@ -348,16 +356,24 @@
 	rt.member.startStatement()
 	a, err = pc.do(o.answerDeadline(rt), r)
 	o.recordSend(pc, err)
-	rt.member.endStatement(err == nil || pc.refusedAnswer(err))
+	rt.member.endStatement(err == nil || pc.refusedAnswer(err) || pc.refusedRequest(err))
 	took := time.Since(begun)
 	valid := err == nil && o.finishUse(u, sent, a)
 	rt.member.release(slot, pc)
+	if pc.refusedRequest(err) {
+		u.abandon()
+		rt.member.pool.put(pc)
+		return o.session.failureAnswer(err), false
+	}
 	if err != nil {
 		u.abandon()
 		rt.member.pool.drop(pc)
 		if pc.refusedAnswer(err) {
 			return o.refuseAnswer(err), false
 		}
+		if errkind.Of(err) == errkind.BadRequest { // nothing was sent, and no other connection can send it
+			return o.session.failureAnswer(err), false
+		}
 		if pc.refusedByConnector(err) {
 			o.recordError(err)
 			o.tried[rt.member] = true
--- a/internal/gateway/operationtx.go
+++ b/internal/gateway/operationtx.go
@@ -32,7 +32,7 @@
 			}
 		}
 		o.recordError(err)
-		if o.attempts >= maxAttempts || errkind.Of(err) == errkind.Denied || o.preferOtherHost(err) || errkind.Of(err) == errkind.Overloaded || !o.awaitView(v, retryPause) {
+		if o.attempts >= maxAttempts || errkind.Of(err) == errkind.Denied || errkind.Of(err) == errkind.BadRequest || o.preferOtherHost(err) || errkind.Of(err) == errkind.Overloaded || !o.awaitView(v, retryPause) {
 			t.fail()
 			a := o.refuse()
 			return &a
@@ -60,9 +60,16 @@
 	// the queue, because it holds a connection until it ends.
 	defer rt.member.release(slot, pc)
 	err = o.sendBegin(rt, u, pc)
+	if unattributed(err) {
+		if pc, err = rt.member.reopen(o.ctx, o.wallDeadline(), pc, o.session.requiredState(o.preparedStmt)); err == nil {
+			err = o.sendBegin(rt, u, pc)
+		}
+	}
 	if err != nil {
 		u.abandon()
-		rt.member.pool.drop(pc)
+		if pc != nil {
+			rt.member.pool.drop(pc)
+		}
 		o.tried[rt.member] = true
 		return err
 	}
@@ -124,6 +131,9 @@
 	if o.request.Kind != statement.Commit {
 		if err := t.conn.adapt(o.wallDeadline(), s.requiredState(o.preparedStmt)); err != nil {
 			o.dropTransaction()
+			if errkind.Of(err) == errkind.BadRequest {
+				return s.failureAnswer(err)
+			}
 			return s.failureAnswer(errkind.Wrap(errkind.TransactionLost, err, "the connection of the transaction was lost"))
 		}
 		if err := o.mayRun(); err != nil {
@@ -170,9 +180,11 @@
 }
 
 // canResendBusy reports whether a statement of a transaction may be sent again,
-// because the server refused it as overloaded and time remains.
+// because the server refused it as overloaded and time remains. A COMMIT of writes is not:
+// a second refusal could not be told from a copy of the first one, so that its outcome
+// would be unknown.
 func (o *operation) canResendBusy(a statement.Answer) bool {
-	return a.Failure != nil && a.Failure.Kind == errkind.Overloaded && a.State == statement.Open &&
+	return !(o.request.Kind == statement.Commit && o.session.tx.wrote) && a.Failure != nil && a.Failure.Kind == errkind.Overloaded && a.State == statement.Open &&
 		o.attempts < maxAttempts && clock.Now().Add(retryPause).Before(o.deadline)
 }
 
--- a/internal/gateway/pooledconn.go
+++ b/internal/gateway/pooledconn.go
@@ -1,10 +1,12 @@
 package gateway
 
 import (
+	"errors"
 	"maps"
 	"sync/atomic"
 	"time"
 
+	"github.com/arbutusring/arbutusring/internal/correlation"
 	"github.com/arbutusring/arbutusring/internal/statement"
 	"github.com/arbutusring/arbutusring/pkg/errkind"
 )
@@ -20,11 +22,13 @@
 	conn      Conn
 	customer  string // under whose name it was opened; never serves another
 	settings  map[string]string
-	prepared  map[string]bool // keyed by the name at the server
-	idleSince time.Time       // when it was returned to the pool
-	usedSince time.Time       // when it was taken from the pool
-	aborted   atomic.Bool     // the connection was closed by abort
-	epoch     uint64          // of the pool when the connection was opened
+	prepared  map[string]bool        // keyed by the name at the server
+	idleSince time.Time              // when it was returned to the pool
+	usedSince time.Time              // when it was taken from the pool
+	aborted   atomic.Bool            // the connection was closed by abort
+	spent     bool                   // a copy of an answer on it could be taken for a later one
+	epoch     uint64                 // of the pool when the connection was opened
+	skipped   func(statement.Source) // called for an answer before which copies were skipped; may be nil
 
 	relayed  RelayedConn   // conn, if it is a logical connection; settings and prepared are not used then
 	required *sessionState // relayed: state that the next statement needs
@@ -95,11 +99,15 @@
 		pc.prepared[s.name] = true
 	}
 	answers, err := pc.conn.Do(deadline, requests...)
+	if pc.refusedRequest(err) {
+		return errkind.Wrap(errkind.BadRequest, err, "applying the session state to the connection")
+	}
 	if err != nil {
 		// The caller's statement was not sent.
 		return errkind.Wrap(errkind.ConnectFailed, err, "applying the session state to the connection")
 	}
 	for i, a := range answers {
+		pc.observe(a)
 		if a.Failure != nil {
 			return errkind.New(errkind.ConnectFailed, "the server refused %s: %s", requests[i].Kind, a.Failure.Detail)
 		}
@@ -114,6 +122,22 @@
 	return pc.relayed == nil && (kind == errkind.AnswerTooLarge || kind == errkind.Overloaded)
 }
 
+// refusedRequest reports whether a statement can't be sent on any connection, because a
+// field of it would end the message. Nothing was sent.
+func (pc *pooledConn) refusedRequest(err error) bool {
+	return pc.relayed == nil && badRequest(err)
+}
+
+// badRequest reports whether a connection refused a request before it sent anything.
+func badRequest(err error) bool {
+	for ; err != nil; err = errors.Unwrap(err) {
+		if e, ok := err.(*errkind.Error); ok && e.Kind == errkind.BadRequest {
+			return true
+		}
+	}
+	return false
+}
+
 // do sends one statement and returns its answer.
 func (pc *pooledConn) do(deadline time.Time, r statement.Request) (statement.Answer, error) {
 	r.Meter.Release() // of an earlier attempt
@@ -124,9 +148,18 @@
 	if err != nil {
 		return statement.Answer{}, err
 	}
+	pc.observe(answers[0])
 	return answers[0], nil
 }
 
+// observe records what an answer says about its connection.
+func (pc *pooledConn) observe(a statement.Answer) {
+	pc.spent = pc.spent || a.Failure != nil || a.Source.Number >= correlation.MaxAnswers
+	if a.Source.Skipped > 0 && pc.skipped != nil {
+		pc.skipped(a.Source)
+	}
+}
+
 // abort closes the connection while a statement may be using it.
 func (pc *pooledConn) abort() {
 	pc.aborted.Store(true)
--- a/internal/relay/instream.go
+++ b/internal/relay/instream.go
@@ -139,6 +139,9 @@
 	if m.Version < 1 || m.Version > version {
 		return errkind.New(errkind.Unsupported, "version %d of the relay protocol is not known", m.Version)
 	}
+	if err := checkSent(m.Sent); err != nil {
+		return err
+	}
 	in.delay(m.Sent)
 	in.mu.Lock()
 	defer in.mu.Unlock()
@@ -161,6 +164,13 @@
 	if !m.valid() {
 		return errkind.New(errkind.BadRequest, "statements of kind %d are not relayed", m.Kind)
 	}
+	if err := checkSent(m.Sent); err != nil {
+		return err
+	}
+	if !m.complete() {
+		in.refuse(m.ID, errkind.New(errkind.BadRequest, "the statement is not complete"))
+		return nil
+	}
 	r, err := in.relayedStatement(m)
 	if err != nil {
 		return err
@@ -200,9 +210,10 @@
 // relayedStatement returns the statement of a call, with the prepared text that was
 // sent with it or with an earlier one.
 func (in *inStream) relayedStatement(m *call) (gateway.RelayedStatement, error) {
-	r := gateway.RelayedStatement{Request: m.request(), Rank: m.Rank, HasState: m.HasState, Settings: m.Settings}
-	if m.Kind != statement.Execute {
-		return r, nil
+	request, err := m.request()
+	r := gateway.RelayedStatement{Request: request, Rank: m.Rank, HasState: m.HasState, Settings: m.Settings}
+	if err != nil || m.Kind != statement.Execute {
+		return r, err
 	}
 	if m.PreparedText == "" && m.PreparedID != 0 {
 		text, ok := in.texts[m.PreparedID]
@@ -216,6 +227,9 @@
 	if m.PreparedID == 0 {
 		return r, nil
 	}
+	if _, known := in.texts[m.PreparedID]; known {
+		return r, errkind.New(errkind.BadRequest, "prepared statement %d was sent twice", m.PreparedID)
+	}
 	in.textBytes += len(m.PreparedText)
 	if len(in.texts) >= maxKeptTexts || in.textBytes > maxKeptTextBytes {
 		return r, errkind.New(errkind.BadRequest, "too many prepared statements")
@@ -235,7 +249,7 @@
 		out.setError(err)
 		in.service.metrics.refusal(errkind.Of(err))
 	}
-	in.finishCall(c, m.Conn, err == nil && a.State != statement.Idle, err)
+	in.finishCall(c, m, err == nil && a.State != statement.Idle, err)
 	in.send(out)
 }
 
@@ -272,7 +286,7 @@
 
 // finishCall returns the connection of a statement, closes it if it must not be used
 // again, or keeps it for the open transaction.
-func (in *inStream) finishCall(c *lentConn, id uint32, open bool, err error) {
+func (in *inStream) finishCall(c *lentConn, m *call, open bool, err error) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	in.running--
@@ -281,13 +295,14 @@
 	if open && !cancelled {
 		return
 	}
-	if in.conns[id] == c {
-		in.removeConn(id)
+	if in.conns[m.Conn] == c {
+		in.removeConn(m.Conn)
 	}
 	c.cancel()
+	outside := m.Target != nil && c.loan != nil && c.loan.Unsent() // of a transaction
 	switch {
 	case c.loan == nil:
-	case err == nil && !open && !cancelled:
+	case (err == nil && !open || outside) && !cancelled:
 		c.loan.Return()
 	default:
 		c.loan.Drop()
