--- a/internal/correlation/tracker.go
+++ b/internal/correlation/tracker.go
@@ -124,9 +124,10 @@
 	return string(b)
 }
 
-// believedUnproven reports whether an error is believed though an earlier statement without
-// a receipt may have caused it: outside of a transaction, of a read, which has no effect, or
-// if servers refuse only statements that have a receipt in this way.
+// believedUnproven reports whether the error of a statement of kind k is believed while
+// the answer to an earlier statement without a receipt may still be due. Outside of a
+// transaction, servers give some errors only to statements with a receipt, and a read has
+// no effect, so that it does not matter which statement failed.
 func (t *Tracker) believedUnproven(k statement.Kind, e errkind.Kind) bool {
 	if t.state != statement.Idle {
 		return false
