--- /dev/null
+++ b/review/standins-2/main.go
@@ -0,0 +1,74 @@
+// Program standins-2 runs one case of the review: it starts the product's own programs
+// as separate processes, with stand-ins for the platform, the backend servers, the
+// operator and the clients, and checks one rule.
+//
+// # Usage
+//
+//	standins-2 CASE FOLDER PROGRAM
+//
+// It writes record.txt into FOLDER. The exit code is 1 if the rule was broken, 0 if it
+// held and 2 if the case could not run. With TROUBLE=0 in the environment there is no
+// disruption.
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+)
+
+// scenario runs one case and reports whether the rule held.
+type scenario func(in *installation, trouble bool) (held bool, err error)
+
+var scenarios = map[string]scenario{
+	"two-primaries":     runTwoPrimaries,
+	"planned-then-disk": runPlannedThenDisk,
+}
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	if len(os.Args) != 4 || scenarios[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: standins-2 CASE FOLDER PROGRAM")
+		return 2
+	}
+	program, err := filepath.Abs(os.Args[3])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 2
+	}
+	rec, err := newRecorder(filepath.Join(os.Args[2], "record.txt"))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 2
+	}
+	defer rec.close()
+	folder, err := os.MkdirTemp("", "review-2-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 2
+	}
+	if os.Getenv("KEEP") == "" {
+		defer func() { _ = os.RemoveAll(folder) }()
+	} else {
+		fmt.Println("files:", folder)
+	}
+	trouble := os.Getenv("TROUBLE") != "0"
+	in, err := install(rec, folder, program)
+	defer in.close()
+	held := false
+	if err == nil {
+		rec.say("the deployment serves; disruption: %t", trouble)
+		held, err = scenarios[os.Args[1]](in, trouble)
+	}
+	switch {
+	case err != nil:
+		rec.say("not run: %v", err)
+		return 2
+	case !held:
+		rec.say("the rule was broken")
+		return 1
+	}
+	rec.say("the rule held")
+	return 0
+}
