--- a/review/standins-2/installation.go
+++ b/review/standins-2/installation.go
@@ -39,7 +39,7 @@
 	serving []*machine // those that the callers of control know
 }
 
-// install starts the deployment and waits until it serves.
+// install prepares the deployment. Its processes are not started.
 func install(rec *recorder, folder, program string) (*installation, error) {
 	in := &installation{rec: rec, folder: folder, program: program, stop: make(chan struct{})}
 	if err := in.chooseNetwork(); err != nil {
@@ -62,7 +62,7 @@
 	}
 	in.serving = in.machines
 	for _, m := range in.machines {
-		if err := errors.Join(in.writeSettings(m, true, in.machines), m.directory.start(), m.gateway.start()); err != nil {
+		if err := in.writeSettings(m, true, in.machines); err != nil {
 			return in, err
 		}
 	}
@@ -71,16 +71,26 @@
 		in.tasks.Go(func() { (&announcer{server: s, client: newHTTPClient()}).loop(in.stop) })
 	}
 	in.operator = &operator{in: in, client: newHTTPClient()}
+	return in, nil
+}
+
+// startAll starts all machines and waits until the deployment serves.
+func (in *installation) startAll() error {
+	for _, m := range in.machines {
+		if err := m.start(); err != nil {
+			return err
+		}
+	}
 	if !in.operator.replace(settleTimeout) || !in.awaitReady(settleTimeout) {
-		return in, fmt.Errorf("%w: the deployment does not become ready", errNotRun)
+		return fmt.Errorf("%w: the deployment does not become ready", errNotRun)
 	}
 	for _, m := range in.machines { // from now on, no start is that of the whole system
 		if err := in.writeSettings(m, false, in.machines); err != nil {
-			return in, err
+			return err
 		}
 	}
 	in.clients = newClients(in)
-	return in, nil
+	return nil
 }
 
 // chooseNetwork chooses addresses and ports that are free.
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -17,18 +17,26 @@
 	"path/filepath"
 )
 
-// scenario runs one case and reports whether the rule held.
-type scenario func(in *installation, trouble bool) (held bool, err error)
+// scenario is one case: start brings the deployment up, and run reports whether the rule
+// held.
+type scenario struct {
+	start func(in *installation, trouble bool) error
+	run   func(in *installation, trouble bool) (held bool, err error)
+}
 
 var scenarios = map[string]scenario{
-	"two-primaries":     runTwoPrimaries,
-	"planned-then-disk": runPlannedThenDisk,
+	"two-primaries":     {startServing, runTwoPrimaries},
+	"planned-then-disk": {startServing, runPlannedThenDisk},
+	"first-start":       {startFirst, runFirstStart},
 }
 
+// startServing starts a deployment that serves before anything happens.
+func startServing(in *installation, _ bool) error { return in.startAll() }
+
 func main() { os.Exit(run()) }
 
 func run() int {
-	if len(os.Args) != 4 || scenarios[os.Args[1]] == nil {
+	if len(os.Args) != 4 || scenarios[os.Args[1]].run == nil {
 		fmt.Fprintln(os.Stderr, "usage: standins-2 CASE FOLDER PROGRAM")
 		return 2
 	}
@@ -57,9 +65,13 @@
 	in, err := install(rec, folder, program)
 	defer in.close()
 	held := false
+	c := scenarios[os.Args[1]]
+	if err == nil {
+		err = c.start(in, trouble)
+	}
 	if err == nil {
-		rec.say("the deployment serves; disruption: %t", trouble)
-		held, err = scenarios[os.Args[1]](in, trouble)
+		rec.say("the deployment is started; disruption: %t", trouble)
+		held, err = c.run(in, trouble)
 	}
 	switch {
 	case err != nil:
--- a/review/standins-2/node.go
+++ b/review/standins-2/node.go
@@ -113,6 +113,9 @@
 	dataFolder     string
 }
 
+// start starts both processes of a machine.
+func (m *machine) start() error { return errors.Join(m.directory.start(), m.gateway.start()) }
+
 // ports are the same on all machines.
 type ports struct{ front, ready, control, peers, relays int }
 
--- a/review/standins-2/planned_then_disk.go
+++ b/review/standins-2/planned_then_disk.go
@@ -28,7 +28,7 @@
 	before := in.share(in.rec.started, time.Now())
 	d := in.newMachine(3, a.zone)
 	in.machines = append(in.machines, d)
-	if err := errors.Join(in.writeSettings(d, false, []*machine{a, b, c}), d.directory.start(), d.gateway.start()); err != nil {
+	if err := errors.Join(in.writeSettings(d, false, []*machine{a, b, c}), d.start()); err != nil {
 		return false, err
 	}
 	started := time.Now()
@@ -49,7 +49,7 @@
 			return false, err
 		}
 		time.Sleep(diskDown)
-		if err := errors.Join(in.writeSettings(b, false, []*machine{b, c, d}), b.directory.start(), b.gateway.start()); err != nil {
+		if err := errors.Join(in.writeSettings(b, false, []*machine{b, c, d}), b.start()); err != nil {
 			return false, err
 		}
 	}
