--- /dev/null
+++ b/review/standins-2/early_primary.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"fmt"
+	"time"
+)
+
+const (
+	// slowPromotion is the time from the promotion call until its effect; the installations
+	// have 300 and 600 ms.
+	slowPromotion = 600 * time.Millisecond
+	// healAfter is when the cut of the first primary ends, after the second one went dark.
+	healAfter = 1850 * time.Millisecond
+	// thawSlack is the time after the end of the cut in which nothing is judged; the pages
+	// grant 0.3 s.
+	thawSlack = 350 * time.Millisecond
+	// servingWait bounds the wait for a write at a promoted server.
+	servingWait = 5 * time.Second
+)
+
+// runEarlyPrimary cuts the first primary off until the second one has served and gone
+// dark while the third server is down, so that the first one is promoted again. It looks
+// for writes that are acknowledged before that promotion takes effect.
+func runEarlyPrimary(in *installation, trouble bool) (bool, error) {
+	g := in.group
+	g.mu.Lock()
+	g.delay = slowPromotion
+	g.mu.Unlock()
+	first := g.servers[0]
+	time.Sleep(3 * time.Second)
+	healed := time.Now()
+	if trouble {
+		promoted := make(chan *server, 8)
+		g.mu.Lock()
+		g.onPromoted = func(s *server) { promoted <- s }
+		g.mu.Unlock()
+		first.setCut(true)
+		var second *server
+		select {
+		case second = <-promoted:
+		case <-time.After(cutLimit):
+			first.setCut(false)
+			return false, fmt.Errorf("%w: no server was promoted while the primary was cut off", errNotRun)
+		}
+		third := g.servers[1]
+		if third == second {
+			third = g.servers[2]
+		}
+		third.goDark()
+		if !g.awaitCommitAt(second) {
+			return false, fmt.Errorf("%w: the promoted server was not used", errNotRun)
+		}
+		second.goDark()
+		time.Sleep(healAfter)
+		first.setCut(false)
+		healed = time.Now()
+		time.Sleep(darkTime - healAfter)
+		second.comeBack()
+		third.comeBack()
+	} else {
+		time.Sleep(darkTime)
+	}
+	time.Sleep(5 * time.Second)
+	in.clients.end()
+	return in.judgeOne(healed.Add(thawSlack)), nil
+}
+
+// awaitCommitAt waits until a server has committed something, and reports whether it has.
+func (g *group) awaitCommitAt(s *server) bool {
+	for end := time.Now().Add(servingWait); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		g.mu.Lock()
+		n := len(g.commits)
+		found := n > 0 && g.commits[n-1].server == s.id
+		g.mu.Unlock()
+		if found {
+			return true
+		}
+	}
+	return false
+}
--- a/review/standins-2/group.go
+++ b/review/standins-2/group.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"sync"
 	"time"
@@ -45,6 +46,7 @@
 	term       int // highest
 	promotions []promotion
 	commits    []commit
+	delay      time.Duration   // of promotions; 0 for promotionDelay
 	onPromoted func(s *server) // called once a promotion has taken effect, without mu
 }
 
@@ -68,7 +70,7 @@
 		return 200
 	}
 	p := &pendingPromotion{group: g, server: s, born: s.born}
-	time.AfterFunc(promotionDelay, p.run)
+	time.AfterFunc(cmp.Or(g.delay, promotionDelay), p.run)
 	return 200
 }
 
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -28,6 +28,7 @@
 	"two-primaries":     {startServing, runTwoPrimaries},
 	"planned-then-disk": {startServing, runPlannedThenDisk},
 	"first-start":       {startFirst, runFirstStart},
+	"early-primary":     {startServing, runEarlyPrimary},
 }
 
 // startServing starts a deployment that serves before anything happens.
--- a/review/standins-2/two_primaries.go
+++ b/review/standins-2/two_primaries.go
@@ -52,7 +52,7 @@
 	}
 	time.Sleep(6 * time.Second)
 	in.clients.end()
-	return in.judgeOne(<-healed), nil
+	return in.judgeOne((<-healed).Add(heldUpTime)), nil
 }
 
 // judgeOne reports whether no write was committed at a superseded primary after a
@@ -74,7 +74,7 @@
 	broken := 0
 	for _, c := range g.commits {
 		o, ok := acked[c.id]
-		if !ok || o.sent.Before(from.Add(heldUpTime)) {
+		if !ok || o.sent.Before(from) {
 			continue
 		}
 		for _, p := range g.promotions {
