--- a/review/standins-2/clients.go
+++ b/review/standins-2/clients.go
@@ -20,9 +20,10 @@
 	clientDeadline = 4 * time.Second
 )
 
-// operation is one write of a client, with its outcome.
+// operation is one write or read of a client, with its outcome.
 type operation struct {
 	id       string
+	read     bool
 	gateway  string
 	sent     time.Time
 	answered time.Time
@@ -30,7 +31,7 @@
 	code     string // of an error; "lost" without an answer
 }
 
-// clients write through the gateways that are ready.
+// clients write and read through the gateways that are ready.
 type clients struct {
 	in    *installation
 	stop  chan struct{}
@@ -52,6 +53,13 @@
 	return c
 }
 
+// startReaders starts n clients that read; the others write.
+func (c *clients) startReaders(n int) {
+	for i := range n {
+		c.tasks.Go(func() { (&client{clients: c, number: clientSessions + i, reads: true}).loop() })
+	}
+}
+
 // loop asks the gateways whether they are ready.
 func (c *clients) loop() {
 	client := newHTTPClient()
@@ -106,6 +114,7 @@
 type client struct {
 	clients *clients
 	number  int
+	reads   bool
 	address string
 	conn    net.Conn
 	r       *bufio.Reader
@@ -118,7 +127,7 @@
 			time.Sleep(200 * time.Millisecond)
 			continue
 		}
-		c.write(n)
+		c.execute(n)
 		time.Sleep(clientPause)
 	}
 }
@@ -149,11 +158,15 @@
 	return true
 }
 
-// write sends one write and waits for its answer. Failed writes are not sent again.
-func (c *client) write(n int) {
-	o := operation{id: fmt.Sprintf("%016x", rand.Uint64()), gateway: c.address, sent: time.Now(), code: "lost"}
+// execute sends one statement and waits for its answer. Failed ones are not sent again.
+func (c *client) execute(n int) {
+	text := fmt.Sprintf("%s item%d data%d", wire.Store, c.number, n)
+	if c.reads {
+		text = fmt.Sprintf("%s item%d", wire.Fetch, c.number)
+	}
+	o := operation{id: fmt.Sprintf("%016x", rand.Uint64()), read: c.reads, gateway: c.address, sent: time.Now(), code: "lost"}
 	_ = c.conn.SetDeadline(time.Now().Add(clientDeadline))
-	_, err := fmt.Fprintf(c.conn, "%s %s %s item%d data%d\r\n", wire.Query, o.id, wire.Store, c.number, n)
+	_, err := fmt.Fprintf(c.conn, "%s %s %s\r\n", wire.Query, o.id, text)
 	for err == nil {
 		var line string
 		if line, err = c.r.ReadString('\n'); err != nil {
@@ -172,7 +185,7 @@
 	c.clients.mu.Lock()
 	c.clients.operations = append(c.clients.operations, o)
 	c.clients.mu.Unlock()
-	c.clients.in.rec.note("client %d: write %s sent %.3f to %s: success %t %s", c.number, o.id, c.clients.in.rec.at(o.sent), o.gateway, o.success, o.code)
+	c.clients.in.rec.note("client %d: %s %s sent %.3f to %s: success %t %s", c.number, strings.Fields(text)[0], o.id, c.clients.in.rec.at(o.sent), o.gateway, o.success, o.code)
 	if err != nil {
 		c.close()
 	}
--- a/review/standins-2/early_primary.go
+++ b/review/standins-2/early_primary.go
@@ -14,8 +14,8 @@
 	// thawSlack is the time after the end of the cut in which nothing is judged; the pages
 	// grant 0.3 s.
 	thawSlack = 350 * time.Millisecond
-	// replicaDarkTime is how long the third server is dark; the installation has 5.3 s.
-	replicaDarkTime = 5 * time.Second
+	// replicaDarkTime is how long the third server is dark; the installations have 5 and 5.3 s.
+	replicaDarkTime = 4900 * time.Millisecond
 	// servingWait bounds the wait for a write at a promoted server.
 	servingWait = 5 * time.Second
 )
@@ -24,25 +24,47 @@
 // dark while the third server is down, so that the first one is promoted again. It looks
 // for writes that are acknowledged before that promotion takes effect.
 func runEarlyPrimary(in *installation, trouble bool) (bool, error) {
+	in.group.mu.Lock()
+	in.group.delay = slowPromotion
+	in.group.mu.Unlock()
+	healed, err := in.bringFirstPrimaryBack(trouble, oldPrimaryBack{})
+	if err != nil {
+		return false, err
+	}
+	in.clients.end()
+	return in.judgeOne(healed.Add(thawSlack)), nil
+}
+
+// oldPrimaryBack says how the first primary is brought back.
+type oldPrimaryBack struct {
+	serving     time.Duration // of the second primary, after its first commit
+	afterCommit time.Duration // the cut begins so long after a commit; 0 for at any time
+}
+
+// bringFirstPrimaryBack cuts the first primary off until the second one has served and
+// gone dark while the third server is down. It returns when the cut ended, once all
+// servers are back for some seconds.
+func (in *installation) bringFirstPrimaryBack(trouble bool, how oldPrimaryBack) (healed time.Time, err error) {
 	g := in.group
-	g.mu.Lock()
-	g.delay = slowPromotion
-	g.mu.Unlock()
 	first := g.servers[0]
 	time.Sleep(3 * time.Second)
-	healed := time.Now()
+	healed = time.Now()
 	if trouble {
 		promoted := make(chan *server, 8)
 		g.mu.Lock()
 		g.onPromoted = func(s *server) { promoted <- s }
 		g.mu.Unlock()
+		if how.afterCommit > 0 {
+			g.awaitNewCommit()
+			time.Sleep(how.afterCommit)
+		}
 		first.setCut(true)
 		var second *server
 		select {
 		case second = <-promoted:
 		case <-time.After(cutLimit):
 			first.setCut(false)
-			return false, fmt.Errorf("%w: no server was promoted while the primary was cut off", errNotRun)
+			return healed, fmt.Errorf("%w: no server was promoted while the primary was cut off", errNotRun)
 		}
 		third := g.servers[1]
 		if third == second {
@@ -51,8 +73,9 @@
 		third.goDark()
 		thirdBack := time.Now().Add(replicaDarkTime)
 		if !g.awaitCommitAt(second) {
-			return false, fmt.Errorf("%w: the promoted server was not used", errNotRun)
+			return healed, fmt.Errorf("%w: the promoted server was not used", errNotRun)
 		}
+		time.Sleep(how.serving)
 		second.goDark()
 		secondBack := time.Now().Add(darkTime)
 		time.Sleep(healAfter)
@@ -66,8 +89,20 @@
 		time.Sleep(darkTime)
 	}
 	time.Sleep(5 * time.Second)
-	in.clients.end()
-	return in.judgeOne(healed.Add(thawSlack)), nil
+	return healed, nil
+}
+
+// awaitNewCommit waits until something is committed, for servingWait at most.
+func (g *group) awaitNewCommit() {
+	count := func() int {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return len(g.commits)
+	}
+	before := count()
+	for end := time.Now().Add(servingWait); time.Now().Before(end) && count() == before; {
+		time.Sleep(time.Millisecond)
+	}
 }
 
 // awaitCommitAt waits until a server has committed something, and reports whether it has.
--- a/review/standins-2/group.go
+++ b/review/standins-2/group.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 )
@@ -46,6 +47,7 @@
 	term       int // highest
 	promotions []promotion
 	commits    []commit
+	reads      []read
 	delay      time.Duration   // of promotions; 0 for promotionDelay
 	onPromoted func(s *server) // called once a promotion has taken effect, without mu
 }
@@ -56,6 +58,14 @@
 	entry
 }
 
+// read is a read as it ran. Its log is never changed.
+type read struct {
+	server string
+	id     string
+	term   int
+	log    []entry
+}
+
 // promote handles a promotion call and returns the status of the answer.
 func (g *group) promote(id, holder, token string) int {
 	g.mu.Lock()
@@ -183,7 +193,7 @@
 		for _, e := range s.log[common:] {
 			s.group.rec.note("server %s drops commit of %s, term %d: it is not in the log of %s", s.id, e.id, e.term, l.id)
 		}
-		s.log = s.log[:common]
+		s.log = slices.Clip(s.log[:common]) // reads hold the longer one
 	}
 	s.term, s.held = l.term, l.term
 	for len(s.log) < len(l.log) && now.Sub(l.log[len(s.log)].committed) >= replicationDelay {
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -29,6 +29,7 @@
 	"planned-then-disk": {startServing, runPlannedThenDisk},
 	"first-start":       {startFirst, runFirstStart},
 	"early-primary":     {startServing, runEarlyPrimary},
+	"old-primary":       {startServing, runOldPrimary},
 }
 
 // startServing starts a deployment that serves before anything happens.
--- a/review/standins-2/server.go
+++ b/review/standins-2/server.go
@@ -236,6 +236,8 @@
 		return wire.Error + " " + wire.Lagging + " " + s.id + "\r\n"
 	}
 	if word == wire.Fetch {
+		g.reads = append(g.reads, read{s.id, id, s.term, s.log})
+		g.rec.note("server %s runs %s %s: log at %s", s.id, id, text, s.position())
 		return fmt.Sprintf("%s value\r\n%s %s.%s\r\n", wire.Row, wire.Complete, s.id, id)
 	}
 	if !s.primary {
