directory: a switchover logs what the servers answer

Change: switch_surveyed lists role, term and position of each server that answers, when they change; role_checked has the same for each look at the target.

Result: no logic changes.

--- a/internal/directory/switchover.go
+++ b/internal/directory/switchover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -42,6 +43,7 @@
 	cause      cause
 	refusedAt  map[string]time.Time // when the promotion of a server last failed, by server id
 	startedAt  time.Time
+	surveyed   []string // what the servers last answered, as logged
 }
 
 // statusResult is the result of a status call to a server.
@@ -128,6 +130,7 @@
 	deadline := time.Now().Add(l.opts.CatchUpTimeout)
 	for {
 		results := sw.queryServers(s, g)
+		sw.logSurvey(g, results)
 		primaryIndex := slices.IndexFunc(results, func(c statusResult) bool {
 			return c.server.ID == g.Primary && c.status.Role == statement.Primary
 		})
@@ -214,6 +217,21 @@
 	return results
 }
 
+// logSurvey logs what the servers answered, if that has changed. Without it, a server
+// that does not answer can't be told from one that acts in an earlier term.
+func (sw *switchover) logSurvey(g directoryrpc.Group, results []statusResult) {
+	var answers []string
+	for _, c := range results {
+		answers = append(answers, fmt.Sprintf("%s %s term %d at %s", c.server.ID, c.status.Role, c.status.Term, c.status.Received))
+	}
+	slices.Sort(answers)
+	if slices.Equal(answers, sw.surveyed) {
+		return
+	}
+	sw.surveyed = answers
+	sw.event("switch_surveyed", g).Strs("answers", answers).Msg("asked the servers of the group for their status")
+}
+
 func (sw *switchover) runStatusCall(ctx context.Context, srv directoryrpc.Server, answers chan<- statusResult) {
 	st, err := sw.leadership.opts.Members.Status(ctx, srv)
 	answers <- statusResult{srv, st, err}
@@ -275,7 +293,7 @@
 		l.sleep(promoteRetryDelay)
 		return false
 	}
-	term, promoted := sw.awaitPrimaryRole(target)
+	term, promoted := sw.awaitPrimaryRole(g, target)
 	if !promoted {
 		if sw.refusedAt[g.Target] = time.Now(); l.ctx.Err() == nil {
 			sw.clearTarget(g)
@@ -321,7 +339,7 @@
 // awaitPrimaryRole waits until the target reports that it is the primary and
 // returns its term. The target announces its new role; the periodic status call
 // handles a lost announcement.
-func (sw *switchover) awaitPrimaryRole(target directoryrpc.Server) (term uint64, promoted bool) {
+func (sw *switchover) awaitPrimaryRole(g directoryrpc.Group, target directoryrpc.Server) (term uint64, promoted bool) {
 	lastQuery := time.Now()
 	for deadline := lastQuery.Add(roleTimeout); time.Now().Before(deadline); {
 		changed := sw.leadership.machine.Changed()
@@ -331,6 +349,7 @@
 			ctx, cancel := context.WithTimeout(sw.leadership.ctx, probeTimeout)
 			st, err := sw.leadership.opts.Members.Status(ctx, target)
 			cancel()
+			sw.event("role_checked", g).Str("role", string(st.Role)).Uint64("term", st.Term).Stringer("position", st.Received).Err(err).Msg("asked the target server for its role")
 			if err == nil && st.Role == statement.Primary {
 				return st.Term, true
 			}
