directory: a server counts as promoted only in a later term

Cause: the leader took the primary role of the target for the effect of its promotion. A server that was cut off still has that role from an earlier term. Ruled out: an announcement that came late (the leader asked the server itself).

Change: the replicated group holds the term of its primary. The target must show the role in a later term. For a state without a term, the positions that hosts report give it. The first primary of a group is the announced one with the latest term.

--- a/internal/directory/cluster_test.go
+++ b/internal/directory/cluster_test.go
@@ -36,6 +36,9 @@
 	declared        map[string]bool            // groups of the configuration; nil if there is none
 	panics          bool                       // proposals of configurations panic
 	silentTargets   bool                       // a promoted server does not announce its role
+	term            uint64                     // of the latest promotion that took effect
+	promotionDelay  time.Duration              // from the request until a promotion takes effect
+	onPromoted      func(id string)            // called with mu held when a promotion takes effect; nil for none
 	limits          map[string]allowance.Limit // of customers, with any configuration
 
 	ctx     context.Context // ends with the test
@@ -54,7 +57,7 @@
 // s1 and one entry host, once the leases of an earlier leader have expired.
 func runWithCluster(t *testing.T, test func(is *is.I, c *testCluster, h *testHost)) {
 	synctest.Test(t, func(t *testing.T) {
-		c := &testCluster{leaseIsValid: true, status: make(map[string]statement.ServerStatus), down: make(map[string]bool), refusePromotion: make(map[string]bool)}
+		c := &testCluster{leaseIsValid: true, term: 1, promotionDelay: 300 * time.Millisecond, status: make(map[string]statement.ServerStatus), down: make(map[string]bool), refusePromotion: make(map[string]bool)}
 		for _, id := range []string{"s1", "s2", "s3"} {
 			c.status[id] = statement.ServerStatus{Role: statement.Replica, Term: 1, Received: pos(1, 100)}
 		}
@@ -162,21 +165,36 @@
 		return errkind.New(errkind.Conflict, "not running")
 	}
 	c.promoted = append(c.promoted, p)
-	silent := c.silentTargets
-	if st := c.status[p.Server]; st.Role == statement.Replica {
-		c.workers.Go(func() {
-			time.Sleep(300 * time.Millisecond)
-			c.withLock(func() {
-				c.status[p.Server] = statement.ServerStatus{Role: statement.Primary, Term: st.Term + 1, Received: st.Received}
-			})
-			if !silent {
-				c.announceIn(p.Group, p.Server, true, false, 50)
-			}
-		})
+	if st := c.status[p.Server]; st.Role == statement.Primary && st.Term == c.term {
+		return nil // it is the present primary
 	}
+	delay, silent := c.promotionDelay, c.silentTargets
+	c.workers.Go(func() {
+		time.Sleep(delay)
+		effective := false
+		c.withLock(func() { effective = c.takeEffect(p.Server) })
+		if effective && !silent {
+			c.announceIn(p.Group, p.Server, true, false, 50)
+		}
+	})
 	return nil
 }
 
+// takeEffect makes a server the primary of the next term, unless it is down or already the
+// present primary. The caller holds mu.
+func (c *testCluster) takeEffect(id string) bool {
+	st := c.status[id]
+	if c.down[id] || st.Role == statement.Primary && st.Term == c.term {
+		return false
+	}
+	c.term++
+	c.status[id] = statement.ServerStatus{Role: statement.Primary, Term: c.term, Received: pos(c.term, st.Received.LSN)}
+	if c.onPromoted != nil {
+		c.onPromoted(id)
+	}
+	return true
+}
+
 // promotions returns the promotions that were requested.
 func (c *testCluster) promotions() []directory.Promotion {
 	c.mu.Lock()
--- a/internal/directory/leadership.go
+++ b/internal/directory/leadership.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -144,22 +143,58 @@
 	}
 }
 
-// startAdoption records the server that announced itself as the primary of a new
-// group. It does so in the background, because hundreds of groups may be new at the
-// same time and a proposal takes tens of milliseconds.
+// startAdoption records a server that announced itself as the primary of a new group. It
+// does so in the background, because hundreds of groups may be new at the same time and a
+// proposal takes tens of milliseconds.
 func (l *leadership) startAdoption(name string, servers []directoryrpc.Server) {
-	i := slices.IndexFunc(servers, func(s directoryrpc.Server) bool { return s.Role == statement.Primary })
-	if i < 0 {
+	var announced []directoryrpc.Server
+	for _, s := range servers {
+		if s.Role == statement.Primary {
+			announced = append(announced, s)
+		}
+	}
+	if len(announced) == 0 {
 		return
 	}
-	primary := servers[i].ID
 	l.startChange(name, func() {
+		primary, term := l.newestPrimary(announced)
 		l.sessions.recordPrimary(name)
-		err := l.propose(Command{Group: &SetGroup{Group: directoryrpc.Group{Name: name, Primary: primary}}})
-		l.opts.Events.Event("primary_adopted").Str("group", name).Str("server", primary).Err(err).Msg("recording the announced primary of a new group")
+		err := l.propose(Command{Group: &SetGroup{Group: directoryrpc.Group{Name: name, Primary: primary, Term: term}}})
+		l.opts.Events.Event("primary_adopted").Str("group", name).Str("server", primary).Uint64("term", term).Err(err).Msg("recording the announced primary of a new group")
 	})
 }
 
+// newestPrimary returns the server that leads the latest term among those that announced
+// themselves as the primary, and the term. If none of them answers as a primary, it returns
+// the first one and 0.
+func (l *leadership) newestPrimary(announced []directoryrpc.Server) (id string, term uint64) {
+	ctx, cancel := context.WithTimeout(l.ctx, probeTimeout)
+	defer cancel()
+	answers := make(chan statusResult, len(announced))
+	for _, srv := range announced {
+		l.workers.Go(func() { l.runStatusCall(ctx, srv, answers) })
+	}
+	id = announced[0].ID
+	for range announced {
+		if c := <-answers; c.err == nil && c.status.Role == statement.Primary && c.status.Term > term {
+			id, term = c.server.ID, c.status.Term
+		}
+	}
+	return id, term
+}
+
+// runStatusCall asks a server for its status.
+func (l *leadership) runStatusCall(ctx context.Context, srv directoryrpc.Server, answers chan<- statusResult) {
+	st, err := l.opts.Members.Status(ctx, srv)
+	answers <- statusResult{srv, st, err}
+}
+
+// recordedTerm returns the term of the recorded primary of a group, as far as it is known:
+// the state of an earlier release doesn't hold it, but hosts report positions.
+func (l *leadership) recordedTerm(g directoryrpc.Group) uint64 {
+	return max(g.Term, l.sessions.highestPosition(g.Name).Term)
+}
+
 // monitor returns the monitor of a group, which it creates on first use.
 func (l *leadership) monitor(group string) *primaryMonitor {
 	l.mu.Lock()
--- a/internal/directory/switchover.go
+++ b/internal/directory/switchover.go
@@ -202,7 +202,7 @@
 		if srv.ID != g.Primary || !sw.cause.forced() {
 			pending++
 		}
-		sw.leadership.workers.Go(func() { sw.runStatusCall(ctx, srv, answers) })
+		sw.leadership.workers.Go(func() { sw.leadership.runStatusCall(ctx, srv, answers) })
 	}
 	var results []statusResult
 	for pending > 0 {
@@ -232,11 +232,6 @@
 	sw.event("switch_surveyed", g).Strs("answers", answers).Msg("asked the servers of the group for their status")
 }
 
-func (sw *switchover) runStatusCall(ctx context.Context, srv directoryrpc.Server, answers chan<- statusResult) {
-	st, err := sw.leadership.opts.Members.Status(ctx, srv)
-	answers <- statusResult{srv, st, err}
-}
-
 // bestTarget returns the most advanced server that may be promoted. With
 // synchronous replication, enough replicas must have answered that at least one
 // of them has every acknowledged commit.
@@ -302,7 +297,7 @@
 	}
 	l.sessions.recordPrimary(sw.group)
 	next := g
-	next.Primary, next.Switching, next.Target = g.Target, false, ""
+	next.Primary, next.Switching, next.Target, next.Term = g.Target, false, "", term
 	err := sw.updateGroup(g, next)
 	sw.event("switch_done", g).Uint64("term", term).Dur("after_ms", time.Since(sw.startedAt)).Err(err).Msg("recording the new primary")
 	if err == nil && g.Primary != g.Target {
@@ -336,26 +331,25 @@
 	}
 }
 
-// awaitPrimaryRole waits until the target reports that it is the primary and
-// returns its term. The target announces its new role; the periodic status call
-// handles a lost announcement.
+// awaitPrimaryRole waits until the target reports that it is the primary in a later
+// term than that of the recorded one, and returns this term. A server that still has the
+// role from an earlier term has not been promoted yet. The target announces its new role;
+// the periodic status call handles a lost announcement.
 func (sw *switchover) awaitPrimaryRole(g directoryrpc.Group, target directoryrpc.Server) (term uint64, promoted bool) {
+	l := sw.leadership
+	recorded := l.recordedTerm(g)
 	lastQuery := time.Now()
 	for deadline := lastQuery.Add(roleTimeout); time.Now().Before(deadline); {
-		changed := sw.leadership.machine.Changed()
-		now := sw.leadership.machine.State().Servers[target.ID]
+		changed := l.machine.Changed()
+		now := l.machine.State().Servers[target.ID]
 		if now.Role == statement.Primary && now.Newer(target) || time.Since(lastQuery) >= statusInterval {
 			lastQuery = time.Now()
-			ctx, cancel := context.WithTimeout(sw.leadership.ctx, probeTimeout)
-			st, err := sw.leadership.opts.Members.Status(ctx, target)
-			cancel()
-			sw.event("role_checked", g).Str("role", string(st.Role)).Uint64("term", st.Term).Stringer("position", st.Received).Err(err).Msg("asked the target server for its role")
-			if err == nil && st.Role == statement.Primary {
+			if st, err := sw.checkRole(g, target); err == nil && st.Role == statement.Primary && st.Term > recorded {
 				return st.Term, true
 			}
 		}
 		select {
-		case <-sw.leadership.ctx.Done():
+		case <-l.ctx.Done():
 			return 0, false
 		case <-changed:
 		case <-time.After(statusInterval):
@@ -364,6 +358,15 @@
 	return 0, false
 }
 
+// checkRole asks the target for its status.
+func (sw *switchover) checkRole(g directoryrpc.Group, target directoryrpc.Server) (statement.ServerStatus, error) {
+	ctx, cancel := context.WithTimeout(sw.leadership.ctx, probeTimeout)
+	defer cancel()
+	st, err := sw.leadership.opts.Members.Status(ctx, target)
+	sw.event("role_checked", g).Str("role", string(st.Role)).Uint64("term", st.Term).Stringer("position", st.Received).Err(err).Msg("asked the target server for its role")
+	return st, err
+}
+
 // runDemote informs the old primary that it was superseded. The new primary
 // informs it as well, so a failure needs no further handling.
 func (sw *switchover) runDemote(old, primary string, term uint64) {
--- a/internal/directoryrpc/messages.go
+++ b/internal/directoryrpc/messages.go
@@ -60,6 +60,10 @@
 	Generation uint64 `codec:"g" json:"generation"` // grows with each change of the group
 	Switching  bool   `codec:"s" json:"switching"`  // another primary is being chosen; Primary takes no statements
 	Target     string `codec:"t" json:"target"`     // server to promote; empty if none was chosen yet
+	// Term is the term in which Primary leads. A server that shows the primary role in a
+	// term up to this one, other than Primary itself, is superseded. 0: not known, as in a
+	// state of an earlier release.
+	Term uint64 `codec:"m,omitempty" json:"term"`
 }
 
 // State is the replicated state that the directory sends to the entry hosts. Its
