directory: a primary is not used again after a promotion that may have taken effect

Cause: a promotion was requested and took effect, its server went dark before the leader saw it as the primary, and 2 s later the leader dropped the target and knew nothing of the request any more. With no other server that had every commit it kept the earlier primary. Ruled out: a host that missed a state (all hosts had released the primary).

Change: the replicated group holds the servers whose promotion was requested since its primary was recorded, written before the request. While there are any, the primary can't be kept: it is promoted itself, and counts again when it leads a later term, or when it still leads the recorded one after the time in which a promotion takes effect, as a request to promote the present primary changes nothing. A server that leads a later term is the new primary at once, whichever was the target. Only a refusal of the first request of a server takes it off the list. Every server that was asked is told of its successor.

Result: TestPromotionOutOfSight fails without the change.

--- a/internal/directory/changes_test.go
+++ b/internal/directory/changes_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"reflect"
 	"sync"
 	"testing"
 	"time"
@@ -76,7 +77,7 @@
 		same = same && ok && h.Same(s)
 	}
 	for name, g := range want.Groups {
-		same = same && got.Groups[name] == g
+		same = same && reflect.DeepEqual(got.Groups[name], g)
 	}
 	if !same {
 		t.Fatalf("host has %+v, control %+v", got, want)
--- a/internal/directory/leadership.go
+++ b/internal/directory/leadership.go
@@ -227,7 +227,7 @@
 		l.switchovers.Add(-1)
 		return
 	}
-	sw := &switchover{leadership: l, group: g.Name, cause: c, refusedAt: make(map[string]time.Time)}
+	sw := &switchover{leadership: l, group: g.Name, cause: c, refusedAt: make(map[string]time.Time), requests: make(map[string]int)}
 	started := l.startChange(g.Name, func() {
 		defer l.switchovers.Add(-1)
 		sw.run()
--- a/internal/directory/promotion_test.go
+++ b/internal/directory/promotion_test.go
@@ -59,3 +59,89 @@
 		is.Equal(g.Term, uint64(5))
 	})
 }
+
+// TestPromotionOutOfSight guards against a primary that is used again although another
+// server was promoted, which could not be reached before it was seen as the primary: writes
+// at the superseded one were acknowledged and are in no later log.
+func TestPromotionOutOfSight(t *testing.T) {
+	runWithCluster(t, func(is *is.I, c *testCluster, h *testHost) {
+		c.withLock(func() {
+			c.down["s1"] = true
+			c.onPromoted = func(id string) {
+				if id != "s1" { // the cut of the first primary ends, and the new one goes dark
+					c.down[id], c.down["s1"] = true, false
+					c.status["s1"] = statement.ServerStatus{Role: statement.Primary, Term: 1, Received: pos(1, 140)}
+				}
+			}
+		})
+		h.setReport(directoryrpc.Report{FailingFor: 500 * time.Millisecond, Position: pos(1, 130)})
+		time.Sleep(500 * time.Millisecond)
+		h.setReport(directoryrpc.Report{Position: pos(1, 130)})
+		for range 500 {
+			time.Sleep(10 * time.Millisecond)
+			g := c.group()
+			c.withLock(func() { is.True(g.Switching || c.status[g.Primary].Term == c.term) })
+		}
+		// No acknowledged commit is lost either: the first primary leads again.
+		g := c.group()
+		is.True(!g.Switching)
+		is.Equal(g.Primary, "s1")
+		is.Equal(g.Term, uint64(3))
+		is.Equal(len(g.Asked), 0)
+	})
+}
+
+// TestPromotionWithoutEffect guards against a group that is left without a primary because
+// a promotion was requested that never took effect: the primary, which answers again, is
+// the present one, and a request to promote it changes nothing.
+func TestPromotionWithoutEffect(t *testing.T) {
+	runWithCluster(t, func(is *is.I, c *testCluster, h *testHost) {
+		c.withLock(func() { c.down["s1"] = true })
+		h.setReport(directoryrpc.Report{FailingFor: 500 * time.Millisecond, Position: pos(1, 130)})
+		for len(c.promotions()) == 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		c.withLock(func() {
+			c.down[c.promoted[0].Server], c.down["s1"] = true, false
+			c.status["s1"] = statement.ServerStatus{Role: statement.Primary, Term: 1, Received: pos(1, 140)}
+		})
+		h.setReport(directoryrpc.Report{Position: pos(1, 130)})
+		time.Sleep(5 * time.Second)
+		is.Equal(c.group().Primary, "s1")
+		is.True(!c.group().Switching)
+		is.Equal(c.group().Term, uint64(1))
+	})
+}
+
+// TestRefusedPromotionKeepsPrimary guards against a group that takes no statements because
+// a promotion was requested, although the only request was refused: the primary that
+// answers again is used without another promotion.
+func TestRefusedPromotionKeepsPrimary(t *testing.T) {
+	runWithCluster(t, func(is *is.I, c *testCluster, h *testHost) {
+		c.withLock(func() { c.down["s1"], c.refusePromotion["s2"], c.refusePromotion["s3"] = true, true, true })
+		h.setReport(directoryrpc.Report{FailingFor: 500 * time.Millisecond, Position: pos(1, 130)})
+		time.Sleep(300 * time.Millisecond)
+		c.withLock(func() {
+			c.down["s1"] = false
+			c.status["s1"] = statement.ServerStatus{Role: statement.Primary, Term: 1, Received: pos(1, 140)}
+		})
+		h.setReport(directoryrpc.Report{Position: pos(1, 130)})
+		time.Sleep(2 * time.Second)
+		is.Equal(c.group().Primary, "s1")
+		is.True(!c.group().Switching)
+		is.Equal(len(c.promotions()), 0)
+	})
+}
+
+// TestLateEffect guards against a promoted server that is not used because it became the
+// primary only after the leader had given up waiting and while no other one could be chosen.
+func TestLateEffect(t *testing.T) {
+	runWithCluster(t, func(is *is.I, c *testCluster, h *testHost) {
+		c.withLock(func() { c.down["s1"], c.down["s2"], c.promotionDelay = true, true, 3*time.Second })
+		h.setReport(directoryrpc.Report{FailingFor: 500 * time.Millisecond})
+		time.Sleep(5 * time.Second)
+		is.Equal(c.group().Primary, "s3")
+		is.Equal(c.group().Term, uint64(2))
+		is.True(!c.group().Switching)
+	})
+}
--- a/internal/directory/switchover.go
+++ b/internal/directory/switchover.go
@@ -42,6 +42,7 @@
 	group      string
 	cause      cause
 	refusedAt  map[string]time.Time // when the promotion of a server last failed, by server id
+	requests   map[string]int       // promotions requested of a server that nobody asked before, by server id
 	startedAt  time.Time
 	surveyed   []string // what the servers last answered, as logged
 }
@@ -131,22 +132,35 @@
 	for {
 		results := sw.queryServers(s, g)
 		sw.logSurvey(g, results)
+		recorded := sw.recordedTerm(g, results)
+		if leading, ok := newestPrimary(results, recorded); ok {
+			sw.setTarget(g, leading, required, false) // its promotion has taken effect
+			return
+		}
 		primaryIndex := slices.IndexFunc(results, func(c statusResult) bool {
 			return c.server.ID == g.Primary && c.status.Role == statement.Primary
 		})
 		if primaryIndex >= 0 {
 			required = required.Max(results[primaryIndex].status.Received)
 		}
-		best, ok := sw.bestTarget(s, g, results)
-		complete := ok && best.status.Received.AtLeast(required) && (positionsComplete || primaryIndex >= 0)
+		pastDeadline := time.Now().After(deadline)
+		best, ok := sw.bestTarget(s, g, results, recorded)
+		complete := ok && includes(best.status.Received, required, recorded) && (positionsComplete || primaryIndex >= 0)
 		switch {
-		case complete, sw.mayLoseCommits(time.Now().After(deadline), primaryIndex >= 0) && ok:
+		case complete, ok && sw.mayLoseCommits(g, pastDeadline, primaryIndex >= 0):
 			sw.setTarget(g, best, required, complete)
 			return
-		case sw.cause == causePartlyUnreachable && time.Now().After(deadline),
-			primaryIndex >= 0 && time.Now().After(deadline) && !s.Servers[g.Primary].Draining,
-			primaryIndex >= 0 && sw.cause == causeLost:
-			// The switchover would lose commits that the primary has acknowledged.
+		case primaryIndex >= 0 && (sw.cause == causeLost || pastDeadline && !s.Servers[g.Primary].Draining):
+			// Another server would lose commits that the primary has acknowledged.
+			if len(g.Asked) == 0 {
+				sw.keepPrimary(g)
+				return
+			}
+			if !sw.recentlyRefused(g.Primary) {
+				sw.setTarget(g, results[primaryIndex], required, true)
+				return
+			}
+		case sw.cause == causePartlyUnreachable && pastDeadline && len(g.Asked) == 0:
 			sw.keepPrimary(g)
 			return
 		}
@@ -157,30 +171,72 @@
 	}
 }
 
+// recordedTerm returns the term of the recorded primary, as far as it is known. A primary
+// whose promotion was not requested since shows it itself.
+func (sw *switchover) recordedTerm(g directoryrpc.Group, results []statusResult) uint64 {
+	recorded := sw.leadership.recordedTerm(g)
+	for _, c := range results {
+		if g.Term == 0 && c.server.ID == g.Primary && c.status.Role == statement.Primary && !slices.Contains(g.Asked, g.Primary) {
+			recorded = max(recorded, c.status.Term)
+		}
+	}
+	return recorded
+}
+
+// newestPrimary returns the server that leads the latest term after the recorded one, if any.
+func newestPrimary(results []statusResult, recorded uint64) (newest statusResult, ok bool) {
+	for _, c := range results {
+		if c.status.Role == statement.Primary && c.status.Term > max(recorded, newest.status.Term) {
+			newest, ok = c, true
+		}
+	}
+	return newest, ok
+}
+
+// includes reports whether a log includes every commit up to the required position. Nothing
+// was acknowledged in a term after the recorded one, so such a log ends with commits of
+// the recorded term, of which it may lack some.
+func includes(received, required logpos.Position, recorded uint64) bool {
+	return received.Term >= recorded && (required.Term < recorded || received.LSN >= required.LSN)
+}
+
+// recentlyRefused reports whether the promotion of a server failed a short time ago.
+func (sw *switchover) recentlyRefused(id string) bool {
+	return time.Since(sw.refusedAt[id]) < refusedTargetDelay
+}
+
 // mayLoseCommits reports whether a server that may lack acknowledged commits may
 // be promoted: at once if the primary is lost or acts as a replica, otherwise
 // after the deadline. If only some hosts fail to reach the primary, or it answers
-// and is not leaving, no commit may be lost.
-func (sw *switchover) mayLoseCommits(pastDeadline, primaryAnswers bool) bool {
+// and is not leaving, no commit may be lost. Once a promotion was requested, a primary
+// that does not answer counts as lost, because no host may use it any more.
+func (sw *switchover) mayLoseCommits(g directoryrpc.Group, pastDeadline, primaryAnswers bool) bool {
 	switch {
 	case sw.cause == causeLeaving:
 		return pastDeadline
-	case primaryAnswers || sw.cause == causePartlyUnreachable:
+	case primaryAnswers:
 		return false
+	case sw.cause == causePartlyUnreachable:
+		return pastDeadline && len(g.Asked) > 0
 	}
 	return pastDeadline || sw.cause.forced()
 }
 
-// setTarget logs best as the server to promote.
+// setTarget logs best as the server to promote. From then on its promotion may take effect.
 func (sw *switchover) setTarget(g directoryrpc.Group, best statusResult, required logpos.Position, complete bool) {
 	next := g
 	next.Target = best.server.ID
+	if !slices.Contains(g.Asked, best.server.ID) {
+		next.Asked = append(slices.Clone(g.Asked), best.server.ID)
+		sw.requests[best.server.ID] = 0
+	}
 	err := sw.updateGroup(g, next)
 	sw.event("switch_target", g).Str("target", best.server.ID).Stringer("position", best.status.Received).
 		Stringer("required", required).Bool("complete", complete).Err(err).Msg("recording the server to promote")
 }
 
-// keepPrimary ends a switchover that would lose acknowledged commits.
+// keepPrimary ends a switchover that would lose acknowledged commits. No promotion may have
+// been requested.
 func (sw *switchover) keepPrimary(g directoryrpc.Group) {
 	next := g
 	next.Switching, next.Target = false, ""
@@ -189,17 +245,18 @@
 }
 
 // queryServers returns the status of every server of the group that answers. In a
-// forced switchover it does not wait for the old primary.
+// forced switchover it does not wait for the old primary, unless that may be promoted.
 func (sw *switchover) queryServers(s directoryrpc.State, g directoryrpc.Group) []statusResult {
 	ctx, cancel := context.WithTimeout(sw.leadership.ctx, probeTimeout)
 	defer cancel()
 	answers := make(chan statusResult, len(s.Servers))
+	awaitsPrimary := !sw.cause.forced() || len(g.Asked) > 0
 	pending := 0
 	for _, srv := range s.Servers {
 		if srv.Group != g.Name {
 			continue
 		}
-		if srv.ID != g.Primary || !sw.cause.forced() {
+		if srv.ID != g.Primary || awaitsPrimary {
 			pending++
 		}
 		sw.leadership.workers.Go(func() { sw.leadership.runStatusCall(ctx, srv, answers) })
@@ -210,7 +267,7 @@
 		if c.err == nil {
 			results = append(results, c)
 		}
-		if c.server.ID != g.Primary || !sw.cause.forced() {
+		if c.server.ID != g.Primary || awaitsPrimary {
 			pending--
 		}
 	}
@@ -235,23 +292,24 @@
 // bestTarget returns the most advanced server that may be promoted. With
 // synchronous replication, enough replicas must have answered that at least one
 // of them has every acknowledged commit.
-func (sw *switchover) bestTarget(s directoryrpc.State, g directoryrpc.Group, results []statusResult) (statusResult, bool) {
+func (sw *switchover) bestTarget(s directoryrpc.State, g directoryrpc.Group, results []statusResult, recorded uint64) (statusResult, bool) {
 	var best statusResult
 	var ok bool
 	answered := 0
 	for _, c := range results {
-		if c.server.ID == g.Primary && c.status.Role == statement.Primary {
+		primary := c.server.ID == g.Primary
+		if primary && c.status.Role == statement.Primary && len(g.Asked) == 0 {
 			continue
 		}
 		answered++
-		if c.server.ID == g.Primary && !sw.cause.forced() || time.Since(sw.refusedAt[c.server.ID]) < refusedTargetDelay {
+		if primary && c.status.Role != statement.Primary && !sw.cause.forced() || sw.recentlyRefused(c.server.ID) {
 			continue
 		}
-		if !ok || betterTarget(c, best) {
+		if !ok || betterTarget(c, best, g.Primary, recorded) {
 			best, ok = c, true
 		}
 	}
-	if syncReplicas := sw.leadership.opts.SyncReplicas(s, g.Name); syncReplicas > 0 {
+	if syncReplicas := sw.leadership.opts.SyncReplicas(s, g.Name); syncReplicas > 0 && (best.server.ID != g.Primary || best.status.Role != statement.Primary) {
 		total := 0
 		for _, srv := range s.Servers {
 			if srv.Group == g.Name && srv.ID != g.Primary {
@@ -264,12 +322,20 @@
 }
 
 // betterTarget reports whether a is a better target than b: servers that are not
-// draining come first, then those that have received more of the log.
-func betterTarget(a, b statusResult) bool {
+// draining come first, then those that have received more of the log of the recorded term,
+// then those other than the primary that is to be replaced.
+func betterTarget(a, b statusResult, primary string, recorded uint64) bool {
 	if a.server.Draining != b.server.Draining {
 		return b.server.Draining
 	}
-	return a.status.Received.Compare(b.status.Received) > 0
+	received := func(c statusResult) logpos.Position {
+		p := c.status.Received
+		return logpos.Position{Term: min(p.Term, recorded), LSN: p.LSN}
+	}
+	if c := received(a).Compare(received(b)); c != 0 {
+		return c > 0
+	}
+	return b.server.ID == primary
 }
 
 // promote promotes the logged target and reports whether the switchover is done.
@@ -277,12 +343,12 @@
 	l := sw.leadership
 	target, known := l.machine.State().Servers[g.Target]
 	if !known {
-		sw.clearTarget(g)
+		sw.clearTarget(g, g.Asked)
 		return false
 	}
 	if err := sw.requestPromotion(g); errkind.Of(err) == errkind.Conflict {
 		sw.refusedAt[g.Target] = time.Now()
-		sw.clearTarget(g)
+		sw.clearTarget(g, sw.askedAfterRefusal(g))
 		return false
 	} else if err != nil {
 		l.sleep(promoteRetryDelay)
@@ -291,19 +357,34 @@
 	term, promoted := sw.awaitPrimaryRole(g, target)
 	if !promoted {
 		if sw.refusedAt[g.Target] = time.Now(); l.ctx.Err() == nil {
-			sw.clearTarget(g)
+			sw.clearTarget(g, g.Asked)
 		}
 		return false
 	}
 	l.sessions.recordPrimary(sw.group)
 	next := g
-	next.Primary, next.Switching, next.Target, next.Term = g.Target, false, "", term
+	next.Primary, next.Switching, next.Target, next.Term, next.Asked = g.Target, false, "", term, nil
 	err := sw.updateGroup(g, next)
 	sw.event("switch_done", g).Uint64("term", term).Dur("after_ms", time.Since(sw.startedAt)).Err(err).Msg("recording the new primary")
-	if err == nil && g.Primary != g.Target {
-		l.workers.Go(func() { sw.runDemote(g.Primary, g.Target, term) })
+	if err != nil {
+		return false
 	}
-	return err == nil
+	for _, id := range append([]string{g.Primary}, g.Asked...) {
+		if id != g.Target {
+			l.workers.Go(func() { sw.runDemote(id, g.Target, term) })
+		}
+	}
+	return true
+}
+
+// askedAfterRefusal returns the servers whose promotion may have taken effect after that
+// of the target was refused. An earlier request of it, which may have had no answer,
+// still counts.
+func (sw *switchover) askedAfterRefusal(g directoryrpc.Group) []string {
+	if n, ok := sw.requests[g.Target]; !ok || n != 1 {
+		return g.Asked
+	}
+	return slices.DeleteFunc(slices.Clone(g.Asked), func(id string) bool { return id == g.Target })
 }
 
 // requestPromotion asks the external service to promote the target. The read
@@ -315,16 +396,19 @@
 	}
 	ctx, cancel := context.WithTimeout(l.ctx, promoteTimeout)
 	defer cancel()
+	if n, ok := sw.requests[g.Target]; ok {
+		sw.requests[g.Target] = n + 1
+	}
 	err := l.opts.Promote(ctx, Promotion{Group: g.Name, Server: g.Target, Holder: l.opts.Host, Token: l.token, LeaseValid: l.log.LeaseValid})
 	sw.event("promote_asked", g).Uint64("token", l.token).Err(err).Msg("requested the promotion of the target server")
 	return err
 }
 
 // clearTarget removes the target from the logged group, so that a target is
-// chosen again.
-func (sw *switchover) clearTarget(g directoryrpc.Group) {
+// chosen again, and logs the servers whose promotion may have taken effect.
+func (sw *switchover) clearTarget(g directoryrpc.Group, asked []string) {
 	next := g
-	next.Target = ""
+	next.Target, next.Asked = "", asked
 	if err := sw.updateGroup(g, next); err != nil {
 		sw.event("switch_retarget", g).Err(err).Msg("removing the target from the group failed")
 		sw.leadership.sleep(statusInterval)
@@ -335,18 +419,25 @@
 // term than that of the recorded one, and returns this term. A server that still has the
 // role from an earlier term has not been promoted yet. The target announces its new role;
 // the periodic status call handles a lost announcement.
+//
+// A request to promote the present primary changes nothing. So if the target is the
+// recorded primary and still has the role in the recorded term after roleTimeout, no
+// other promotion had taken effect when it was requested.
 func (sw *switchover) awaitPrimaryRole(g directoryrpc.Group, target directoryrpc.Server) (term uint64, promoted bool) {
 	l := sw.leadership
 	recorded := l.recordedTerm(g)
 	lastQuery := time.Now()
+	unchanged := false
 	for deadline := lastQuery.Add(roleTimeout); time.Now().Before(deadline); {
 		changed := l.machine.Changed()
 		now := l.machine.State().Servers[target.ID]
 		if now.Role == statement.Primary && now.Newer(target) || time.Since(lastQuery) >= statusInterval {
 			lastQuery = time.Now()
-			if st, err := sw.checkRole(g, target); err == nil && st.Role == statement.Primary && st.Term > recorded {
+			st, err := sw.checkRole(g, target)
+			if err == nil && st.Role == statement.Primary && st.Term > recorded {
 				return st.Term, true
 			}
+			unchanged = target.ID == g.Primary && err == nil && st.Role == statement.Primary && st.Term == recorded
 		}
 		select {
 		case <-l.ctx.Done():
@@ -355,7 +446,7 @@
 		case <-time.After(statusInterval):
 		}
 	}
-	return 0, false
+	return recorded, unchanged
 }
 
 // checkRole asks the target for its status.
--- a/internal/directoryrpc/messages.go
+++ b/internal/directoryrpc/messages.go
@@ -64,6 +64,10 @@
 	// term up to this one, other than Primary itself, is superseded. 0: not known, as in a
 	// state of an earlier release.
 	Term uint64 `codec:"m,omitempty" json:"term"`
+	// Asked holds the ids of the servers whose promotion was requested since Primary was
+	// recorded. Each may have taken effect, whether the request was answered or not, so
+	// while there are any, Primary must not be used again without a promotion of its own.
+	Asked []string `codec:"q,omitempty" json:"asked,omitempty"`
 }
 
 // State is the replicated state that the directory sends to the entry hosts. Its
