directory: a log with rolled back commits is not promoted

Cause: a forced switchover took the server with the highest position that answered, also if its log ended in a term before that of the lost primary. Ruled out: the leader believing that P led term 2 (it was told to step down and answered as a replica of term 1).

Change: the replicated group holds at which commit each recent term began. Commits of earlier terms beyond it were rolled back, and a log that has some is no target, unless every known server has answered and nothing else can lead. A server without any commit of the recorded term is promoted only after 10 s (EarlierTermTimeout), unless it has every acknowledged commit.

--- a/internal/directory/changes.go
+++ b/internal/directory/changes.go
@@ -95,7 +95,7 @@
 		out.Servers = controlrpc.PutChange(out.Servers, m.state.Servers, id)
 	}
 	for name := range m.state.Groups {
-		out.Groups = controlrpc.PutChange(out.Groups, m.state.Groups, name)
+		out.Groups = m.putGroup(out.Groups, name)
 	}
 	m.base = baseState{version: m.state.Version, config: m.state.ConfigVersion, encoded: out.Encode()}
 }
@@ -109,7 +109,7 @@
 			out.Servers = controlrpc.PutChange(out.Servers, m.state.Servers, key.server)
 		}
 		if key.group != "" {
-			out.Groups = controlrpc.PutChange(out.Groups, m.state.Groups, key.group)
+			out.Groups = m.putGroup(out.Groups, key.group)
 		}
 	}
 	if config != m.state.ConfigVersion {
@@ -117,3 +117,12 @@
 	}
 	return out
 }
+
+// putGroup adds a group to changes for hosts. The caller holds mu.
+func (m *Machine) putGroup(out map[string]*directoryrpc.Group, name string) map[string]*directoryrpc.Group {
+	out = controlrpc.PutChange(out, m.state.Groups, name)
+	if g := out[name]; g != nil {
+		g.Starts = nil
+	}
+	return out
+}
--- a/internal/directory/export_test.go
+++ b/internal/directory/export_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/arbutusring/arbutusring/internal/directoryrpc"
+	"github.com/arbutusring/arbutusring/internal/statement"
 	"github.com/arbutusring/arbutusring/pkg/logpos"
 )
 
@@ -41,3 +42,22 @@
 	s.s.announceSuspicions()
 	return groups
 }
+
+// Lineage exposes the logs that the recorded primary continues to tests.
+type Lineage struct{ l lineage }
+
+// NewLineage returns the logs that a primary of the given term continues.
+func NewLineage(term uint64, starts []directoryrpc.TermStart) Lineage {
+	return Lineage{lineage{term, starts}}
+}
+
+// Holds reports whether a log has no commit that was rolled back.
+func (l Lineage) Holds(st statement.ServerStatus) bool { return l.l.holds(st) }
+
+// Includes reports whether a log includes every commit in force up to the required position.
+func (l Lineage) Includes(received, required logpos.Position) bool {
+	return l.l.includes(received, required)
+}
+
+// StartTerm returns starts with that of a new term.
+var StartTerm = startTerm
--- a/internal/directory/options.go
+++ b/internal/directory/options.go
@@ -29,6 +29,9 @@
 	// defaultCatchUpTimeout bounds how long a switchover waits for a replica that
 	// has every acknowledged commit.
 	defaultCatchUpTimeout = 1500 * time.Millisecond
+	// defaultEarlierTermTimeout is longer than a crashed server takes to come back with
+	// its log.
+	defaultEarlierTermTimeout = 10 * time.Second
 )
 
 // Options configures a Directory. Members, Promote, SyncReplicas and
@@ -69,6 +72,9 @@
 	FailAfter        time.Duration // how long a primary must have failed to be considered lost
 	PartialFailAfter time.Duration // how long some hosts must have failed to reach a primary that others reach
 	CatchUpTimeout   time.Duration // limit of the wait for a replica with every acknowledged commit
+	// EarlierTermTimeout is how long a lost primary and the servers that followed it are
+	// awaited before one is promoted that has no commit of its term.
+	EarlierTermTimeout time.Duration
 }
 
 // Members holds the calls to backend servers.
@@ -96,6 +102,7 @@
 	o.FailAfter = cmp.Or(o.FailAfter, defaultFailAfter)
 	o.PartialFailAfter = cmp.Or(o.PartialFailAfter, defaultPartialFailAfter)
 	o.CatchUpTimeout = cmp.Or(o.CatchUpTimeout, defaultCatchUpTimeout)
+	o.EarlierTermTimeout = cmp.Or(o.EarlierTermTimeout, defaultEarlierTermTimeout)
 	if o.Limits == nil {
 		o.Limits = func(directoryrpc.State) map[string]allowance.Limit { return nil }
 	}
--- a/internal/directory/promotion_test.go
+++ b/internal/directory/promotion_test.go
@@ -145,3 +145,60 @@
 		is.True(!c.group().Switching)
 	})
 }
+
+// TestLogWithRolledBackCommits guards against the promotion of a server whose log has
+// commits that the last promotion rolled back: reads that ran meanwhile lacked them, and the
+// commits of the recorded term are lost although their servers come back.
+func TestLogWithRolledBackCommits(t *testing.T) {
+	runWithCluster(t, func(is *is.I, c *testCluster, h *testHost) {
+		c.replaceFirstPrimary(is, h)
+		c.withLock(func() {
+			c.down["s1"] = false
+			c.status["s1"] = statement.ServerStatus{Role: statement.Replica, Term: 2, Received: pos(1, 140)}
+			c.status["s3"] = statement.ServerStatus{Role: statement.Primary, Term: 2, Received: pos(2, 170)}
+		})
+		time.Sleep(15 * time.Second)
+		is.Equal(len(c.promotions()), 1)
+		c.withLock(func() { c.down["s3"] = false })
+		h.setReport(directoryrpc.Report{})
+		time.Sleep(2 * time.Second)
+		is.Equal(c.group().Primary, "s3")
+		is.True(!c.group().Switching)
+		is.Equal(len(c.promotions()), 1)
+	})
+}
+
+// TestLogOfEarlierTerm guards against the loss of all commits of a term because a server
+// without them answers first, and against a group that never has a primary again because
+// no other one comes back.
+func TestLogOfEarlierTerm(t *testing.T) {
+	runWithCluster(t, func(is *is.I, c *testCluster, h *testHost) {
+		c.replaceFirstPrimary(is, h)
+		h.setReport(directoryrpc.Report{FailingFor: 500 * time.Millisecond, Position: pos(2, 170)})
+		c.withLock(func() {
+			c.down["s2"] = false
+			c.status["s2"] = statement.ServerStatus{Role: statement.Replica, Term: 1, Received: pos(1, 110)}
+		})
+		time.Sleep(9 * time.Second)
+		is.Equal(len(c.promotions()), 1)
+		time.Sleep(3 * time.Second)
+		is.Equal(c.group().Primary, "s2")
+	})
+}
+
+// TestOnlyLogLeft guards against a group that never has a primary again because the only
+// server that is left has commits that were rolled back.
+func TestOnlyLogLeft(t *testing.T) {
+	runWithCluster(t, func(is *is.I, c *testCluster, h *testHost) {
+		c.replaceFirstPrimary(is, h)
+		c.withLock(func() {
+			c.down["s1"] = false
+			c.status["s1"] = statement.ServerStatus{Role: statement.Replica, Term: 1, Received: pos(1, 140)}
+		})
+		for _, id := range []string{"s2", "s3"} {
+			is.NoErr(c.d.Service().Announce(&directoryrpc.AnnounceArgs{Server: directoryrpc.Server{ID: id, Born: 1}, Gone: true}, new(directoryrpc.AnnounceReply)))
+		}
+		time.Sleep(13 * time.Second)
+		is.Equal(c.group().Primary, "s1")
+	})
+}
--- a/internal/directory/switchover.go
+++ b/internal/directory/switchover.go
@@ -126,38 +126,34 @@
 // reported cover every acknowledged commit; an answer of the primary does too.
 func (sw *switchover) chooseTarget(g directoryrpc.Group, positionsComplete bool) {
 	l := sw.leadership
-	s := l.machine.State()
 	required := l.sessions.highestPosition(sw.group)
 	deadline := time.Now().Add(l.opts.CatchUpTimeout)
 	for {
-		results := sw.queryServers(s, g)
-		sw.logSurvey(g, results)
-		recorded := sw.recordedTerm(g, results)
-		if leading, ok := newestPrimary(results, recorded); ok {
+		s := l.machine.State()
+		sv := sw.survey(s, g)
+		if leading, ok := newestPrimary(sv.results, sv.lineage.term); ok {
 			sw.setTarget(g, leading, required, false) // its promotion has taken effect
 			return
 		}
-		primaryIndex := slices.IndexFunc(results, func(c statusResult) bool {
-			return c.server.ID == g.Primary && c.status.Role == statement.Primary
-		})
-		if primaryIndex >= 0 {
-			required = required.Max(results[primaryIndex].status.Received)
+		primary, primaryAnswers := sv.primary(g)
+		if primaryAnswers {
+			required = required.Max(primary.status.Received)
 		}
 		pastDeadline := time.Now().After(deadline)
-		best, ok := sw.bestTarget(s, g, results, recorded)
-		complete := ok && includes(best.status.Received, required, recorded) && (positionsComplete || primaryIndex >= 0)
+		best, ok := sw.bestTarget(s, g, sv)
+		complete := ok && sv.lineage.includes(best.status.Received, required) && (positionsComplete || primaryAnswers)
 		switch {
-		case complete, ok && sw.mayLoseCommits(g, pastDeadline, primaryIndex >= 0):
+		case complete, ok && sw.mayLoseCommits(g, pastDeadline, primaryAnswers) && (sv.lineage.follows(best.status) || sw.waitedForTerm()):
 			sw.setTarget(g, best, required, complete)
 			return
-		case primaryIndex >= 0 && (sw.cause == causeLost || pastDeadline && !s.Servers[g.Primary].Draining):
+		case primaryAnswers && (sw.cause == causeLost || pastDeadline && !s.Servers[g.Primary].Draining):
 			// Another server would lose commits that the primary has acknowledged.
 			if len(g.Asked) == 0 {
 				sw.keepPrimary(g)
 				return
 			}
 			if !sw.recentlyRefused(g.Primary) {
-				sw.setTarget(g, results[primaryIndex], required, true)
+				sw.setTarget(g, primary, required, true)
 				return
 			}
 		case sw.cause == causePartlyUnreachable && pastDeadline && len(g.Asked) == 0:
@@ -167,10 +163,39 @@
 		if !l.sleep(statusInterval) {
 			return
 		}
-		s = l.machine.State()
 	}
 }
 
+// waitedForTerm reports whether the servers that have commits of the recorded term were
+// awaited long enough.
+func (sw *switchover) waitedForTerm() bool {
+	return time.Since(sw.startedAt) >= sw.leadership.opts.EarlierTermTimeout
+}
+
+// survey is what the servers of a group answer.
+type survey struct {
+	results  []statusResult
+	lineage  lineage
+	complete bool // every server of the group has answered
+}
+
+// survey asks the servers of the group for their status.
+func (sw *switchover) survey(s directoryrpc.State, g directoryrpc.Group) survey {
+	results, complete := sw.queryServers(s, g)
+	sw.logSurvey(g, results)
+	return survey{results, lineage{sw.recordedTerm(g, results), g.Starts}, complete}
+}
+
+// primary returns the answer of the recorded primary, if it still has the role.
+func (sv survey) primary(g directoryrpc.Group) (statusResult, bool) {
+	for _, c := range sv.results {
+		if c.server.ID == g.Primary && c.status.Role == statement.Primary {
+			return c, true
+		}
+	}
+	return statusResult{}, false
+}
+
 // recordedTerm returns the term of the recorded primary, as far as it is known. A primary
 // whose promotion was not requested since shows it itself.
 func (sw *switchover) recordedTerm(g directoryrpc.Group, results []statusResult) uint64 {
@@ -193,13 +218,6 @@
 	return newest, ok
 }
 
-// includes reports whether a log includes every commit up to the required position. Nothing
-// was acknowledged in a term after the recorded one, so such a log ends with commits of
-// the recorded term, of which it may lack some.
-func includes(received, required logpos.Position, recorded uint64) bool {
-	return received.Term >= recorded && (required.Term < recorded || received.LSN >= required.LSN)
-}
-
 // recentlyRefused reports whether the promotion of a server failed a short time ago.
 func (sw *switchover) recentlyRefused(id string) bool {
 	return time.Since(sw.refusedAt[id]) < refusedTargetDelay
@@ -246,22 +264,23 @@
 
 // queryServers returns the status of every server of the group that answers. In a
 // forced switchover it does not wait for the old primary, unless that may be promoted.
-func (sw *switchover) queryServers(s directoryrpc.State, g directoryrpc.Group) []statusResult {
+// complete reports whether every server has answered.
+func (sw *switchover) queryServers(s directoryrpc.State, g directoryrpc.Group) (results []statusResult, complete bool) {
 	ctx, cancel := context.WithTimeout(sw.leadership.ctx, probeTimeout)
 	defer cancel()
 	answers := make(chan statusResult, len(s.Servers))
 	awaitsPrimary := !sw.cause.forced() || len(g.Asked) > 0
-	pending := 0
+	pending, servers := 0, 0
 	for _, srv := range s.Servers {
 		if srv.Group != g.Name {
 			continue
 		}
+		servers++
 		if srv.ID != g.Primary || awaitsPrimary {
 			pending++
 		}
 		sw.leadership.workers.Go(func() { sw.leadership.runStatusCall(ctx, srv, answers) })
 	}
-	var results []statusResult
 	for pending > 0 {
 		c := <-answers
 		if c.err == nil {
@@ -271,7 +290,7 @@
 			pending--
 		}
 	}
-	return results
+	return results, len(results) == servers
 }
 
 // logSurvey logs what the servers answered, if that has changed. Without it, a server
@@ -292,20 +311,26 @@
 // bestTarget returns the most advanced server that may be promoted. With
 // synchronous replication, enough replicas must have answered that at least one
 // of them has every acknowledged commit.
-func (sw *switchover) bestTarget(s directoryrpc.State, g directoryrpc.Group, results []statusResult, recorded uint64) (statusResult, bool) {
+//
+// A log with commits that were rolled back is left out, unless nothing else can ever lead:
+// every server that is known has answered, and the others had time to be announced.
+func (sw *switchover) bestTarget(s directoryrpc.State, g directoryrpc.Group, sv survey) (statusResult, bool) {
 	var best statusResult
 	var ok bool
 	answered := 0
-	for _, c := range results {
-		primary := c.server.ID == g.Primary
-		if primary && c.status.Role == statement.Primary && len(g.Asked) == 0 {
+	for _, c := range sv.results {
+		primary, leads := c.server.ID == g.Primary, c.status.Role == statement.Primary
+		if primary && leads && len(g.Asked) == 0 {
 			continue
 		}
 		answered++
-		if primary && c.status.Role != statement.Primary && !sw.cause.forced() || sw.recentlyRefused(c.server.ID) {
+		if primary && !leads && !sw.cause.forced() || sw.recentlyRefused(c.server.ID) {
 			continue
 		}
-		if !ok || betterTarget(c, best, g.Primary, recorded) {
+		if !sv.lineage.holds(c.status) && !(sv.complete && sw.waitedForTerm()) {
+			continue
+		}
+		if !ok || sv.better(c, best, g.Primary) {
 			best, ok = c, true
 		}
 	}
@@ -321,19 +346,18 @@
 	return best, ok
 }
 
-// betterTarget reports whether a is a better target than b: servers that are not
-// draining come first, then those that have received more of the log of the recorded term,
-// then those other than the primary that is to be replaced.
-func betterTarget(a, b statusResult, primary string, recorded uint64) bool {
+// better reports whether a is a better target than b: servers without commits that were
+// rolled back come first, then those that are not draining, those that have received more
+// of the log, and those other than the primary that is to be replaced.
+func (sv survey) better(a, b statusResult, primary string) bool {
+	if held := sv.lineage.holds(a.status); held != sv.lineage.holds(b.status) {
+		return held
+	}
 	if a.server.Draining != b.server.Draining {
 		return b.server.Draining
 	}
-	received := func(c statusResult) logpos.Position {
-		p := c.status.Received
-		return logpos.Position{Term: min(p.Term, recorded), LSN: p.LSN}
-	}
-	if c := received(a).Compare(received(b)); c != 0 {
-		return c > 0
+	if a.status.Received.LSN != b.status.Received.LSN {
+		return a.status.Received.LSN > b.status.Received.LSN
 	}
 	return b.server.ID == primary
 }
@@ -354,7 +378,7 @@
 		l.sleep(promoteRetryDelay)
 		return false
 	}
-	term, promoted := sw.awaitPrimaryRole(g, target)
+	st, promoted := sw.awaitPrimaryRole(g, target)
 	if !promoted {
 		if sw.refusedAt[g.Target] = time.Now(); l.ctx.Err() == nil {
 			sw.clearTarget(g, g.Asked)
@@ -363,15 +387,18 @@
 	}
 	l.sessions.recordPrimary(sw.group)
 	next := g
-	next.Primary, next.Switching, next.Target, next.Term, next.Asked = g.Target, false, "", term, nil
+	next.Primary, next.Switching, next.Target, next.Term, next.Asked = g.Target, false, "", st.Term, nil
+	if st.Term > l.recordedTerm(g) {
+		next.Starts = startTerm(g.Starts, st.Term, st.Received.LSN)
+	}
 	err := sw.updateGroup(g, next)
-	sw.event("switch_done", g).Uint64("term", term).Dur("after_ms", time.Since(sw.startedAt)).Err(err).Msg("recording the new primary")
+	sw.event("switch_done", g).Uint64("term", st.Term).Stringer("position", st.Received).Dur("after_ms", time.Since(sw.startedAt)).Err(err).Msg("recording the new primary")
 	if err != nil {
 		return false
 	}
 	for _, id := range append([]string{g.Primary}, g.Asked...) {
 		if id != g.Target {
-			l.workers.Go(func() { sw.runDemote(id, g.Target, term) })
+			l.workers.Go(func() { sw.runDemote(id, g.Target, st.Term) })
 		}
 	}
 	return true
@@ -416,14 +443,14 @@
 }
 
 // awaitPrimaryRole waits until the target reports that it is the primary in a later
-// term than that of the recorded one, and returns this term. A server that still has the
+// term than that of the recorded one, and returns its status. A server that still has the
 // role from an earlier term has not been promoted yet. The target announces its new role;
 // the periodic status call handles a lost announcement.
 //
 // A request to promote the present primary changes nothing. So if the target is the
 // recorded primary and still has the role in the recorded term after roleTimeout, no
 // other promotion had taken effect when it was requested.
-func (sw *switchover) awaitPrimaryRole(g directoryrpc.Group, target directoryrpc.Server) (term uint64, promoted bool) {
+func (sw *switchover) awaitPrimaryRole(g directoryrpc.Group, target directoryrpc.Server) (st statement.ServerStatus, promoted bool) {
 	l := sw.leadership
 	recorded := l.recordedTerm(g)
 	lastQuery := time.Now()
@@ -433,20 +460,22 @@
 		now := l.machine.State().Servers[target.ID]
 		if now.Role == statement.Primary && now.Newer(target) || time.Since(lastQuery) >= statusInterval {
 			lastQuery = time.Now()
-			st, err := sw.checkRole(g, target)
-			if err == nil && st.Role == statement.Primary && st.Term > recorded {
-				return st.Term, true
+			var err error
+			st, err = sw.checkRole(g, target)
+			leads := err == nil && st.Role == statement.Primary
+			if leads && st.Term > recorded {
+				return st, true
 			}
-			unchanged = target.ID == g.Primary && err == nil && st.Role == statement.Primary && st.Term == recorded
+			unchanged = leads && st.Term == recorded && target.ID == g.Primary
 		}
 		select {
 		case <-l.ctx.Done():
-			return 0, false
+			return st, false
 		case <-changed:
 		case <-time.After(statusInterval):
 		}
 	}
-	return recorded, unchanged
+	return st, unchanged
 }
 
 // checkRole asks the target for its status.
--- a/internal/directoryrpc/messages.go
+++ b/internal/directoryrpc/messages.go
@@ -68,6 +68,16 @@
 	// recorded. Each may have taken effect, whether the request was answered or not, so
 	// while there are any, Primary must not be used again without a promotion of its own.
 	Asked []string `codec:"q,omitempty" json:"asked,omitempty"`
+	// Starts holds where the logs of the latest terms began, in ascending order. Hosts are
+	// not sent it.
+	Starts []TermStart `codec:"b,omitempty" json:"starts,omitempty"`
+}
+
+// TermStart is the number of commits in the log of a primary when its term began. Commits
+// of earlier terms beyond it are rolled back.
+type TermStart struct {
+	Term uint64 `codec:"t" json:"term"`
+	LSN  uint64 `codec:"l" json:"lsn"`
 }
 
 // State is the replicated state that the directory sends to the entry hosts. Its
