process, consensus: the vote moves to a planned successor before the old host stops

Cause: a successor stayed a learner until the old host had been silent for 2 s, checked once a second. Up to 3 s after the planned stop the membership had two live voters of three, so that one lost disk took the majority. Ruled out: a hand-over at the stop, which ignored data centres and held up stops; four voters, which bear no more losses than three.

Change: a member carries the log index at which it joined. A learner that joined later than a voter of its data centre is promoted once it has caught up, and the older voter becomes a learner (new change Demote). Nothing waits at the stop, the vote stays in the data centre, and moves once for each host that joins. With an even number of voters, a dead one is removed and a succeeded one demoted before another learner is promoted. A leader that gives up its vote asks the best voter to take over at once.

Result: TestVoteOfReplacedHost, TestDemotedLeader and the search fail without the change; it now also plays five and seven hosts.

--- a/internal/consensus/change.go
+++ b/internal/consensus/change.go
@@ -7,6 +7,7 @@
 const (
 	AddLearner ChangeKind = "add_learner"
 	Promote    ChangeKind = "promote" // learner to voter, once it has caught up
+	Demote     ChangeKind = "demote"  // voter to learner
 	Remove     ChangeKind = "remove"
 )
 
--- a/internal/consensus/machine_test.go
+++ b/internal/consensus/machine_test.go
@@ -96,6 +96,29 @@
 	is.Equal(len(s.leader().members), 3)
 }
 
+// TestDemotedLeader guards against a leader that gives its vote to its successor and leaves
+// the others without a leader until an election timeout has passed.
+func TestDemotedLeader(t *testing.T) {
+	is := is.New(t)
+	s := newSim(1, "", 4, 0)
+	s.run(2 * time.Second)
+	l := s.leader()
+	self := consensus.Member{ID: l.id, Incarnation: l.incarnation, Address: l.id}
+	_, _, err := l.machine.ProposeChange(l.localTime(s.now), consensus.Change{Kind: consensus.Demote, Member: self})
+	is.NoErr(err)
+	s.output(l)
+	begun := s.now
+	for next := s.leader(); next == nil || next == l; next = s.leader() {
+		s.run(10 * time.Millisecond)
+		is.True(s.now-begun < 300*time.Millisecond)
+	}
+	s.settle()
+	is.Equal(len(s.leader().members), 4)
+	for _, m := range s.leader().members {
+		is.Equal(m.Learner, m.ID == l.id)
+	}
+}
+
 // TestLostTransfer guards against a host that remains leader without a lease and
 // refuses commands after its request to take over was lost.
 func TestLostTransfer(t *testing.T) {
--- a/internal/consensus/membership_change.go
+++ b/internal/consensus/membership_change.go
@@ -100,10 +100,19 @@
 			return nil, errkind.New(errkind.BadRequest, "a learner needs an id, an incarnation and an address")
 		}
 		member = change.Member
-		member.Learner = true
+		member.Learner, member.Joined = true, m.log.lastIndex()+1
 		return ms.with(member), nil
 	case Promote:
 		return m.membersAfterPromotion(now, member, known, key)
+	case Demote:
+		if !known || member.Learner {
+			return nil, errkind.New(errkind.BadRequest, "%s is not a voter", key)
+		}
+		if ms.voterCount() == 1 {
+			return nil, errkind.New(errkind.Conflict, "%s is the last voter", key)
+		}
+		member.Learner = true
+		return ms.with(member), nil
 	case Remove:
 		if !known {
 			return nil, errkind.New(errkind.BadRequest, "%s is not a member", key)
@@ -139,19 +148,29 @@
 	return p != nil && p.match > 0 && p.match+maxPromoteLagEntries >= m.log.lastIndex() && now.Sub(p.contact) <= m.opts.MinElectionTimeout
 }
 
-// stepDownIfRemoved steps down once the removal of this host is committed.
+// stepDownIfRemoved steps down once the change that takes the vote of this host is
+// committed. It asks the voter with the most entries to take over at once.
 func (m *Machine) stepDownIfRemoved() {
 	c := m.memberships[len(m.memberships)-1]
 	if c.index > m.commit || c.members.isVoter(m.self.key()) {
 		return
 	}
+	var successor Member
+	var best uint64
 	for _, to := range c.members {
 		if p := m.progress[to.key()]; p != nil {
 			// Informs the others at once that the removal is committed.
 			t, _ := m.log.term(p.match)
 			m.send(Message{Kind: MessageAppend, To: to, Index: p.match, LogTerm: t, Commit: m.commit})
+			if !to.Learner && p.match > best {
+				successor, best = to, p.match
+			}
 		}
 	}
+	if best > 0 {
+		m.leaseReleased = true
+		m.send(Message{Kind: MessageTimeoutNow, To: successor})
+	}
 	// Any time will do: it only starts the election timeout, and a removed host
 	// is not electable.
 	m.becomeFollower(m.lastLeaderContact, m.term)
--- a/internal/consensus/sim_fault_test.go
+++ b/internal/consensus/sim_fault_test.go
@@ -159,7 +159,8 @@
 			changes = append(changes, consensus.Change{Kind: consensus.Promote, Member: m})
 		case voters > 3 || voters > 2 && lost == 0:
 			if lost <= (voters-2)/2 && s.rand.IntN(4) == 0 {
-				changes = append(changes, consensus.Change{Kind: consensus.Remove, Member: m})
+				kind := []consensus.ChangeKind{consensus.Remove, consensus.Demote}[s.rand.IntN(2)]
+				changes = append(changes, consensus.Change{Kind: kind, Member: m})
 			}
 		}
 	}
--- a/internal/process/membership.go
+++ b/internal/process/membership.go
@@ -1,7 +1,9 @@
 package process
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/arbutusring/arbutusring/internal/consensus"
@@ -19,7 +21,7 @@
 	log  zerolog.Logger
 	// dataCentres returns the data centre of each host by id. If one of two
 	// hosts in a data centre has not answered for replaceTimeout, the other one
-	// replaces it and it is removed. If dataCentres is nil, no host is replaced
+	// replaces it and it is removed. If both answer, the younger one votes. If dataCentres is nil, no host is replaced
 	// this way.
 	dataCentres    func() map[string]string
 	replaceTimeout time.Duration
@@ -30,6 +32,9 @@
 // survive the loss of more hosts than this.
 const maxVoters = 7
 
+// minVoters is the number of voters that is never reduced for a successor.
+const minVoters = 3
+
 // loop adds control hosts that ask to join, such as those that lost their disk.
 // Such a host asks to join under its id with a new incarnation. The leader
 // removes the old incarnation, which can't vote any more, adds the new one as a
@@ -59,42 +64,112 @@
 		}
 		return consensus.Change{Kind: consensus.AddLearner, Member: joining}, true
 	}
-	if m, ok := p.nextVoter(st); ok {
-		return consensus.Change{Kind: consensus.Promote, Member: m}, true
+	promote := func() (consensus.Change, bool) {
+		m, ok := p.nextVoter(st)
+		return consensus.Change{Kind: consensus.Promote, Member: m}, ok
+	}
+	remove := func() (consensus.Change, bool) {
+		m, ok := p.replacedMember(st)
+		return consensus.Change{Kind: consensus.Remove, Member: m}, ok
 	}
-	if replaced, ok := p.replacedMember(st); ok {
-		return consensus.Change{Kind: consensus.Remove, Member: replaced}, true
+	demote := func() (consensus.Change, bool) {
+		m, ok := p.succeededVoter(st)
+		return consensus.Change{Kind: consensus.Demote, Member: m}, ok && countVoters(st) > minVoters
+	}
+	order := []func() (consensus.Change, bool){promote, remove}
+	if countVoters(st)%2 == 0 {
+		// One voter less bears as many losses. Another one more would keep a host that
+		// is about to go.
+		order = []func() (consensus.Change, bool){remove, demote, promote}
+	}
+	for _, next := range order {
+		if c, ok := next(); ok {
+			return c, true
+		}
 	}
 	return consensus.Change{}, false
 }
 
+// succeededVoter returns the oldest voter that a younger one in its data centre has
+// succeeded, if any.
+func (p *membership) succeededVoter(st consensus.Status) (oldest consensus.Member, ok bool) {
+	for _, older := range st.Members {
+		if older.Learner || ok && older.Joined >= oldest.Joined {
+			continue
+		}
+		if p.hasSuccessor(st, older) {
+			oldest, ok = older.Member, true
+		}
+	}
+	return oldest, ok
+}
+
+// hasSuccessor reports whether a voter that answers joined later than a host in the same
+// data centre. The voter then is the planned successor of the host, or stays beside it; which one
+// isn't known before the host stops. The vote goes to the younger one in time, because the
+// next disk may be lost as soon as the older one has stopped. It never goes back, as the
+// older one did not join again.
+func (p *membership) hasSuccessor(st consensus.Status, older consensus.MemberStatus) bool {
+	return p.successors(st, older) > 0
+}
+
+// successors returns the number of voters that have succeeded a host.
+func (p *membership) successors(st consensus.Status, older consensus.MemberStatus) int {
+	n := 0
+	for _, younger := range st.Members {
+		if !younger.Learner && p.succeeds(younger, older) && (younger.ID == st.ID || younger.ContactAge < p.replaceTimeout) {
+			n++
+		}
+	}
+	return n
+}
+
+// succeeds reports whether one host joined later than another one in the same data centre.
+func (p *membership) succeeds(younger, older consensus.MemberStatus) bool {
+	if p.dataCentres == nil || younger.ID == older.ID || younger.Joined <= older.Joined {
+		return false
+	}
+	dataCentres := p.dataCentres()
+	return dataCentres[younger.ID] != "" && dataCentres[younger.ID] == dataCentres[older.ID]
+}
+
 // nextVoter returns the learner to promote, if any. The number of voters is kept
 // odd: an even number has no majority when a partition cuts it in half, and
 // survives no more losses than one voter less. It becomes even only until a
-// second learner is promoted, or until an unresponsive voter of the learner's data
-// centre is removed. If dataCentres is nil, every learner that has caught up is
-// promoted.
+// second learner is promoted, until an unresponsive voter of the learner's data
+// centre is removed, or until a voter that has a successor is demoted. If dataCentres is
+// nil, every learner that has caught up is promoted.
 func (p *membership) nextVoter(st consensus.Status) (consensus.Member, bool) {
-	var caughtUp []consensus.Member
+	var caughtUp []consensus.MemberStatus
 	for _, m := range st.Members {
 		if m.Learner && m.CaughtUp && p.registered(m.ID) {
-			caughtUp = append(caughtUp, m.Member)
+			caughtUp = append(caughtUp, m)
 		}
 	}
+	// A host with a successor may be about to go.
+	slices.SortStableFunc(caughtUp, func(a, b consensus.MemberStatus) int {
+		return cmp.Compare(p.successors(st, a), p.successors(st, b))
+	})
 	n := countVoters(st)
 	if len(caughtUp) == 0 || n >= maxVoters {
 		return consensus.Member{}, false
 	}
-	if p.dataCentres == nil || n%2 == 0 || len(caughtUp) > 1 {
-		return caughtUp[0], true
+	if p.dataCentres == nil || n%2 == 0 {
+		return caughtUp[0].Member, true
 	}
 	dataCentres := p.dataCentres()
-	joining := dataCentres[caughtUp[0].ID]
-	for _, m := range st.Members {
-		if !m.Learner && m.ID != st.ID && m.ContactAge >= p.replaceTimeout && dataCentres[m.ID] == joining {
-			return caughtUp[0], true
+	for _, learner := range caughtUp {
+		_, succeeded := p.succeededVoter(st)
+		for _, m := range st.Members {
+			silent := m.ID != st.ID && m.ContactAge >= p.replaceTimeout && dataCentres[m.ID] == dataCentres[learner.ID]
+			if !m.Learner && (silent || (succeeded || p.succeeds(learner, m)) && !p.hasSuccessor(st, learner)) {
+				return learner.Member, true
+			}
 		}
 	}
+	if len(caughtUp) > 1 {
+		return caughtUp[0].Member, true
+	}
 	return consensus.Member{}, false
 }
 
--- a/internal/process/membership_search_test.go
+++ b/internal/process/membership_search_test.go
@@ -24,7 +24,7 @@
 	catchUp          time.Duration
 }
 
-var sites = []site{{3, 1, 4 * time.Second}, {6, 2, 6 * time.Second}}
+var sites = []site{{3, 1, 4 * time.Second}, {6, 2, 6 * time.Second}, {5, 2, 6 * time.Second}, {7, 2, 6 * time.Second}}
 
 // simAction is one disturbance. Its seed determines its details, so that they stay when
 // other actions are left out.
--- a/internal/process/membership_test.go
+++ b/internal/process/membership_test.go
@@ -14,8 +14,8 @@
 // majority when a partition cuts it in half, against a replaced host that stays
 // a member, and against the removal of a host that is down but not replaced.
 func TestMembershipChanges(t *testing.T) {
-	// A member is written id@data centre, with "?" for a learner and "!" for
-	// one that has not answered.
+	// A member is written id@data centre, with "?" for a learner, "!" for one that
+	// has not answered, and "+" for one that joined later than those without.
 	for _, tc := range []struct{ name, members, promote, remove string }{
 		{"one more host", "a@1 b@2 c@3 d?@4", "", ""},
 		{"two more hosts", "a@1 b@2 c@3 d?@4 e?@5", "d", ""},
@@ -26,6 +26,9 @@
 		{"its successor votes", "a@1 b@2 c!@3 d@3", "", "c"},
 		{"a host is down", "a@1 b@2 c!@3", "", ""},
 		{"a planned replacement", "a@1 b@2 c@3 d?@3", "", ""},
+		{"a planned replacement, the new one joined later", "a@1 b@2 c@3 d+?@3", "d", ""},
+		{"a replacement whose predecessor is a learner", "a@1 b@2 c?@3 d+@3", "", ""},
+		{"two replacements, the first one votes", "a@1 b@2 c@3 d+@3 e+?@2", "e", ""},
 		{"its predecessor has stopped", "a@1 b@2 c!@3 d?@3", "d", ""},
 		{"as many voters as there may be, one was replaced", "a@1 b@2 c@3 d@4 e@5 f@6 g!@7 h?@7", "", "g"},
 		{"as many voters as there may be, one is down", "a@1 b@2 c@3 d@4 e@5 f@6 g!@7 h?@8", "", ""},
@@ -36,23 +39,61 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
-			st := consensus.Status{ID: "a", Commit: 9}
-			dataCentres := make(map[string]string)
-			for _, word := range strings.Fields(tc.members) {
-				id, dataCentre, _ := strings.Cut(word, "@")
-				m := consensus.MemberStatus{Match: 9, CaughtUp: true}
-				m.Learner = strings.HasSuffix(id, "?")
-				if strings.HasSuffix(id, "!") {
-					m.ContactAge = 5 * time.Second
-				}
-				m.ID = strings.TrimRight(id, "?!")
-				if dataCentre != "" {
-					dataCentres[m.ID] = dataCentre
-				}
-				st.Members = append(st.Members, m)
-			}
+			st, dataCentres := parseMembers(tc.members)
 			is.Equal(process.NextVoter(st, dataCentres), tc.promote)
 			is.Equal(process.ReplacedMember(st, dataCentres), tc.remove)
 		})
 	}
 }
+
+// TestVoteOfReplacedHost guards against a planned replacement that leaves one voter less
+// when the old host stops: the next lost disk then takes the majority. The vote moves to the
+// new host before, and to no other data centre, and never back.
+func TestVoteOfReplacedHost(t *testing.T) {
+	for _, tc := range []struct {
+		name, members string
+		kind          consensus.ChangeKind
+		id            string
+	}{
+		{"the new host has caught up", "a@1 b@2 c@3 d+?@3", consensus.Promote, "d"},
+		{"it votes", "a@1 b@2 c@3 d+@3", consensus.Demote, "c"},
+		{"the old host is the leader", "b@2 c@3 a@1 d+@1", consensus.Demote, "a"},
+		{"it has stopped already", "a@1 b@2 c!@3 d+@3", consensus.Remove, "c"},
+		{"the new host does not answer", "a@1 b@2 c@3 d+!@3", consensus.Remove, "d"},
+		{"the vote has moved", "a@1 b@2 c?@3 d+@3", "", ""},
+		{"another disk is lost meanwhile", "a@1 c@3 d+@3", "", ""},
+		{"two hosts of a data centre, five voters", "a@1 b@2 c@3 d+@1 e+@2", "", ""},
+		{"a learner of another data centre", "a@1 b@2 c@3 d+@3 e+?@4", consensus.Demote, "c"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			st, dataCentres := parseMembers(tc.members)
+			c, _ := process.NextChange(st, dataCentres)
+			is.Equal(c.Kind, tc.kind)
+			is.Equal(c.Member.ID, tc.id)
+		})
+	}
+}
+
+// parseMembers returns the status of a leader a with members as in TestMembershipChanges.
+func parseMembers(text string) (consensus.Status, map[string]string) {
+	st := consensus.Status{ID: "a", Commit: 9}
+	dataCentres := make(map[string]string)
+	for _, word := range strings.Fields(text) {
+		id, dataCentre, _ := strings.Cut(word, "@")
+		m := consensus.MemberStatus{Match: 9, CaughtUp: true}
+		m.Learner = strings.HasSuffix(id, "?")
+		if strings.HasSuffix(id, "!") {
+			m.ContactAge = 5 * time.Second
+		}
+		if strings.Contains(id, "+") {
+			m.Joined = 5
+		}
+		m.ID = strings.TrimRight(id, "+?!")
+		if dataCentre != "" {
+			dataCentres[m.ID] = dataCentre
+		}
+		st.Members = append(st.Members, m)
+	}
+	return st, dataCentres
+}
