process: a replaced learner that is cut off stays a member; the membership is checked every 250 ms

Change: a learner that does not answer is removed after a minute instead of 2 s; two learners of which one succeeds the other don't grow the voters; at seven voters one with a successor is demoted first. The leader checks every 250 ms, also in the search. In a deployment of one data centre the rule does not apply: which host a new one replaces is not known there.

--- a/internal/process/control_sim_test.go
+++ b/internal/process/control_sim_test.go
@@ -19,7 +19,7 @@
 const (
 	simElectionTimeout  = 300 * time.Millisecond
 	simHeartbeat        = 75 * time.Millisecond
-	simMembershipPause  = time.Second
+	simMembershipPause  = process.MembershipInterval
 	simChangeTimeout    = 2 * time.Second
 	simRegisterInterval = time.Second
 	simSnapshotEvery    = 60
--- a/internal/process/export_test.go
+++ b/internal/process/export_test.go
@@ -12,6 +12,9 @@
 	return (&configCache{parse: parse}).get
 }
 
+// MembershipInterval is the pause between two checks of the membership.
+const MembershipInterval = membershipInterval
+
 // NextChange returns the change of the membership that a leader makes next; false for
 // none.
 func NextChange(st consensus.Status, dataCentres map[string]string) (consensus.Change, bool) {
--- a/internal/process/membership.go
+++ b/internal/process/membership.go
@@ -13,7 +13,7 @@
 // membershipInterval is how often the leader checks whether the membership must
 // change. After a change it checks at once: several hosts may have to be replaced,
 // with three changes each, before the next ones are lost.
-const membershipInterval = time.Second
+const membershipInterval = 250 * time.Millisecond
 
 // membership maintains the members of the replicated log. Only the leader acts.
 type membership struct {
@@ -32,6 +32,11 @@
 // survive the loss of more hosts than this.
 const maxVoters = 7
 
+// silentLearnerTimeout is how long a replaced learner must not have answered before it is
+// removed. It takes no vote away, and a host that was only cut off would join again, as if
+// it were the successor of its successor.
+const silentLearnerTimeout = time.Minute
+
 // minVoters is the number of voters that is never reduced for a successor.
 const minVoters = 3
 
@@ -74,13 +79,18 @@
 	}
 	demote := func() (consensus.Change, bool) {
 		m, ok := p.succeededVoter(st)
-		return consensus.Change{Kind: consensus.Demote, Member: m}, ok && countVoters(st) > minVoters
+		return consensus.Change{Kind: consensus.Demote, Member: m}, ok
 	}
-	order := []func() (consensus.Change, bool){promote, remove}
-	if countVoters(st)%2 == 0 {
+	var order []func() (consensus.Change, bool)
+	switch n := countVoters(st); {
+	case n%2 == 0 && n > minVoters:
 		// One voter less bears as many losses. Another one more would keep a host that
 		// is about to go.
 		order = []func() (consensus.Change, bool){remove, demote, promote}
+	case n >= maxVoters:
+		order = []func() (consensus.Change, bool){remove, demote}
+	default:
+		order = []func() (consensus.Change, bool){promote, remove}
 	}
 	for _, next := range order {
 		if c, ok := next(); ok {
@@ -90,34 +100,35 @@
 	return consensus.Change{}, false
 }
 
-// succeededVoter returns the oldest voter that a younger one in its data centre has
-// succeeded, if any.
+// succeededVoter returns the oldest voter that has a successor, if any: a voter, or if
+// there may be no further voter, a learner that could vote in its place.
 func (p *membership) succeededVoter(st consensus.Status) (oldest consensus.Member, ok bool) {
+	full := countVoters(st) >= maxVoters
+	learners := p.caughtUp(st)
 	for _, older := range st.Members {
 		if older.Learner || ok && older.Joined >= oldest.Joined {
 			continue
 		}
-		if p.hasSuccessor(st, older) {
+		succeeded := p.successors(st, older) > 0 && (!full || len(learners) > 0 && p.successors(st, learners[0]) == 0)
+		for _, l := range learners {
+			succeeded = succeeded || full && p.succeeds(st, l, older)
+		}
+		if succeeded {
 			oldest, ok = older.Member, true
 		}
 	}
 	return oldest, ok
 }
 
-// hasSuccessor reports whether a voter that answers joined later than a host in the same
-// data centre. The voter then is the planned successor of the host, or stays beside it; which one
-// isn't known before the host stops. The vote goes to the younger one in time, because the
-// next disk may be lost as soon as the older one has stopped. It never goes back, as the
-// older one did not join again.
-func (p *membership) hasSuccessor(st consensus.Status, older consensus.MemberStatus) bool {
-	return p.successors(st, older) > 0
-}
-
-// successors returns the number of voters that have succeeded a host.
+// successors returns the number of voters that answer and joined later than a host in the
+// same data centre. They then are its planned successors, or stay beside it; which one isn't
+// known before the host stops. The vote goes to the younger one in time, because the next
+// disk may be lost as soon as the older one has stopped. It never goes back, as the older
+// one did not join again.
 func (p *membership) successors(st consensus.Status, older consensus.MemberStatus) int {
 	n := 0
 	for _, younger := range st.Members {
-		if !younger.Learner && p.succeeds(younger, older) && (younger.ID == st.ID || younger.ContactAge < p.replaceTimeout) {
+		if !younger.Learner && p.succeeds(st, younger, older) && (younger.ID == st.ID || younger.ContactAge < p.replaceTimeout) {
 			n++
 		}
 	}
@@ -125,12 +136,37 @@
 }
 
 // succeeds reports whether one host joined later than another one in the same data centre.
-func (p *membership) succeeds(younger, older consensus.MemberStatus) bool {
+// In a deployment of one data centre this does not tell which host a new one replaces.
+func (p *membership) succeeds(st consensus.Status, younger, older consensus.MemberStatus) bool {
 	if p.dataCentres == nil || younger.ID == older.ID || younger.Joined <= older.Joined {
 		return false
 	}
 	dataCentres := p.dataCentres()
-	return dataCentres[younger.ID] != "" && dataCentres[younger.ID] == dataCentres[older.ID]
+	dc := dataCentres[younger.ID]
+	several := slices.ContainsFunc(st.Members, func(m consensus.MemberStatus) bool { return dataCentres[m.ID] != "" && dataCentres[m.ID] != dc })
+	return dc != "" && dc == dataCentres[older.ID] && several
+}
+
+// caughtUp returns the learners that may be promoted, last those that have a successor and
+// may be about to go.
+func (p *membership) caughtUp(st consensus.Status) []consensus.MemberStatus {
+	var out []consensus.MemberStatus
+	for _, m := range st.Members {
+		if m.Learner && m.CaughtUp && p.registered(m.ID) {
+			out = append(out, m)
+		}
+	}
+	successors := func(older consensus.MemberStatus) int {
+		n := p.successors(st, older)
+		for _, younger := range out {
+			if p.succeeds(st, younger, older) {
+				n++
+			}
+		}
+		return n
+	}
+	slices.SortStableFunc(out, func(a, b consensus.MemberStatus) int { return cmp.Compare(successors(a), successors(b)) })
+	return out
 }
 
 // nextVoter returns the learner to promote, if any. The number of voters is kept
@@ -140,16 +176,7 @@
 // centre is removed, or until a voter that has a successor is demoted. If dataCentres is
 // nil, every learner that has caught up is promoted.
 func (p *membership) nextVoter(st consensus.Status) (consensus.Member, bool) {
-	var caughtUp []consensus.MemberStatus
-	for _, m := range st.Members {
-		if m.Learner && m.CaughtUp && p.registered(m.ID) {
-			caughtUp = append(caughtUp, m)
-		}
-	}
-	// A host with a successor may be about to go.
-	slices.SortStableFunc(caughtUp, func(a, b consensus.MemberStatus) int {
-		return cmp.Compare(p.successors(st, a), p.successors(st, b))
-	})
+	caughtUp := p.caughtUp(st)
 	n := countVoters(st)
 	if len(caughtUp) == 0 || n >= maxVoters {
 		return consensus.Member{}, false
@@ -158,17 +185,19 @@
 		return caughtUp[0].Member, true
 	}
 	dataCentres := p.dataCentres()
+	_, succeeded := p.succeededVoter(st)
 	for _, learner := range caughtUp {
-		_, succeeded := p.succeededVoter(st)
 		for _, m := range st.Members {
 			silent := m.ID != st.ID && m.ContactAge >= p.replaceTimeout && dataCentres[m.ID] == dataCentres[learner.ID]
-			if !m.Learner && (silent || (succeeded || p.succeeds(learner, m)) && !p.hasSuccessor(st, learner)) {
+			if !m.Learner && (silent || (succeeded || p.succeeds(st, learner, m)) && p.successors(st, learner) == 0) {
 				return learner.Member, true
 			}
 		}
 	}
-	if len(caughtUp) > 1 {
-		return caughtUp[0].Member, true
+	for _, second := range caughtUp[1:] {
+		if !p.succeeds(st, caughtUp[0], second) {
+			return caughtUp[0].Member, true
+		}
 	}
 	return consensus.Member{}, false
 }
@@ -198,7 +227,11 @@
 	}
 	dataCentres, full := p.dataCentres(), countVoters(st) >= maxVoters
 	for _, old := range st.Members {
-		if old.ID == st.ID || old.ContactAge < p.replaceTimeout || dataCentres[old.ID] == "" {
+		timeout := p.replaceTimeout
+		if old.Learner {
+			timeout = silentLearnerTimeout
+		}
+		if old.ID == st.ID || old.ContactAge < timeout || dataCentres[old.ID] == "" {
 			continue
 		}
 		for _, successor := range st.Members {
--- a/internal/process/membership_test.go
+++ b/internal/process/membership_test.go
@@ -60,9 +60,15 @@
 		{"the old host is the leader", "b@2 c@3 a@1 d+@1", consensus.Demote, "a"},
 		{"it has stopped already", "a@1 b@2 c!@3 d+@3", consensus.Remove, "c"},
 		{"the new host does not answer", "a@1 b@2 c@3 d+!@3", consensus.Remove, "d"},
+		{"the vote has moved, the old host is cut off", "a@1 b@2 c?!@3 d+@3", "", ""},
 		{"the vote has moved", "a@1 b@2 c?@3 d+@3", "", ""},
 		{"another disk is lost meanwhile", "a@1 c@3 d+@3", "", ""},
 		{"two hosts of a data centre, five voters", "a@1 b@2 c@3 d+@1 e+@2", "", ""},
+		{"a learner and its successor", "a@1 b@2 c@3 d?@4 e+?@4", "", ""},
+		{"as many voters as there may be", "a@1 b@2 c@3 d@4 e@5 f@6 g@7 h+?@3", consensus.Demote, "c"},
+		{"as many voters, one of a data centre too many", "a@1 b@2 c@3 d@4 e@5 f@6 g+@1 h+?@3", consensus.Demote, "a"},
+		{"room for the successor", "a@1 b@2 c?@3 d@4 e@5 f@6 g@7 h+?@3", consensus.Promote, "h"},
+		{"one data centre", "a@1 b@1 c@1 d+?@1", "", ""},
 		{"a learner of another data centre", "a@1 b@2 c@3 d+@3 e+?@4", consensus.Demote, "c"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -82,8 +88,8 @@
 	for _, word := range strings.Fields(text) {
 		id, dataCentre, _ := strings.Cut(word, "@")
 		m := consensus.MemberStatus{Match: 9, CaughtUp: true}
-		m.Learner = strings.HasSuffix(id, "?")
-		if strings.HasSuffix(id, "!") {
+		m.Learner = strings.Contains(id, "?")
+		if strings.Contains(id, "!") {
 			m.ContactAge = 5 * time.Second
 		}
 		if strings.Contains(id, "+") {
