gateway: a connection goes back to the pool before its slot is given away

Cause: after an answer the slot was released first, and the connection returned to the pool after it. The next statement got the slot, found no idle connection and opened another one. Ruled out: the scheduler (its charges are exact in virtual time).

Change: the connection goes back, or is dropped, before the slot is released.

--- a/internal/gateway/operation.go
+++ b/internal/gateway/operation.go
@@ -363,15 +363,20 @@
 	rt.member.endStatement(err == nil || pc.refusedAnswer(err) || pc.refusedRequest(err))
 	took := time.Since(begun)
 	valid := err == nil && o.finishUse(u, sent, a)
+	// The connection goes back first: the next statement, which gets the slot, would open
+	// another one.
+	if pc.refusedRequest(err) || err == nil && a.State == statement.Idle {
+		rt.member.pool.put(pc)
+	} else {
+		rt.member.pool.drop(pc)
+	}
 	rt.member.release(slot, pc)
 	if pc.refusedRequest(err) {
 		u.abandon()
-		rt.member.pool.put(pc)
 		return o.session.failureAnswer(err), false
 	}
 	if err != nil {
 		u.abandon()
-		rt.member.pool.drop(pc)
 		if pc.refusedAnswer(err) {
 			return o.refuseAnswer(err), false
 		}
@@ -388,11 +393,6 @@
 	}
 	o.gateway.metrics.serverTime.Update(int64(took))
 	rt.member.recordAnswer(took, a.Position)
-	if a.State != statement.Idle {
-		rt.member.pool.drop(pc)
-	} else {
-		rt.member.pool.put(pc)
-	}
 	return o.handleAnswer(rt, a, valid)
 }
 
--- a/internal/gateway/ranks_test.go
+++ b/internal/gateway/ranks_test.go
@@ -103,3 +103,25 @@
 	})
 	return order
 }
+
+// TestSlotComesWithConnection guards against a statement that opens another connection
+// because it got the slot of the one before it, but not yet its connection: it took longer,
+// which changed the order of ranks and cost service in overload.
+func TestSlotComesWithConnection(t *testing.T) {
+	runWithGateway(t, func(t *testing.T, is *is.I, group *fakeGroup, g *gateway.Gateway) {
+		g.RenewLease(clock.Now().Add(time.Hour), 9) // with nine hosts, one statement at a time
+		group.update(func() { group.server("s1").serviceTime = time.Millisecond })
+		for range 40 {
+			var done sync.WaitGroup
+			for i := range 10 {
+				c := open(t, g, "urgent")
+				done.Go(func() {
+					defer c.Close()
+					is.Equal(failureKind(c.write(fmt.Sprint(i))), errkind.OK)
+				})
+			}
+			done.Wait()
+		}
+		group.update(func() { is.Equal(group.server("s1").openConns, 1) })
+	})
+}
