--- a/internal/directory/cluster_test.go
+++ b/internal/directory/cluster_test.go
@@ -31,14 +31,16 @@
 	down            map[string]bool
 	promoted        []directory.Promotion
 	demoted         []string
-	refusePromotion map[string]bool            // servers whose promotion fails with errkind.Conflict
-	syncReplicas    int                        // value of the setting sync_replicas
-	declared        map[string]bool            // groups of the configuration; nil if there is none
-	panics          bool                       // proposals of configurations panic
-	silentTargets   bool                       // a promoted server does not announce its role
-	term            uint64                     // of the latest promotion that took effect
-	promotionDelay  time.Duration              // from the request until a promotion takes effect
-	onPromoted      func(id string)            // called with mu held when a promotion takes effect; nil for none
+	refusePromotion map[string]bool // servers whose promotion fails with errkind.Conflict
+	syncReplicas    int             // value of the setting sync_replicas
+	declared        map[string]bool // groups of the configuration; nil if there is none
+	panics          bool            // proposals of configurations panic
+	silentTargets   bool            // a promoted server does not announce its role
+	term            uint64          // of the latest promotion that took effect
+	promotionDelay  time.Duration   // from the request until a promotion takes effect
+	onPromoted      func(id string) // called with mu held when a promotion takes effect; nil for none
+	onDemote        func(id string, term uint64)
+	promoteAnswer   func(id string) error      // answer to a request to promote; nil: the request is accepted
 	limits          map[string]allowance.Limit // of customers, with any configuration
 
 	ctx     context.Context // ends with the test
@@ -66,10 +68,13 @@
 			Host: "c1",
 			Members: directory.Members{
 				Status: c.serverStatus,
-				Demote: func(_ context.Context, s directoryrpc.Server, _ uint64) error {
+				Demote: func(_ context.Context, s directoryrpc.Server, term uint64) error {
 					c.mu.Lock()
 					defer c.mu.Unlock()
 					c.demoted = append(c.demoted, s.ID)
+					if c.onDemote != nil {
+						c.onDemote(s.ID, term)
+					}
 					return nil
 				},
 			},
@@ -164,9 +169,15 @@
 	if c.refusePromotion[p.Server] {
 		return errkind.New(errkind.Conflict, "not running")
 	}
+	var answer error
+	if c.promoteAnswer != nil {
+		if answer = c.promoteAnswer(p.Server); errkind.Of(answer) == errkind.Conflict {
+			return answer
+		}
+	}
 	c.promoted = append(c.promoted, p)
 	if st := c.status[p.Server]; st.Role == statement.Primary && st.Term == c.term {
-		return nil // it is the present primary
+		return answer // it is the present primary
 	}
 	delay, silent := c.promotionDelay, c.silentTargets
 	c.workers.Go(func() {
@@ -177,7 +188,7 @@
 			c.announceIn(p.Group, p.Server, true, false, 50)
 		}
 	})
-	return nil
+	return answer
 }
 
 // takeEffect makes a server the primary of the next term, unless it is down or already the
@@ -218,7 +229,8 @@
 
 	mu          sync.Mutex
 	version     uint64
-	frozen      bool // sends no requests
+	group       directoryrpc.Group // of version
+	frozen      bool               // sends no requests
 	report      directoryrpc.Report
 	lastRenewal time.Time // start of the last request that was answered
 }
@@ -248,7 +260,7 @@
 			h.lastRenewal = sent
 		}
 		if reply.Changed {
-			h.version = reply.State.Version
+			h.version, h.group = reply.State.Version, reply.State.Groups["g"]
 		}
 		h.mu.Unlock()
 	}
