--- a/internal/directory/doc.go
+++ b/internal/directory/doc.go
@@ -38,6 +38,15 @@
 // silent host did not report are unknown: a planned switchover then needs an answer of
 // the old primary, until another primary has been named.
 //
+// # Promotions
+//
+// A promotion that was requested may have taken effect, whatever came of the request. The
+// replicated group therefore holds three things. Term is that of the recorded primary: a
+// server counts as promoted only in a later one. Asked holds the servers whose promotion was
+// requested since: while there are any, the recorded primary is used again only after a
+// promotion of its own. Starts holds where the recent terms began: a log with commits beyond
+// them was rolled back and does not lead again.
+//
 // # Usage
 //
 //	d := directory.New(directory.Options{Members: members, Promote: promote, SyncReplicas: replicas, Control: addresses})
