directory: a lost primary that comes back under another id is recorded at once

Change: one server leads a term, so a target that leads the recorded term is the recorded primary, also under another id. Among equal logs a server that leads is preferred.

Result: TestPrimaryUnderNewID fails without the change.

--- a/internal/directory/promotion_test.go
+++ b/internal/directory/promotion_test.go
@@ -202,3 +202,29 @@
 		is.Equal(c.group().Primary, "s1")
 	})
 }
+
+// TestPrimaryUnderNewID guards against a group that is without a primary longer than needed:
+// the lost primary comes back under another id and still leads the recorded term, so no
+// promotion changes anything.
+func TestPrimaryUnderNewID(t *testing.T) {
+	runWithCluster(t, func(is *is.I, c *testCluster, h *testHost) {
+		c.withLock(func() { c.down["s1"], c.down["s2"], c.down["s3"] = true, true, true })
+		h.setReport(directoryrpc.Report{FailingFor: 500 * time.Millisecond, Position: pos(1, 130)})
+		time.Sleep(3 * time.Second)
+		is.True(c.group().Switching)
+		h.setReport(directoryrpc.Report{Position: pos(1, 130)})
+		c.withLock(func() {
+			c.down["s2"], c.down["s3"] = false, false
+			for _, id := range []string{"s2", "s3", "s4"} {
+				c.status[id] = statement.ServerStatus{Role: statement.Replica, Term: 1, Received: pos(1, 130)}
+			}
+			c.status["s4"] = statement.ServerStatus{Role: statement.Primary, Term: 1, Received: pos(1, 130)}
+			c.down["s1"] = true
+		})
+		c.announce("s4", true, false, 1)
+		time.Sleep(time.Second)
+		is.Equal(c.group().Primary, "s4")
+		is.Equal(c.group().Term, uint64(1))
+		is.True(!c.group().Switching)
+	})
+}
--- a/internal/directory/switchover.go
+++ b/internal/directory/switchover.go
@@ -348,7 +348,8 @@
 
 // better reports whether a is a better target than b: servers without commits that were
 // rolled back come first, then those that are not draining, those that have received more
-// of the log, and those other than the primary that is to be replaced.
+// of the log, those that lead already, and those other than the primary that is to be
+// replaced.
 func (sv survey) better(a, b statusResult, primary string) bool {
 	if held := sv.lineage.holds(a.status); held != sv.lineage.holds(b.status) {
 		return held
@@ -359,7 +360,10 @@
 	if a.status.Received.LSN != b.status.Received.LSN {
 		return a.status.Received.LSN > b.status.Received.LSN
 	}
-	return b.server.ID == primary
+	if b.server.ID == primary || a.server.ID == primary {
+		return b.server.ID == primary
+	}
+	return a.status.Role == statement.Primary && b.status.Role != statement.Primary
 }
 
 // promote promotes the logged target and reports whether the switchover is done.
@@ -447,9 +451,11 @@
 // role from an earlier term has not been promoted yet. The target announces its new role;
 // the periodic status call handles a lost announcement.
 //
-// A request to promote the present primary changes nothing. So if the target is the
-// recorded primary and still has the role in the recorded term after roleTimeout, no
-// other promotion had taken effect when it was requested.
+// One server leads a term. So a target that has the role in the recorded term is the
+// recorded primary, which may have been restarted under another id. It still is the present
+// one if no other promotion was requested. If one was, and the target has the role
+// in the recorded term after roleTimeout, no other promotion had taken effect when its own
+// was requested: a request to promote the present primary changes nothing.
 func (sw *switchover) awaitPrimaryRole(g directoryrpc.Group, target directoryrpc.Server) (st statement.ServerStatus, promoted bool) {
 	l := sw.leadership
 	recorded := l.recordedTerm(g)
@@ -463,10 +469,11 @@
 			var err error
 			st, err = sw.checkRole(g, target)
 			leads := err == nil && st.Role == statement.Primary
-			if leads && st.Term > recorded {
+			unchanged = leads && st.Term == recorded
+			onlyTarget := !slices.ContainsFunc(g.Asked, func(id string) bool { return id != target.ID })
+			if leads && st.Term > recorded || unchanged && onlyTarget {
 				return st, true
 			}
-			unchanged = leads && st.Term == recorded && target.ID == g.Primary
 		}
 		select {
 		case <-l.ctx.Done():
