--- a/internal/directory/switchover_sim_test.go
+++ b/internal/directory/switchover_sim_test.go
@@ -73,8 +73,8 @@
 	reads   []simRead
 	failing time.Time // first of the uninterrupted failures at the primary; zero if it answers
 	seen    logpos.Position
-	darken  bool // the next promoted server goes dark at once
-	loseAns bool // the next answer of the promotion service is lost
+	darken  time.Duration // the next promoted server goes dark at once for so long; 0: it does not
+	loseAns bool          // the next answer of the promotion service is lost
 	token   uint64
 	broken  string
 	log     func(format string, args ...any)
@@ -138,9 +138,9 @@
 	x := s.server(id)
 	x.primary, x.term, x.superseded = true, s.c.term, time.Time{}
 	s.log("%v: %s leads term %d from %d", time.Now(), id, x.term, len(x.log))
-	if s.darken {
-		s.darken = false
-		s.goDark(x)
+	if d := s.darken; d > 0 {
+		s.darken = 0
+		s.goDark(x, d)
 	}
 	s.publish()
 }
@@ -164,14 +164,13 @@
 	return nil
 }
 
-// goDark stops a server without notice. It comes back with its log, as a replica if another
+// goDark stops a server for d without notice. It comes back with its log, as a replica if another
 // one was promoted.
-func (s *switchoverSim) goDark(x *simServer) {
+func (s *switchoverSim) goDark(x *simServer, d time.Duration) {
 	if x.dark {
 		return
 	}
 	x.dark = true
-	d := s.between(500, 7000)
 	s.log("%v: %s goes dark for %v", time.Now(), x.id, d)
 	s.c.workers.Go(func() {
 		time.Sleep(d)
@@ -192,13 +191,13 @@
 	return time.Duration(low+s.r.IntN(high-low+1)) * time.Millisecond
 }
 
-// disturb starts one disturbance.
+// disturb starts one disturbance. Only it and play draw, in one goroutine.
 func (s *switchoverSim) disturb() {
+	d := s.between(500, 7000)
 	kind := []string{"cut the primary", "cut the primary", "dark", "dark", "dark primary", "dark at the next promotion", "lose an answer", "change the leader"}[s.r.IntN(8)]
 	s.log("%v: %s", time.Now(), kind)
 	switch kind {
 	case "cut the primary":
-		d := s.between(500, 7000)
 		s.c.withLock(func() {
 			i := slices.IndexFunc(s.servers, func(x *simServer) bool { return x.primary && x.term == s.c.term })
 			if x := s.servers[i]; !x.cut {
@@ -213,17 +212,18 @@
 			}
 		})
 	case "dark":
-		s.c.withLock(func() { s.goDark(s.servers[s.r.IntN(3)]) })
+		x := s.servers[s.r.IntN(3)]
+		s.c.withLock(func() { s.goDark(x, d) })
 	case "dark primary":
 		s.c.withLock(func() {
 			for _, x := range s.servers {
 				if x.primary && x.term == s.c.term {
-					s.goDark(x)
+					s.goDark(x, d)
 				}
 			}
 		})
 	case "dark at the next promotion":
-		s.c.withLock(func() { s.darken = true })
+		s.c.withLock(func() { s.darken = d })
 	case "lose an answer":
 		s.c.withLock(func() { s.loseAns = true })
 	case "change the leader":
@@ -244,7 +244,7 @@
 		time.Sleep(s.between(20, 4000))
 		s.disturb()
 	}
-	s.c.withLock(func() { s.darken = false })
+	s.c.withLock(func() { s.darken = 0 })
 	time.Sleep(30 * time.Second)
 	cancel()
 	s.c.withLock(s.check)
