process: no vote moves where most data centres have several control hosts

With two hosts in each data centre, a promoted learner made the number of voters even, and the older host of its data centre was demoted, for ever: three voters in place of five.

Change: a host succeeds another one only while fewer than half of the data centres have several hosts that answer.

--- a/internal/process/membership.go
+++ b/internal/process/membership.go
@@ -136,15 +136,40 @@
 }
 
 // succeeds reports whether one host joined later than another one in the same data centre.
-// In a deployment of one data centre this does not tell which host a new one replaces.
+// That tells which host a new one replaces only if data centres with several hosts are the
+// exception.
 func (p *membership) succeeds(st consensus.Status, younger, older consensus.MemberStatus) bool {
 	if p.dataCentres == nil || younger.ID == older.ID || younger.Joined <= older.Joined {
 		return false
 	}
 	dataCentres := p.dataCentres()
 	dc := dataCentres[younger.ID]
-	several := slices.ContainsFunc(st.Members, func(m consensus.MemberStatus) bool { return dataCentres[m.ID] != "" && dataCentres[m.ID] != dc })
-	return dc != "" && dc == dataCentres[older.ID] && several
+	return dc != "" && dc == dataCentres[older.ID] && 2*p.sharedDataCentres(st, dataCentres) < countDataCentres(st, dataCentres)
+}
+
+// sharedDataCentres returns the number of data centres with several hosts that answer.
+func (p *membership) sharedDataCentres(st consensus.Status, dataCentres map[string]string) int {
+	hosts := make(map[string]int)
+	shared := 0
+	for _, m := range st.Members {
+		if dc := dataCentres[m.ID]; dc != "" && (m.ID == st.ID || m.ContactAge < p.replaceTimeout) {
+			if hosts[dc]++; hosts[dc] == 2 {
+				shared++
+			}
+		}
+	}
+	return shared
+}
+
+// countDataCentres returns the number of data centres of the members.
+func countDataCentres(st consensus.Status, dataCentres map[string]string) int {
+	seen := make(map[string]bool)
+	for _, m := range st.Members {
+		if dc := dataCentres[m.ID]; dc != "" {
+			seen[dc] = true
+		}
+	}
+	return len(seen)
 }
 
 // caughtUp returns the learners that may be promoted, last those that have a successor and
--- a/internal/process/membership_test.go
+++ b/internal/process/membership_test.go
@@ -68,6 +68,7 @@
 		{"as many voters as there may be", "a@1 b@2 c@3 d@4 e@5 f@6 g@7 h+?@3", consensus.Demote, "c"},
 		{"as many voters, one of a data centre too many", "a@1 b@2 c@3 d@4 e@5 f@6 g+@1 h+?@3", consensus.Demote, "a"},
 		{"room for the successor", "a@1 b@2 c?@3 d@4 e@5 f@6 g@7 h+?@3", consensus.Promote, "h"},
+		{"two hosts in every data centre, four voters", "a@1 b@2 c@3 d+@1 e+?@2 f+?@3", consensus.Promote, "e"},
 		{"one data centre", "a@1 b@1 c@1 d+?@1", "", ""},
 		{"a learner of another data centre", "a@1 b@2 c@3 d+@3 e+?@4", consensus.Demote, "c"},
 	} {
