directory: a promotion that takes effect after its successor was recorded

A promotion was requested, not seen within 2 s, and another server was promoted and recorded; the first one took effect later. The leader kept the recorded primary until it was announced as a replica for a second, and for good if the later one went dark before.

Change: a server that announces the primary role beside the recorded one is asked for its term, once for each announcement. If it leads a later term, a switchover begins (cause superseded) that records its promotion as one that may have taken effect. The survey and the check of a demotion ask for the term of the recorded primary, too.

Result: TestPromotionAfterSuccessor fails without the change, in both cases.

--- a/internal/directory/leadership.go
+++ b/internal/directory/leadership.go
@@ -228,6 +228,9 @@
 		return
 	}
 	sw := &switchover{leadership: l, group: g.Name, cause: c, refusedAt: make(map[string]time.Time), requests: make(map[string]int)}
+	if c == causeSuperseded {
+		sw.successor = l.monitor(g.Name).others.known()
+	}
 	started := l.startChange(g.Name, func() {
 		defer l.switchovers.Add(-1)
 		sw.run()
--- a/internal/directory/primary_monitor.go
+++ b/internal/directory/primary_monitor.go
@@ -30,22 +30,24 @@
 
 const (
 	causeNone              cause = ""
-	causeLost              cause = "lost"    // it was removed, or hosts and the leader can't reach it
-	causeLeaving           cause = "leaving" // it announced that it is draining
-	causePartlyUnreachable cause = "partial" // some hosts do not reach it
-	causeDemoted           cause = "demoted" // it announces itself as a replica
-	causeResumed           cause = "resumed" // an earlier leader began the switchover
+	causeLost              cause = "lost"       // it was removed, or hosts and the leader can't reach it
+	causeLeaving           cause = "leaving"    // it announced that it is draining
+	causePartlyUnreachable cause = "partial"    // some hosts do not reach it
+	causeDemoted           cause = "demoted"    // it announces itself as a replica
+	causeResumed           cause = "resumed"    // an earlier leader began the switchover
+	causeSuperseded        cause = "superseded" // another server leads a later term
 )
 
 // forced reports whether the switchover proceeds without waiting for an answer of
 // the old primary.
-func (c cause) forced() bool { return c == causeLost || c == causeDemoted }
+func (c cause) forced() bool { return c == causeLost || c == causeDemoted || c == causeSuperseded }
 
 // primaryMonitor decides whether the primary of one group has to be replaced. The
 // fields below mu are shared with the background probe.
 type primaryMonitor struct {
 	demotedSince time.Time // when the primary was first seen announced as a replica; zero if it is not
 	generation   uint64    // generation of the group that the fields refer to
+	others       otherPrimaries
 
 	mu           sync.Mutex
 	probing      bool
@@ -61,6 +63,9 @@
 	if m.generation != g.Generation {
 		m.reset(g.Generation)
 	}
+	if m.others.check(l, g, servers) != "" {
+		return causeSuperseded
+	}
 	primary, known := s.Servers[g.Primary]
 	if !known {
 		return causeLost
@@ -72,7 +77,7 @@
 		if m.demotedSince.IsZero() {
 			m.demotedSince = time.Now()
 		}
-		if time.Since(m.demotedSince) > roleGracePeriod && m.confirmDemotion(l, primary) {
+		if time.Since(m.demotedSince) > roleGracePeriod && m.confirmDemotion(l, g, primary) {
 			return causeDemoted
 		}
 	} else {
@@ -84,16 +89,21 @@
 	return m.causeFromReports(l, g, primary)
 }
 
+// leads reports whether a server shows the primary role in the given term or a later one.
+func leads(st statement.ServerStatus, term uint64) bool {
+	return st.Role == statement.Primary && st.Term >= term
+}
+
 // confirmDemotion reports whether a primary that is announced as a replica must be
 // replaced. The announcement of a server that was just promoted may arrive later than
 // the grace period, so the server itself is asked. If it does not answer, the
 // announcement counts.
-func (m *primaryMonitor) confirmDemotion(l *leadership, primary directoryrpc.Server) bool {
+func (m *primaryMonitor) confirmDemotion(l *leadership, g directoryrpc.Group, primary directoryrpc.Server) bool {
 	m.probe(l, primary)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	asked := m.probed.server.ID == primary.ID && m.probedAt.After(m.demotedSince)
-	return asked && (m.probed.err != nil || m.probed.status.Role != statement.Primary)
+	return asked && (m.probed.err != nil || !leads(m.probed.status, l.recordedTerm(g)))
 }
 
 // causeFromReports evaluates the reports of the hosts and the probes of the
@@ -140,6 +150,7 @@
 // reset clears the observations when the generation of the group changes.
 func (m *primaryMonitor) reset(generation uint64) {
 	m.generation, m.demotedSince = generation, time.Time{}
+	m.others.reset(generation)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.failingSince, m.failures = time.Time{}, 0
--- a/internal/directory/promotion_test.go
+++ b/internal/directory/promotion_test.go
@@ -228,3 +228,38 @@
 		is.True(!c.group().Switching)
 	})
 }
+
+// TestPromotionAfterSuccessor guards against a group whose recorded primary is superseded by
+// a promotion that was requested earlier and took effect later: writes at it were
+// acknowledged until it stepped down, and again if its successor went dark.
+func TestPromotionAfterSuccessor(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		dark bool
+	}{{"answers", false}, {"goes dark", true}} {
+		t.Run(test.name, func(t *testing.T) {
+			runWithCluster(t, func(is *is.I, c *testCluster, h *testHost) {
+				c.withLock(func() {
+					c.down["s1"], c.promotionDelay = true, 2900*time.Millisecond
+					c.status["s3"] = statement.ServerStatus{Role: statement.Replica, Term: 1, Received: pos(1, 120)}
+				})
+				h.setReport(directoryrpc.Report{FailingFor: 500 * time.Millisecond})
+				for len(c.promotions()) == 0 {
+					time.Sleep(10 * time.Millisecond)
+				}
+				c.withLock(func() { c.promotionDelay = 300 * time.Millisecond })
+				h.setReport(directoryrpc.Report{})
+				time.Sleep(2700 * time.Millisecond)
+				is.Equal(c.group().Primary, "s2")
+				time.Sleep(600 * time.Millisecond) // the first promotion has taken effect
+				c.withLock(func() { c.down["s3"] = test.dark })
+				for range 300 {
+					time.Sleep(10 * time.Millisecond)
+					g := c.group()
+					c.withLock(func() { is.True(g.Switching || c.status[g.Primary].Term == c.term) })
+				}
+				is.True(test.dark || c.group().Primary == "s3" && !c.group().Switching)
+			})
+		})
+	}
+}
--- a/internal/directory/switchover.go
+++ b/internal/directory/switchover.go
@@ -41,8 +41,9 @@
 	leadership *leadership
 	group      string
 	cause      cause
+	successor  string               // server that leads a later term; only with causeSuperseded
 	refusedAt  map[string]time.Time // when the promotion of a server last failed, by server id
-	requests   map[string]int       // promotions requested of a server that nobody asked before, by server id
+	requests   map[string]int       // requests to promote each server whose first one is of this switchover
 	startedAt  time.Time
 	surveyed   []string // what the servers last answered, as logged
 }
@@ -95,6 +96,9 @@
 	}
 	next := g
 	next.Switching, next.Target = true, ""
+	if sw.successor != "" && !slices.Contains(g.Asked, sw.successor) {
+		next.Asked = append(slices.Clone(g.Asked), sw.successor)
+	}
 	err := sw.updateGroup(g, next)
 	sw.event("switch_begun", g).Err(err).Msg("starting a switchover; the old primary gets no new statements")
 	return err == nil
@@ -186,10 +190,10 @@
 	return survey{results, lineage{sw.recordedTerm(g, results), g.Starts}, complete}
 }
 
-// primary returns the answer of the recorded primary, if it still has the role.
+// primary returns the answer of the recorded primary, if it still leads its term.
 func (sv survey) primary(g directoryrpc.Group) (statusResult, bool) {
 	for _, c := range sv.results {
-		if c.server.ID == g.Primary && c.status.Role == statement.Primary {
+		if c.server.ID == g.Primary && leads(c.status, sv.lineage.term) {
 			return c, true
 		}
 	}
@@ -319,12 +323,12 @@
 	var ok bool
 	answered := 0
 	for _, c := range sv.results {
-		primary, leads := c.server.ID == g.Primary, c.status.Role == statement.Primary
-		if primary && leads && len(g.Asked) == 0 {
+		recorded, acting := c.server.ID == g.Primary, c.status.Role == statement.Primary
+		if recorded && acting && len(g.Asked) == 0 {
 			continue
 		}
 		answered++
-		if primary && !leads && !sw.cause.forced() || sw.recentlyRefused(c.server.ID) {
+		if recorded && !acting && !sw.cause.forced() || sw.recentlyRefused(c.server.ID) {
 			continue
 		}
 		if !sv.lineage.holds(c.status) && !(sv.complete && sw.waitedForTerm()) {
@@ -468,10 +472,9 @@
 			lastQuery = time.Now()
 			var err error
 			st, err = sw.checkRole(g, target)
-			leads := err == nil && st.Role == statement.Primary
-			unchanged = leads && st.Term == recorded
+			unchanged = err == nil && leads(st, recorded) && st.Term == recorded
 			onlyTarget := !slices.ContainsFunc(g.Asked, func(id string) bool { return id != target.ID })
-			if leads && st.Term > recorded || unchanged && onlyTarget {
+			if err == nil && leads(st, recorded+1) || unchanged && onlyTarget {
 				return st, true
 			}
 		}
