--- a/internal/directory/machine_test.go
+++ b/internal/directory/machine_test.go
@@ -1,6 +1,7 @@
 package directory_test
 
 import (
+	"encoding/hex"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -144,3 +145,14 @@
 		is.Equal(c.d.State().HostCount, 1)
 	})
 }
+
+// TestSnapshotOfEarlierRelease guards against a state that this release can't read, or reads
+// as another one: a snapshot of a release without terms, taken while a group switches.
+func TestSnapshotOfEarlierRelease(t *testing.T) {
+	is := is.New(t)
+	snapshot, err := hex.DecodeString("88a16300a164c0a16781a16785a16702a16ea167a170a27331a173c3a174a27332a16880a16b00a17380a17602a178c0")
+	is.NoErr(err)
+	m := directory.NewMachine()
+	is.NoErr(m.Restore(snapshot))
+	is.Equal(m.State().Groups, map[string]directoryrpc.Group{"g": {Name: "g", Primary: "s1", Generation: 2, Switching: true, Target: "s2"}})
+}
--- a/internal/process/membership.go
+++ b/internal/process/membership.go
@@ -21,8 +21,8 @@
 	log  zerolog.Logger
 	// dataCentres returns the data centre of each host by id. If one of two
 	// hosts in a data centre has not answered for replaceTimeout, the other one
-	// replaces it and it is removed. If both answer, the younger one votes. If dataCentres is nil, no host is replaced
-	// this way.
+	// replaces it and it is removed. If both answer, the younger one votes. If
+	// dataCentres is nil, no host is replaced this way.
 	dataCentres    func() map[string]string
 	replaceTimeout time.Duration
 }
