--- a/internal/process/control_sim_test.go
+++ b/internal/process/control_sim_test.go
@@ -85,12 +85,18 @@
 	return last
 }
 
-// newControlSim starts n control hosts, the first three of which bootstrap.
+// newControlSim starts n control hosts in as many data centres, the first three of which
+// bootstrap.
 func newControlSim(seed uint64, n int, log func(format string, args ...any)) *controlSim {
+	return newControlSimIn(seed, n, n, log)
+}
+
+// newControlSimIn is newControlSim with the hosts in the given number of data centres.
+func newControlSimIn(seed uint64, n, dataCentres int, log func(format string, args ...any)) *controlSim {
 	s := &controlSim{rand: rand.New(rand.NewPCG(seed, 2)), hosts: make(map[string]*controlHost), cut: make(map[[2]string]bool), log: log}
 	var first []consensus.Member
 	for i := range n {
-		h := s.addHost(fmt.Sprint("d", i))
+		h := s.addHost(fmt.Sprint("d", i%dataCentres))
 		if i < 3 {
 			first = append(first, consensus.Member{ID: h.id, Address: h.id})
 		}
--- a/internal/process/membership_search_test.go
+++ b/internal/process/membership_search_test.go
@@ -484,3 +484,19 @@
 		}
 	}
 }
+
+// TestVotersInSharedDataCentres guards against hosts that never vote, or gain and lose their
+// votes for ever, because several are in one data centre and count as successors.
+func TestVotersInSharedDataCentres(t *testing.T) {
+	for _, dataCentres := range []int{1, 2, 3, 4, 5, 6} {
+		for seed := range uint64(10) {
+			s := newControlSimIn(seed, 6, dataCentres, t.Logf)
+			s.advance(10 * time.Second)
+			before := s.leader().machine.Members()
+			s.advance(20 * time.Second)
+			if after := s.leader().machine.Members(); s.margin(after, nil) < 2 || !slices.Equal(after, before) {
+				t.Errorf("%d data centres, seed %d: the members are %s, were %s", dataCentres, seed, s.members(after), s.members(before))
+			}
+		}
+	}
+}
